Set down the shape: tables, systems and ticks in core

Core holds the entities as immutable rows in persistent maps and the decisions as systems that run over them each tick.

--- /dev/null
+++ b/core/src/main/kotlin/org/ragwortbank/core/entry/CreditRow.kt
@@ -0,0 +1,14 @@
+package org.ragwortbank.core.entry
+
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.persistentListOf
+import org.ragwortbank.core.model.RequestId
+
+/** The requests of one account that wait for tokens at this entry. */
+data class CreditRow(
+    val waiting: PersistentList<RequestId> = persistentListOf(),
+    val ask: PendingAsk? = null,
+) {
+    /** Whether the row can be dropped. */
+    val idle: Boolean get() = waiting.isEmpty() && ask == null
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/ragwortbank/core/entry/EntryEffect.kt
@@ -0,0 +1,60 @@
+package org.ragwortbank.core.entry
+
+import kotlinx.collections.immutable.PersistentSet
+import kotlinx.io.bytestring.ByteString
+import org.ragwortbank.core.limits.LimitEpoch
+import org.ragwortbank.core.log.LogLine
+import org.ragwortbank.core.message.EntryMessage
+import org.ragwortbank.core.message.SidecarCommand
+import org.ragwortbank.core.model.AccountId
+import org.ragwortbank.core.model.AnswerHead
+import org.ragwortbank.core.model.IdempotencyKey
+import org.ragwortbank.core.model.Instance
+import org.ragwortbank.core.model.InstanceName
+import org.ragwortbank.core.model.RequestId
+import org.ragwortbank.core.result.Refusal
+
+/** What an entry does to the outside; the node performs these in order. */
+sealed interface EntryEffect {
+    /** Begin the answer to [request]. */
+    data class BeginAnswer(val request: RequestId, val head: AnswerHead) : EntryEffect
+
+    /** Send the next piece of the answer. */
+    data class ContinueAnswer(val request: RequestId, val data: ByteString) : EntryEffect
+
+    /** The answer is complete. */
+    data class EndAnswer(val request: RequestId) : EntryEffect
+
+    /** Tell the caller why there is no complete answer, also when part of it has been sent. */
+    data class Refuse(val request: RequestId, val refusal: Refusal) : EntryEffect
+
+    /** Send [command] to the sidecar on [to]. */
+    data class ToSidecar(val to: InstanceName, val command: SidecarCommand) : EntryEffect
+
+    /** Send [message] to the entry on [to], which may be this one. */
+    data class ToEntry(val to: InstanceName, val message: EntryMessage) : EntryEffect
+
+    /** Keep links to exactly these instances. */
+    data class LinkTo(val instances: PersistentSet<Instance>) : EntryEffect
+
+    /** Replace the limit epoch by compare-and-swap against [expected]. */
+    data class ProposeEpoch(val expected: LimitEpoch?, val proposed: LimitEpoch) : EntryEffect
+
+    /** Record that [request] runs under [key], unless another request has. */
+    data class Claim(val request: RequestId, val account: AccountId, val key: IdempotencyKey) : EntryEffect
+
+    /** Remove the record of [key], because [request] holds it and has not run. */
+    data class ReleaseClaim(val request: RequestId, val account: AccountId, val key: IdempotencyKey) : EntryEffect
+
+    /** Read the operators' tables now. */
+    data object ReadConfiguration : EntryEffect
+
+    /** Read the limit epoch now. */
+    data object ReadEpoch : EntryEffect
+
+    /** Write [line] to the log. */
+    data class Log(val line: LogLine) : EntryEffect
+
+    /** All work is done after a stop was asked for. */
+    data object Stopped : EntryEffect
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/ragwortbank/core/entry/EntryInput.kt
@@ -0,0 +1,48 @@
+package org.ragwortbank.core.entry
+
+import kotlinx.collections.immutable.PersistentList
+import org.ragwortbank.core.limits.LimitEpoch
+import org.ragwortbank.core.message.EntryMessage
+import org.ragwortbank.core.message.SidecarReport
+import org.ragwortbank.core.model.Call
+import org.ragwortbank.core.model.Configuration
+import org.ragwortbank.core.model.Instance
+import org.ragwortbank.core.model.InstanceName
+import org.ragwortbank.core.model.RequestId
+import org.ragwortbank.core.tick.Timestamp
+
+/** What happens to an entry from outside. */
+sealed interface EntryInput {
+    /** A complete request arrived. */
+    data class CallArrived(val call: Call) : EntryInput
+
+    /** The caller closed its connection before the answer was complete. */
+    data class CallerGone(val request: RequestId) : EntryInput
+
+    /** A sidecar sent [report]. */
+    data class SidecarSaid(val from: InstanceName, val report: SidecarReport) : EntryInput
+
+    /** Another entry, or this one itself, sent [message]. */
+    data class EntrySaid(val from: InstanceName, val message: EntryMessage) : EntryInput
+
+    /** The link to [instance] works. */
+    data class LinkOpened(val instance: InstanceName) : EntryInput
+
+    /** The link to [instance] broke; what was sent before may or may not have arrived. */
+    data class LinkClosed(val instance: InstanceName) : EntryInput
+
+    /** The operators' tables were read. */
+    data class ConfigurationRead(val configuration: Configuration) : EntryInput
+
+    /** The instance list was read by a call made at [askedAt]. */
+    data class InstancesRead(val instances: PersistentList<Instance>, val askedAt: Timestamp) : EntryInput
+
+    /** The limit epoch was read by a call made at [askedAt]; null when there is none yet. */
+    data class EpochRead(val epoch: LimitEpoch?, val askedAt: Timestamp) : EntryInput
+
+    /** The claim that [request] runs was decided. */
+    data class ClaimDecided(val request: RequestId, val result: ClaimResult) : EntryInput
+
+    /** The process shall stop gracefully. */
+    data object StopAsked : EntryInput
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/ragwortbank/core/entry/EntrySchedule.kt
@@ -0,0 +1,27 @@
+package org.ragwortbank.core.entry
+
+import kotlinx.collections.immutable.persistentListOf
+import org.ragwortbank.core.routing.RendezvousChoice
+import org.ragwortbank.core.routing.UpstreamChoice
+import org.ragwortbank.core.tick.Schedule
+
+/** The systems of an entry, in the order in which they run; [policy] chooses upstreams. */
+fun entrySchedule(
+    policy: UpstreamChoice = RendezvousChoice(),
+): Schedule<EntryTables, EntryInput, EntryEffect> =
+    Schedule(
+        persistentListOf(
+            MembershipSystem(),
+            ConfigurationSystem(),
+            EpochSystem(),
+            AdmissionSystem(),
+            HomeSystem(),
+            HandoverSystem(),
+            SweepSystem(),
+            CreditSystem(),
+            AnswerSystem(),
+            ClaimSystem(),
+            DispatchSystem(policy),
+            DrainSystem(),
+        ),
+    )
--- /dev/null
+++ b/core/src/main/kotlin/org/ragwortbank/core/entry/Homes.kt
@@ -0,0 +1,17 @@
+package org.ragwortbank.core.entry
+
+import org.ragwortbank.core.limits.HomeChoice
+import org.ragwortbank.core.limits.LimitMember
+import org.ragwortbank.core.model.AccountId
+import org.ragwortbank.core.model.InstanceName
+
+/** The entry that keeps the bucket of [account], as far as this entry knows; null when it knows of none. */
+internal fun homeOf(tables: EntryTables, account: AccountId): InstanceName? =
+    HomeChoice.RENDEZVOUS.homeOf(account, homeCandidates(tables))?.name
+
+/** The members of the epoch that are not known to have stopped. */
+internal fun homeCandidates(tables: EntryTables): List<LimitMember> {
+    val membership = tables.membership
+    val after = tables.settings.absentAfter
+    return membership.epoch?.members.orEmpty().filterNot { membership.absentLongerThan(it.name, after) }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/ragwortbank/core/entry/Membership.kt
@@ -0,0 +1,50 @@
+package org.ragwortbank.core.entry
+
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentMapOf
+import org.ragwortbank.core.limits.LimitEpoch
+import org.ragwortbank.core.limits.LimitMember
+import org.ragwortbank.core.model.Instance
+import org.ragwortbank.core.model.InstanceName
+import org.ragwortbank.core.tick.Timestamp
+import kotlin.time.Duration
+
+/**
+ * What an entry knows of the fleet.
+ *
+ * @property instances the instance list as last read
+ * @property listedAt when the call was made that read [instances]
+ * @property epoch the highest limit epoch read
+ * @property epochKnown whether the epoch has been read at all
+ * @property witnessAt when this entry last asked and was then found to be a live member
+ * @property absentSince members that are missing from the list, with the time since when
+ * @property retiredSince retired members, with the time at which this entry first read so
+ */
+data class Membership(
+    val instances: PersistentMap<InstanceName, Instance> = persistentMapOf(),
+    val listedAt: Timestamp? = null,
+    val epoch: LimitEpoch? = null,
+    val epochKnown: Boolean = false,
+    val witnessAt: Timestamp? = null,
+    val absentSince: PersistentMap<InstanceName, Timestamp> = persistentMapOf(),
+    val retiredSince: PersistentMap<LimitMember, Timestamp> = persistentMapOf(),
+) {
+    /** Whether this entry may still grant credit at [now]. */
+    fun witnessed(now: Timestamp, lifetime: Duration): Boolean = witnessAt != null && now - witnessAt <= lifetime
+
+    /** Whether [member] has stopped granting for certain, given that it stops [after] its last sight of itself. */
+    fun stoppedForCertain(member: LimitMember, now: Timestamp, after: Duration): Boolean =
+        absentLongerThan(member.name, after) || retiredLongerThan(member, now, after)
+
+    /** Whether every read of the list over a time of [duration] lacked [name]. */
+    fun absentLongerThan(name: InstanceName, duration: Duration): Boolean {
+        val since = absentSince[name]
+        return since != null && listedAt != null && listedAt - since > duration
+    }
+
+    private fun retiredLongerThan(member: LimitMember, now: Timestamp, after: Duration): Boolean {
+        val since = retiredSince[member]
+        val replaced = epoch?.members.orEmpty().any { it.name == member.name }
+        return since != null && replaced && now - since > after
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/ragwortbank/core/entry/PendingAsk.kt
@@ -0,0 +1,14 @@
+package org.ragwortbank.core.entry
+
+import kotlinx.collections.immutable.PersistentList
+import org.ragwortbank.core.model.InstanceName
+import org.ragwortbank.core.model.RequestId
+import org.ragwortbank.core.tick.Timestamp
+
+/** A question to the home of an account that has not been answered yet. */
+data class PendingAsk(
+    val number: Long,
+    val home: InstanceName,
+    val requests: PersistentList<RequestId>,
+    val sentAt: Timestamp,
+)
--- /dev/null
+++ b/core/src/main/kotlin/org/ragwortbank/core/entry/RequestEnd.kt
@@ -0,0 +1,67 @@
+package org.ragwortbank.core.entry
+
+import org.ragwortbank.core.log.LogLine
+import org.ragwortbank.core.log.LogPart
+import org.ragwortbank.core.message.EntryMessage
+import org.ragwortbank.core.message.SidecarCommand
+import org.ragwortbank.core.result.Execution
+import org.ragwortbank.core.result.Refusal
+
+/** Adds a line to the log. */
+internal fun EntryStep.log(part: LogPart, message: String): EntryStep = emit(EntryEffect.Log(LogLine(part, message)))
+
+/** Ends [request] without a complete answer. */
+internal fun EntryStep.refuse(request: Request, refusal: Refusal): EntryStep {
+    val call = request.call
+    val line = "request ${call.id} of ${request.account} on ${call.route} refused: " +
+        "${refusal.code.number} ${refusal.code}, ${refusal.execution.text}"
+    return log(LogPart.ANSWER, line)
+        .emit(EntryEffect.Refuse(call.id, refusal))
+        .releaseClaim(request, refusal.execution)
+        .remove(request, spentTokens(request, refusal.execution))
+}
+
+/** Tells the sidecar that runs [request], if any, that nobody waits for the answer. */
+internal fun EntryStep.cancelRun(request: Request): EntryStep =
+    when (val stage = request.stage) {
+        is Stage.Dispatched -> emit(EntryEffect.ToSidecar(stage.upstream, SidecarCommand.Cancel(stage.run)))
+        else -> this
+    }
+
+/** Removes the row of [request], which took [spent] tokens, and gives back what was reserved beyond that. */
+internal fun EntryStep.remove(request: Request, spent: Long): EntryStep =
+    update { it.copy(requests = it.requests.remove(request.call.id)) }
+        .leaveUpstream(request)
+        .settle(request, spent)
+
+/** Counts [request] out of the upstream that it was dispatched to. */
+internal fun EntryStep.leaveUpstream(request: Request): EntryStep {
+    val stage = request.stage as? Stage.Dispatched ?: return this
+    return update { tables ->
+        tables.updateUpstream(stage.upstream) { it.copy(outstanding = (it.outstanding - 1).coerceAtLeast(0)) }
+    }
+}
+
+private fun EntryStep.settle(request: Request, spent: Long): EntryStep {
+    val rest = request.reserve - spent
+    val home = homeOf(tables, request.account)
+    return when {
+        !request.charged || rest == 0L || home == null -> this
+        else -> emit(EntryEffect.ToEntry(home, EntryMessage.CreditSettle(request.account, rest)))
+    }
+}
+
+private fun EntryStep.releaseClaim(request: Request, execution: Execution): EntryStep {
+    val key = request.call.idempotencyKey
+    return when {
+        key == null || !request.claimed || execution != Execution.NOT_RUN -> this
+        else -> emit(EntryEffect.ReleaseClaim(request.call.id, request.account, key))
+    }
+}
+
+private fun spentTokens(request: Request, execution: Execution): Long =
+    when (execution) {
+        Execution.NOT_RUN -> 0
+        Execution.RAN -> promptTokens(request) + request.delivery.tokens
+        Execution.UNKNOWN -> request.reserve
+    }
--- /dev/null
+++ b/core/src/main/kotlin/org/ragwortbank/core/entry/SweepSystem.kt
@@ -0,0 +1,81 @@
+package org.ragwortbank.core.entry
+
+import kotlinx.collections.immutable.plus
+import org.ragwortbank.core.message.EntryMessage
+import org.ragwortbank.core.message.SidecarCommand
+import org.ragwortbank.core.model.AccountId
+import org.ragwortbank.core.result.Execution
+import org.ragwortbank.core.result.Refusal
+import org.ragwortbank.core.result.ResultCode
+import org.ragwortbank.core.tick.Tick
+import org.ragwortbank.core.tick.TickSystem
+import org.ragwortbank.core.tick.Timestamp
+
+/** Ends what has waited too long and repeats questions that had no answer, once per sweep interval. */
+class SweepSystem : TickSystem<EntryTables, EntryInput, EntryEffect> {
+    override fun run(tick: Tick<EntryInput>, step: EntryStep): EntryStep {
+        val last = step.tables.sweptAt
+        val due = last == null || tick.now - last >= step.tables.settings.sweepInterval
+        return if (due) sweep(step, tick.now) else step
+    }
+
+    private fun sweep(step: EntryStep, now: Timestamp): EntryStep {
+        val swept = step.tables.requests.values.fold(step) { s, request -> check(s, request, now) }
+        return askMissingMembers(swept).update { tables ->
+            val waiting = tables.credits.filterValues { it.ask == null }.keys
+            tables.copy(sweptAt = now, askable = tables.askable + waiting)
+        }
+    }
+
+    private fun check(step: EntryStep, request: Request, now: Timestamp): EntryStep {
+        val settings = step.tables.settings
+        val age = now - request.receivedAt
+        return when (val stage = request.stage) {
+            Stage.AwaitingCredit ->
+                if (age > settings.creditTimeout) refuse(step, request, ResultCode.LIMIT_UNAVAILABLE) else step
+            is Stage.AwaitingClaim ->
+                if (now - stage.since > settings.claimTimeout) claimLost(step, request) else step
+            Stage.Ready -> step
+            is Stage.Dispatched -> checkRun(step, request, stage, now)
+        }
+    }
+
+    private fun refuse(step: EntryStep, request: Request, code: ResultCode): EntryStep =
+        step.refuse(request, Refusal.notRun(code))
+
+    /** The key may have been recorded although no answer came, so it is released as if it had been. */
+    private fun claimLost(step: EntryStep, request: Request): EntryStep =
+        refuse(step, request.copy(claimed = true), ResultCode.CLAIM_UNAVAILABLE)
+
+    private fun checkRun(step: EntryStep, request: Request, stage: Stage.Dispatched, now: Timestamp): EntryStep {
+        val settings = step.tables.settings
+        val started = request.delivery.started
+        return when {
+            stage.cancelled && now - stage.at > settings.startTimeout + settings.claimTimeout -> unknown(step, request)
+            now - request.receivedAt > settings.requestTimeout -> deadline(step, request)
+            !started && !stage.cancelled && now - stage.at > settings.startTimeout -> cancel(step, request, stage)
+            else -> step
+        }
+    }
+
+    private fun cancel(step: EntryStep, request: Request, stage: Stage.Dispatched): EntryStep =
+        step
+            .update { it.put(request.copy(stage = stage.copy(cancelled = true))) }
+            .emit(EntryEffect.ToSidecar(stage.upstream, SidecarCommand.Cancel(stage.run)))
+
+    private fun unknown(step: EntryStep, request: Request): EntryStep =
+        step.refuse(request, Refusal(ResultCode.OUTCOME_UNKNOWN, Execution.UNKNOWN))
+
+    private fun deadline(step: EntryStep, request: Request): EntryStep {
+        val execution = if (request.delivery.started) Execution.RAN else Execution.UNKNOWN
+        return step.cancelRun(request).refuse(request, Refusal(ResultCode.DEADLINE_EXCEEDED, execution))
+    }
+
+    private fun askMissingMembers(step: EntryStep): EntryStep =
+        step.tables.collecting.fold(step) { s, id -> askMissing(s, id) }
+
+    private fun askMissing(step: EntryStep, id: AccountId): EntryStep {
+        val row = step.tables.homes[id] as? HomeRow.Collecting ?: return step
+        return step.emitAll(row.missing.map { EntryEffect.ToEntry(it.name, EntryMessage.BucketAsk(row.epoch, id)) })
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/ragwortbank/core/limits/HomeChoice.kt
@@ -0,0 +1,18 @@
+package org.ragwortbank.core.limits
+
+import org.ragwortbank.core.hash.RendezvousHash
+import org.ragwortbank.core.model.AccountId
+
+/** Decides which entry is the home of an account. */
+fun interface HomeChoice {
+    /** The home of [account] among [candidates]; null when there are none. */
+    fun homeOf(account: AccountId, candidates: Collection<LimitMember>): LimitMember?
+
+    companion object {
+        /** Rendezvous hashing: a change of membership moves only the accounts of the members concerned. */
+        val RENDEZVOUS: HomeChoice = HomeChoice { account, candidates ->
+            val key = RendezvousHash.seed(account.value)
+            candidates.maxByOrNull { RendezvousHash.score(key, RendezvousHash.seed(it.name.value)) }
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/ragwortbank/core/message/SidecarReport.kt
@@ -0,0 +1,44 @@
+package org.ragwortbank.core.message
+
+import kotlinx.collections.immutable.PersistentSet
+import kotlinx.io.bytestring.ByteString
+import org.ragwortbank.core.model.AdapterRef
+import org.ragwortbank.core.model.AnswerHead
+import org.ragwortbank.core.model.Usage
+import org.ragwortbank.core.result.Refusal
+
+/** What a sidecar tells an entry. */
+sealed interface SidecarReport {
+    /** A report about one run. */
+    sealed interface OfRun : SidecarReport {
+        /** The run that the report is about. */
+        val run: RunId
+    }
+
+    /** The upstream has begun to answer. */
+    data class Started(override val run: RunId, val head: AnswerHead) : OfRun
+
+    /** Piece number [index] of the answer, counted from zero, worth [tokens] output tokens. */
+    data class Chunk(override val run: RunId, val index: Long, val tokens: Long, val data: ByteString) : OfRun
+
+    /** The answer is complete and had [chunks] pieces; [usage] is null where the upstream reports none. */
+    data class Done(override val run: RunId, val chunks: Long, val usage: Usage?) : OfRun
+
+    /** There will be no complete answer. */
+    data class Failed(override val run: RunId, val refusal: Refusal) : OfRun
+
+    /**
+     * The sidecar's state.
+     *
+     * @property resident adapters that the engine holds
+     * @property queued requests that wait
+     * @property running requests that the upstream is running
+     * @property accepting whether new work is accepted
+     */
+    data class Digest(
+        val resident: PersistentSet<AdapterRef>,
+        val queued: Int,
+        val running: Int,
+        val accepting: Boolean,
+    ) : SidecarReport
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/ragwortbank/core/model/AdapterRef.kt
@@ -0,0 +1,12 @@
+package org.ragwortbank.core.model
+
+/** One version of one adapter. */
+data class AdapterRef(
+    val adapter: String,
+    val version: String,
+) {
+    /** The name under which engines hold this version, different for each version. */
+    val engineName: String get() = "$adapter@$version"
+
+    override fun toString(): String = engineName
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/ragwortbank/core/model/GenerateApi.kt
@@ -0,0 +1,10 @@
+package org.ragwortbank.core.model
+
+/** The call of the engines' API that a request uses. */
+enum class GenerateApi {
+    /** Completion of a prompt. */
+    COMPLETIONS,
+
+    /** The next message of a conversation. */
+    CHAT,
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/ragwortbank/core/model/UpstreamPattern.kt
@@ -0,0 +1,18 @@
+package org.ragwortbank.core.model
+
+/** An instance name, or the beginning of instance names followed by `*`. */
+@JvmInline
+value class UpstreamPattern(val value: String) {
+    /** Whether this pattern names [instance]. */
+    fun matches(instance: InstanceName): Boolean =
+        when {
+            value.endsWith(WILDCARD) -> instance.value.startsWith(value.removeSuffix(WILDCARD))
+            else -> instance.value == value
+        }
+
+    override fun toString(): String = value
+
+    private companion object {
+        const val WILDCARD = "*"
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/ragwortbank/core/routing/Choice.kt
@@ -0,0 +1,9 @@
+package org.ragwortbank.core.routing
+
+import org.ragwortbank.core.entry.Upstream
+
+/** A chosen upstream and the reason, as it stands in the log. */
+data class Choice(
+    val upstream: Upstream,
+    val reason: String,
+)
--- /dev/null
+++ b/core/src/main/kotlin/org/ragwortbank/core/sidecar/DigestSystem.kt
@@ -0,0 +1,39 @@
+package org.ragwortbank.core.sidecar
+
+import kotlinx.collections.immutable.toPersistentSet
+import org.ragwortbank.core.message.SidecarReport
+import org.ragwortbank.core.tick.Tick
+import org.ragwortbank.core.tick.TickSystem
+import org.ragwortbank.core.tick.Timestamp
+
+/** Tells the entries the sidecar's state when it has changed, and now and then when it has not. */
+class DigestSystem : TickSystem<SidecarTables, SidecarInput, SidecarEffect> {
+    override fun run(tick: Tick<SidecarInput>, step: SidecarStep): SidecarStep {
+        val digest = digestOf(step.tables)
+        return if (isDue(step.tables, digest, tick.now)) send(step, digest, tick.now) else step
+    }
+
+    private fun digestOf(tables: SidecarTables): SidecarReport.Digest =
+        SidecarReport.Digest(
+            resident = tables.adapters.filterValues { it.state == AdapterState.RESIDENT }.keys.toPersistentSet(),
+            queued = tables.queue.size,
+            running = tables.runningCount,
+            accepting = tables.upstreamUp && !tables.stopping,
+        )
+
+    private fun isDue(tables: SidecarTables, digest: SidecarReport.Digest, now: Timestamp): Boolean {
+        val last = tables.reportedAt ?: return true
+        val known = tables.reported ?: return true
+        val age = now - last
+        return when {
+            digest.accepting != known.accepting -> true
+            digest != known -> age >= tables.settings.digestInterval
+            else -> age >= tables.settings.heartbeatInterval
+        }
+    }
+
+    private fun send(step: SidecarStep, digest: SidecarReport.Digest, now: Timestamp): SidecarStep =
+        step
+            .update { it.copy(reported = digest, reportedAt = now) }
+            .emitAll(step.tables.links.map { SidecarEffect.Report(it, digest) })
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/ragwortbank/core/sidecar/IntakeSystem.kt
@@ -0,0 +1,84 @@
+package org.ragwortbank.core.sidecar
+
+import org.ragwortbank.core.log.LogPart
+import org.ragwortbank.core.message.RunId
+import org.ragwortbank.core.message.SidecarCommand
+import org.ragwortbank.core.message.SidecarReport
+import org.ragwortbank.core.result.Refusal
+import org.ragwortbank.core.result.ResultCode
+import org.ragwortbank.core.tick.Tick
+import org.ragwortbank.core.tick.TickSystem
+import org.ragwortbank.core.tick.Timestamp
+
+/** Queues work that entries send, and lets go of work that nobody waits for. */
+class IntakeSystem : TickSystem<SidecarTables, SidecarInput, SidecarEffect> {
+    override fun run(tick: Tick<SidecarInput>, step: SidecarStep): SidecarStep =
+        tick.inputs.fold(step) { s, input ->
+            when (input) {
+                is SidecarInput.LinkOpened -> s.update { it.copy(links = it.links.add(input.link), reported = null) }
+                is SidecarInput.LinkClosed -> closed(s, input.link)
+                is SidecarInput.EntrySaid -> said(s, input, tick.now)
+                else -> s
+            }
+        }
+
+    private fun said(step: SidecarStep, input: SidecarInput.EntrySaid, now: Timestamp): SidecarStep =
+        when (val command = input.command) {
+            is SidecarCommand.Dispatch -> dispatched(step, input.link, command, now)
+            is SidecarCommand.Cancel -> cancelled(step, command.run)
+        }
+
+    private fun dispatched(
+        step: SidecarStep,
+        link: LinkId,
+        command: SidecarCommand.Dispatch,
+        now: Timestamp,
+    ): SidecarStep {
+        val tables = step.tables
+        val id = command.run
+        return when {
+            id in tables.runs -> step.log(LogPart.LINKS, "ignored a second dispatch of run $id")
+            tables.refusesNewWork(now) -> refuse(step, link, id, ResultCode.DRAINING)
+            tables.queue.size >= tables.settings.maxQueued -> refuse(step, link, id, ResultCode.QUEUE_FULL)
+            else -> step.update { enqueue(it, Run(command, link, now)) }
+        }
+    }
+
+    private fun SidecarTables.refusesNewWork(now: Timestamp): Boolean =
+        stoppingSince != null && now - stoppingSince > settings.drainGrace
+
+    private fun enqueue(tables: SidecarTables, run: Run): SidecarTables {
+        val id = run.command.run
+        return tables.copy(runs = tables.runs.put(id, run), queue = tables.queue.add(id))
+    }
+
+    private fun refuse(step: SidecarStep, link: LinkId, id: RunId, code: ResultCode): SidecarStep =
+        step
+            .log(LogPart.PLACEMENT, "run $id refused: ${code.number} $code, not run")
+            .emit(SidecarEffect.Report(link, SidecarReport.Failed(id, Refusal.notRun(code))))
+
+    private fun cancelled(step: SidecarStep, id: RunId): SidecarStep {
+        val run = step.tables.runs[id]
+        return when {
+            run == null -> step
+            !run.running -> step.refuseQueued(id, ResultCode.QUEUE_TIMEOUT, "cancelled by the entry before it started")
+            run.command.idempotent -> step.emit(SidecarEffect.CancelRun(id))
+            else -> step.log(LogPart.PLACEMENT, "run $id goes on although cancelled: it may not be repeated")
+        }
+    }
+
+    private fun closed(step: SidecarStep, link: LinkId): SidecarStep {
+        val orphans = step.tables.runs.values.filter { it.link == link }
+        return orphans
+            .fold(step) { s, run -> letGo(s, run) }
+            .update { it.copy(links = it.links.remove(link)) }
+    }
+
+    private fun letGo(step: SidecarStep, run: Run): SidecarStep {
+        val id = run.command.run
+        return when {
+            !run.running -> step.update { it.copy(runs = it.runs.remove(id), queue = it.queue.remove(id)) }
+            else -> cancelled(step, id).update { it.copy(runs = it.runs.put(id, run.copy(link = null))) }
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/ragwortbank/core/sidecar/QueueOrder.kt
@@ -0,0 +1,7 @@
+package org.ragwortbank.core.sidecar
+
+/** Decides which waiting run comes next. */
+fun interface QueueOrder {
+    /** The runs of [candidates] in the order in which they should start, given the tokens served per account. */
+    fun order(candidates: List<Run>, tables: SidecarTables): List<Run>
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/ragwortbank/core/sidecar/Run.kt
@@ -0,0 +1,18 @@
+package org.ragwortbank.core.sidecar
+
+import org.ragwortbank.core.message.SidecarCommand
+import org.ragwortbank.core.tick.Timestamp
+
+/**
+ * A row of a sidecar's runs table.
+ *
+ * @property link the entry that sent it; null when that entry is gone and nobody takes the answer
+ * @property chunks pieces of the answer passed on so far
+ */
+data class Run(
+    val command: SidecarCommand.Dispatch,
+    val link: LinkId?,
+    val arrivedAt: Timestamp,
+    val running: Boolean = false,
+    val chunks: Long = 0,
+)
--- /dev/null
+++ b/core/src/main/kotlin/org/ragwortbank/core/sidecar/RunSystem.kt
@@ -0,0 +1,78 @@
+package org.ragwortbank.core.sidecar
+
+import kotlinx.collections.immutable.persistentListOf
+import org.ragwortbank.core.log.LogPart
+import org.ragwortbank.core.message.RunId
+import org.ragwortbank.core.message.SidecarReport
+import org.ragwortbank.core.result.Refusal
+import org.ragwortbank.core.result.ResultCode
+import org.ragwortbank.core.tick.Tick
+import org.ragwortbank.core.tick.TickSystem
+import org.ragwortbank.core.tick.Timestamp
+
+/** Follows the runs at the upstream and passes their answers on. */
+class RunSystem : TickSystem<SidecarTables, SidecarInput, SidecarEffect> {
+    override fun run(tick: Tick<SidecarInput>, step: SidecarStep): SidecarStep =
+        tick.inputs.fold(step) { s, input ->
+            if (input is SidecarInput.OfRun) handle(s, input, tick.now) else s
+        }
+
+    private fun handle(step: SidecarStep, input: SidecarInput.OfRun, now: Timestamp): SidecarStep {
+        val run = step.tables.runs[input.run]
+        return if (run == null || !run.running) step else apply(step, run, input, now)
+    }
+
+    private fun apply(step: SidecarStep, run: Run, input: SidecarInput.OfRun, now: Timestamp): SidecarStep =
+        when (input) {
+            is SidecarInput.RunBegan -> step.report(run, SidecarReport.Started(input.run, input.head))
+            is SidecarInput.RunContinued -> continued(step, run, input)
+            is SidecarInput.RunCompleted -> completed(step, run, input, now)
+            is SidecarInput.RunBroke -> broke(step, run, input.failure, now)
+        }
+
+    private fun continued(step: SidecarStep, run: Run, input: SidecarInput.RunContinued): SidecarStep =
+        step
+            .update { it.copy(runs = it.runs.put(input.run, run.copy(chunks = run.chunks + 1))) }
+            .report(run, SidecarReport.Chunk(input.run, run.chunks, input.tokens, input.data))
+
+    private fun completed(step: SidecarStep, run: Run, input: SidecarInput.RunCompleted, now: Timestamp): SidecarStep =
+        step
+            .removeRunning(input.run, now)
+            .report(run, SidecarReport.Done(input.run, run.chunks, input.usage))
+
+    private fun broke(step: SidecarStep, run: Run, failure: RunFailure, now: Timestamp): SidecarStep {
+        val id = run.command.run
+        return when (failure) {
+            RunFailure.NotConnected -> step.upstreamLost().failRunning(id, notConnected(), now)
+            RunFailure.AdapterMissing -> requeue(step, run, now)
+            is RunFailure.WrongAdapter -> step.failRunning(id, wrongAdapter(run, failure), now)
+            is RunFailure.Refused -> step.failRunning(id, refused(failure), now)
+            is RunFailure.Broken -> step.failRunning(id, ran(ResultCode.UPSTREAM_FAILED, failure.detail), now)
+        }
+    }
+
+    private fun notConnected(): Refusal =
+        Refusal.notRun(ResultCode.NO_UPSTREAM, "the sidecar can't connect to its upstream")
+
+    private fun wrongAdapter(run: Run, failure: RunFailure.WrongAdapter): Refusal =
+        ran(ResultCode.WRONG_ADAPTER, "expected '${run.command.adapter}', the engine answered as '${failure.found}'")
+
+    private fun refused(failure: RunFailure.Refused): Refusal =
+        ran(ResultCode.UPSTREAM_FAILED, "the upstream answered with status ${failure.status}")
+
+    /** The engine has lost the adapter; the run has not begun and waits for the adapter to be loaded again. */
+    private fun requeue(step: SidecarStep, run: Run, now: Timestamp): SidecarStep {
+        val id: RunId = run.command.run
+        val waiting = run.copy(running = false)
+        return step
+            .log(LogPart.PLACEMENT, "engine no longer holds ${run.command.adapter}, run $id waits for a load")
+            .removeRunning(id, now)
+            .update { tables ->
+                val adapters = run.command.adapter?.let { tables.adapters.remove(it) } ?: tables.adapters
+                val queue = persistentListOf(id).addAll(tables.queue)
+                tables.copy(runs = tables.runs.put(id, waiting), queue = queue, adapters = adapters)
+            }
+    }
+
+    private fun SidecarStep.upstreamLost(): SidecarStep = update { it.copy(upstreamUp = false) }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/ragwortbank/core/sidecar/RunTable.kt
@@ -0,0 +1,47 @@
+package org.ragwortbank.core.sidecar
+
+import org.ragwortbank.core.log.LogLine
+import org.ragwortbank.core.log.LogPart
+import org.ragwortbank.core.message.RunId
+import org.ragwortbank.core.message.SidecarReport
+import org.ragwortbank.core.result.Execution
+import org.ragwortbank.core.result.Refusal
+import org.ragwortbank.core.result.ResultCode
+import org.ragwortbank.core.tick.Timestamp
+
+/** Adds a line to the log. */
+internal fun SidecarStep.log(part: LogPart, message: String): SidecarStep =
+    emit(SidecarEffect.Log(LogLine(part, message)))
+
+/** Sends [report] to the entry that sent [run], if it is still there. */
+internal fun SidecarStep.report(run: Run, report: SidecarReport): SidecarStep =
+    if (run.link == null) this else emit(SidecarEffect.Report(run.link, report))
+
+/** Ends a run that waits, and says truthfully that it was not run. */
+internal fun SidecarStep.refuseQueued(id: RunId, code: ResultCode, detail: String = code.meaning): SidecarStep {
+    val run = tables.runs[id] ?: return this
+    return log(LogPart.PLACEMENT, "run $id refused: ${code.number} $code, not run")
+        .update { it.copy(runs = it.runs.remove(id), queue = it.queue.remove(id)) }
+        .report(run, SidecarReport.Failed(id, Refusal.notRun(code, detail)))
+}
+
+/** Ends a run that was started and tells its entry so. */
+internal fun SidecarStep.failRunning(id: RunId, refusal: Refusal, now: Timestamp): SidecarStep {
+    val run = tables.runs[id] ?: return this
+    val line = "run $id failed: ${refusal.code.number} ${refusal.code}, ${refusal.execution.text}"
+    return log(LogPart.PLACEMENT, line)
+        .removeRunning(id, now)
+        .report(run, SidecarReport.Failed(id, refusal))
+}
+
+/** Removes a run that was started and unpins its adapter. */
+internal fun SidecarStep.removeRunning(id: RunId, now: Timestamp): SidecarStep {
+    val run = tables.runs[id] ?: return this
+    return update { it.copy(runs = it.runs.remove(id), runningCount = it.runningCount - 1) }
+        .update { tables ->
+            tables.updateAdapter(run.command.adapter) { it.copy(running = it.running - 1, usedAt = now) }
+        }
+}
+
+/** A refusal of work that the upstream may have begun. */
+internal fun ran(code: ResultCode, detail: String = code.meaning): Refusal = Refusal(code, Execution.RAN, detail)
--- /dev/null
+++ b/core/src/main/kotlin/org/ragwortbank/core/sidecar/SidecarTables.kt
@@ -0,0 +1,60 @@
+package org.ragwortbank.core.sidecar
+
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.PersistentSet
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.persistentSetOf
+import org.ragwortbank.core.message.RunId
+import org.ragwortbank.core.message.SidecarReport
+import org.ragwortbank.core.model.AccountId
+import org.ragwortbank.core.model.AdapterRef
+import org.ragwortbank.core.model.InstanceName
+import org.ragwortbank.core.tick.Step
+import org.ragwortbank.core.tick.Timestamp
+
+/** A sidecar's step of a tick. */
+typealias SidecarStep = Step<SidecarTables, SidecarEffect>
+
+/**
+ * All that a sidecar knows, as one immutable value.
+ *
+ * @property queue runs that wait, in order of arrival
+ * @property runningCount runs that the upstream is running
+ * @property servedTokens tokens started per account, for a fair order
+ * @property fencing number that orders to the engine carry; null until the key-value service has given one
+ * @property upstreamUp whether the upstream answered when it was last tried
+ * @property probing whether an attempt to reach the upstream is under way
+ * @property reported the last report to the entries
+ */
+data class SidecarTables(
+    val name: InstanceName,
+    val settings: SidecarSettings = SidecarSettings(),
+    val links: PersistentSet<LinkId> = persistentSetOf(),
+    val runs: PersistentMap<RunId, Run> = persistentMapOf(),
+    val queue: PersistentList<RunId> = persistentListOf(),
+    val runningCount: Int = 0,
+    val servedTokens: PersistentMap<AccountId, Long> = persistentMapOf(),
+    val adapters: PersistentMap<AdapterRef, AdapterRow> = persistentMapOf(),
+    val fencing: Long? = null,
+    val upstreamUp: Boolean = false,
+    val probing: Boolean = false,
+    val probedAt: Timestamp? = null,
+    val reported: SidecarReport.Digest? = null,
+    val reportedAt: Timestamp? = null,
+    val stoppingSince: Timestamp? = null,
+) {
+    /** Whether a graceful stop was asked for. */
+    val stopping: Boolean get() = stoppingSince != null
+
+    /** Whether the engine holds [adapter] now; a plain service needs none. */
+    fun isServable(adapter: AdapterRef?): Boolean =
+        adapter == null || adapters[adapter]?.state == AdapterState.RESIDENT
+
+    /** The tables with the row of [adapter] changed, if there is one. */
+    fun updateAdapter(adapter: AdapterRef?, change: (AdapterRow) -> AdapterRow): SidecarTables {
+        val row = adapters[adapter] ?: return this
+        return if (adapter == null) this else copy(adapters = adapters.put(adapter, change(row)))
+    }
+}
