--- /dev/null
+++ b/cli/src/main/kotlin/org/ragwortbank/cli/command/ChangeLines.kt
@@ -0,0 +1,43 @@
+package org.ragwortbank.cli.command
+
+import org.ragwortbank.core.config.TableChange
+import org.ragwortbank.core.model.Account
+import org.ragwortbank.core.model.Configuration
+import org.ragwortbank.core.model.Pool
+import org.ragwortbank.core.model.Route
+
+/** One readable line per change against [present]: `+` adds, `~` replaces, `-` removes. */
+internal fun changeLines(present: Configuration, changes: List<TableChange>): List<String> =
+    changes.map { changeLine(present, it) }
+
+private fun changeLine(present: Configuration, change: TableChange): String =
+    when (change) {
+        is TableChange.PutRoute -> put(change.path, present.routes[change.route.name]?.text(), change.route.text())
+        is TableChange.PutPool -> put(change.path, present.pools[change.pool.name]?.text(), change.pool.text())
+        is TableChange.PutAccount -> put(change.path, present.accounts[change.account.id]?.text(), change.account.text())
+        is TableChange.GiveKey -> put(change.path, null, "account ${change.grant.account}")
+        is TableChange.RemoveRoute,
+        is TableChange.RemovePool,
+        is TableChange.RemoveAccount,
+        is TableChange.WithdrawKey,
+        -> "- ${change.path}"
+    }
+
+private fun put(path: String, before: String?, after: String): String =
+    if (before == null) "+ $path: $after" else "~ $path: $before => $after"
+
+/** The row as one line. */
+internal fun Route.text(): String =
+    listOfNotNull(
+        "pool $pool",
+        adapter?.let { "adapter ${it.adapter} version ${it.version}" },
+        if (accounts.isEmpty()) null else "accounts ${accounts.map { it.value }.sorted().joinToString(" ")}",
+        if (open) "open" else null,
+        idempotent?.let { if (it) "idempotent" else "not idempotent" },
+    ).joinToString(", ")
+
+/** The row as one line. */
+internal fun Pool.text(): String = "${kind.name.lowercase()}, upstreams ${upstreams.joinToString(" ")}"
+
+/** The row as one line. */
+internal fun Account.text(): String = "$rate tokens/s, burst $burst"
--- /dev/null
+++ b/cli/src/main/kotlin/org/ragwortbank/cli/command/Ragwortbank.kt
@@ -0,0 +1,33 @@
+package org.ragwortbank.cli.command
+
+import picocli.CommandLine.Command
+
+/** The command line of the product. */
+@Command(
+    name = "ragwortbank",
+    description = ["Serves very many LoRA adapters from shared pools of model engines."],
+    mixinStandardHelpOptions = true,
+    version = ["ragwortbank 0.1.0"],
+    subcommands = [
+        EntryCommand::class,
+        SidecarCommandLine::class,
+        CheckCommand::class,
+        PlanCommand::class,
+        ApplyCommand::class,
+        RoutesCommand::class,
+        PoolsCommand::class,
+        KeysCommand::class,
+        StatusCommand::class,
+    ],
+    exitCodeListHeading = "%nExit codes:%n",
+    exitCodeList = [
+        "0:done",
+        "1:a file or table has mistakes",
+        "2:wrong usage",
+        "3:changed by somebody else meanwhile",
+        "4:the platform did not answer",
+        "5:outcome unknown",
+        "6:stored but not yet in force everywhere",
+    ],
+)
+class Ragwortbank
--- /dev/null
+++ b/cli/src/main/kotlin/org/ragwortbank/cli/settings/EntryReader.kt
@@ -0,0 +1,70 @@
+package org.ragwortbank.cli.settings
+
+import org.ragwortbank.cli.toml.TomlReader
+import org.ragwortbank.core.entry.EntrySettings
+import org.ragwortbank.node.log.LogFormat
+import org.ragwortbank.node.settings.EntryNodeSettings
+import org.ragwortbank.node.settings.HttpSettings
+
+private val countRange = 1..1_000_000
+private val bytesRange = 1_024..64 * 1024 * 1024
+private val tokensRange = 1L..1_000_000L
+private val attemptsRange = 1..10
+
+internal fun readEntry(reader: TomlReader): EntryNodeSettings {
+    val defaults = EntryNodeSettings(name = "")
+    return EntryNodeSettings(
+        name = reader.string("name"),
+        domain = reader.string("domain", defaults.domain),
+        httpAddress = reader.address("http_address", defaults.httpAddress),
+        peerAddress = reader.address("peer_address", defaults.peerAddress),
+        adminAddress = reader.address("admin_address", defaults.adminAddress),
+        platform = reader.section("platform", ::readPlatform),
+        http = reader.section("http", ::readHttp),
+        entry = reader.section("entry", ::readEntryBounds),
+        logLevel = reader.section("log", ::readLogLevel),
+        logFormat = reader.section("log", ::readLogFormat),
+    )
+}
+
+internal fun readLogLevel(reader: TomlReader): String {
+    reader.choice("format", LogFormat.TEXT, LogFormat.entries)
+    return reader.choice("level", LogLevel.INFO, LogLevel.entries).name.lowercase()
+}
+
+internal fun readLogFormat(reader: TomlReader): LogFormat {
+    reader.choice("level", LogLevel.INFO, LogLevel.entries)
+    return reader.choice("format", LogFormat.TEXT, LogFormat.entries)
+}
+
+private fun readHttp(reader: TomlReader): HttpSettings {
+    val defaults = HttpSettings()
+    return HttpSettings(
+        maxBodyBytes = reader.int("max_body_bytes", defaults.maxBodyBytes, bytesRange),
+        maxHeaderBytes = reader.int("max_header_bytes", defaults.maxHeaderBytes, bytesRange),
+        receiveTimeout = reader.duration("receive_timeout", defaults.receiveTimeout),
+        idleTimeout = reader.duration("idle_timeout", defaults.idleTimeout),
+        maxConnections = reader.int("max_connections", defaults.maxConnections, countRange),
+        maxUnsentBytes = reader.int("max_unsent_bytes", defaults.maxUnsentBytes.toInt(), bytesRange).toLong(),
+        defaultMaxTokens = reader.long("default_max_tokens", defaults.defaultMaxTokens, tokensRange),
+    )
+}
+
+private fun readEntryBounds(reader: TomlReader): EntrySettings {
+    val defaults = EntrySettings()
+    return EntrySettings(
+        maxRequests = reader.int("max_requests", defaults.maxRequests, countRange),
+        creditTimeout = reader.duration("credit_timeout", defaults.creditTimeout),
+        claimTimeout = reader.duration("claim_timeout", defaults.claimTimeout),
+        startTimeout = reader.duration("start_timeout", defaults.startTimeout),
+        requestTimeout = reader.duration("request_timeout", defaults.requestTimeout),
+        maxAttempts = reader.int("max_attempts", defaults.maxAttempts, attemptsRange),
+        sweepInterval = reader.duration("sweep_interval", defaults.sweepInterval),
+        witnessLifetime = reader.duration("witness_lifetime", defaults.witnessLifetime),
+        absentAfter = reader.duration("absent_after", defaults.absentAfter),
+        plainCallTokens = reader.long("plain_call_tokens", defaults.plainCallTokens, tokensRange),
+        drainGrace = reader.duration("drain_grace", defaults.drainGrace),
+        handoverTimeout = reader.duration("handover_timeout", defaults.handoverTimeout),
+        drainTimeout = reader.duration("drain_timeout", defaults.drainTimeout),
+    )
+}
--- /dev/null
+++ b/cli/src/main/kotlin/org/ragwortbank/cli/settings/SettingsFile.kt
@@ -0,0 +1,30 @@
+package org.ragwortbank.cli.settings
+
+import org.ragwortbank.cli.toml.Checked
+import org.ragwortbank.cli.toml.TomlContent
+import org.ragwortbank.cli.toml.TomlFile
+import org.ragwortbank.cli.toml.TomlReader
+import org.ragwortbank.node.settings.EntryNodeSettings
+import org.ragwortbank.node.settings.SidecarNodeSettings
+import java.nio.file.Path
+
+/** Reads the settings files of processes. */
+object SettingsFile {
+    /** The settings of an entry. */
+    fun entry(path: Path): Checked<EntryNodeSettings> = read(path, ::readEntry)
+
+    /** The settings of a sidecar. */
+    fun sidecar(path: Path): Checked<SidecarNodeSettings> = read(path, ::readSidecar)
+
+    private fun <T> read(path: Path, block: (TomlReader) -> T): Checked<T> =
+        when (val content = TomlFile.read(path)) {
+            is TomlContent.Bad -> Checked.Bad(listOf(content.problem.toString()))
+            is TomlContent.Good -> check(TomlReader(path.toString(), content.table), block)
+        }
+
+    private fun <T> check(reader: TomlReader, block: (TomlReader) -> T): Checked<T> {
+        val value = block(reader)
+        val problems = reader.finish()
+        return if (problems.isEmpty()) Checked.Good(value) else Checked.Bad(problems.map { it.toString() })
+    }
+}
--- /dev/null
+++ b/cli/src/main/kotlin/org/ragwortbank/cli/settings/SidecarReader.kt
@@ -0,0 +1,45 @@
+package org.ragwortbank.cli.settings
+
+import org.ragwortbank.cli.toml.TomlReader
+import org.ragwortbank.core.model.UpstreamKind
+import org.ragwortbank.core.sidecar.SidecarSettings
+import org.ragwortbank.node.settings.SidecarNodeSettings
+import org.ragwortbank.platform.http.Address
+
+private val slotsRange = 1..10_000
+private val loadsRange = 1..64
+private val queueRange = 1..100_000
+
+internal fun readSidecar(reader: TomlReader): SidecarNodeSettings {
+    val defaults = SidecarNodeSettings(name = "", upstreamAddress = Address("", 0))
+    return SidecarNodeSettings(
+        name = reader.string("name"),
+        domain = reader.string("domain", defaults.domain),
+        peerAddress = reader.address("peer_address", defaults.peerAddress),
+        adminAddress = reader.address("admin_address", defaults.adminAddress),
+        upstreamAddress = reader.address("upstream_address", default = null),
+        weightPrefix = reader.optionalString("weight_prefix").orEmpty(),
+        platform = reader.section("platform", ::readPlatform),
+        sidecar = reader.section("sidecar", ::readSidecarBounds),
+        logLevel = reader.section("log", ::readLogLevel),
+        logFormat = reader.section("log", ::readLogFormat),
+    )
+}
+
+private fun readSidecarBounds(reader: TomlReader): SidecarSettings {
+    val defaults = SidecarSettings()
+    return SidecarSettings(
+        kind = reader.choice("kind", defaults.kind, UpstreamKind.entries),
+        slots = reader.int("slots", defaults.slots, slotsRange),
+        maxRunning = reader.int("max_running", defaults.maxRunning, slotsRange),
+        maxQueued = reader.int("max_queued", defaults.maxQueued, queueRange),
+        maxLoads = reader.int("max_loads", defaults.maxLoads, loadsRange),
+        loadTimeout = reader.duration("load_timeout", defaults.loadTimeout),
+        loadBackoff = reader.duration("load_backoff", defaults.loadBackoff),
+        digestInterval = reader.duration("digest_interval", defaults.digestInterval),
+        heartbeatInterval = reader.duration("heartbeat_interval", defaults.heartbeatInterval),
+        probeInterval = reader.duration("probe_interval", defaults.probeInterval),
+        drainGrace = reader.duration("drain_grace", defaults.drainGrace),
+        drainTimeout = reader.duration("drain_timeout", defaults.drainTimeout),
+    )
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/ragwortbank/node/entry/EntryLinks.kt
@@ -0,0 +1,71 @@
+package org.ragwortbank.node.entry
+
+import io.ktor.network.selector.SelectorManager
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.PersistentSet
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import org.ragwortbank.core.entry.EntryInput
+import org.ragwortbank.core.model.Instance
+import org.ragwortbank.core.model.InstanceName
+import org.ragwortbank.core.model.InstanceRole
+import org.ragwortbank.node.link.DialListener
+import org.ragwortbank.node.link.PeerDialer
+import org.ragwortbank.node.log.Logs
+import org.ragwortbank.node.wire.PROTOCOL_VERSION
+import org.ragwortbank.node.wire.WireMessage
+import org.ragwortbank.node.wire.toReport
+import org.ragwortbank.platform.http.Address
+
+/** The links that an entry opens to sidecars and to other entries; used by the tick's thread only. */
+internal class EntryLinks(
+    private val scope: CoroutineScope,
+    private val selector: SelectorManager,
+    private val self: InstanceName,
+    private val post: (EntryInput) -> Unit,
+) {
+    private var links: PersistentMap<InstanceName, OpenLink> = persistentMapOf()
+
+    /** Opens and closes links so that there is one to each of [instances] and no other. */
+    fun keep(instances: PersistentSet<Instance>) {
+        val wanted = instances.associate { it.name to it.peerAddress }
+        val gone = links.filter { (name, link) -> wanted[name] != link.address }
+        gone.values.forEach { it.job.cancel() }
+        links = gone.keys.fold(links) { left, name -> left.remove(name) }
+        links = instances.filter { it.name !in links }.fold(links) { kept, instance -> open(kept, instance) }
+    }
+
+    /** Sends [message] to [to], if there is an open link. */
+    fun send(to: InstanceName, message: WireMessage) {
+        links[to]?.dialer?.send(message)
+    }
+
+    private fun open(
+        kept: PersistentMap<InstanceName, OpenLink>,
+        instance: Instance,
+    ): PersistentMap<InstanceName, OpenLink> {
+        val address = Address.parse(instance.peerAddress)
+        if (address == null) {
+            Logs.links.warn("instance {} has no usable address: '{}'", instance.name, instance.peerAddress)
+            return kept
+        }
+        val hello = WireMessage.Hello(PROTOCOL_VERSION, "entry", self.value)
+        val dialer = PeerDialer(selector, address, hello, Listener(instance))
+        return kept.put(instance.name, OpenLink(instance.peerAddress, dialer, dialer.start(scope)))
+    }
+
+    private data class OpenLink(val address: String, val dialer: PeerDialer, val job: Job)
+
+    private inner class Listener(private val instance: Instance) : DialListener {
+        override fun onOpened() = post(EntryInput.LinkOpened(instance.name))
+
+        override fun onMessage(message: WireMessage): Boolean {
+            val report = if (instance.role == InstanceRole.SIDECAR) message.toReport() else null
+            if (report != null) post(EntryInput.SidecarSaid(instance.name, report))
+            return report != null
+        }
+
+        override fun onClosed() = post(EntryInput.LinkClosed(instance.name))
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/ragwortbank/node/entry/EntryNode.kt
@@ -0,0 +1,184 @@
+package org.ragwortbank.node.entry
+
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.runBlocking
+import org.ragwortbank.core.entry.EntryEffect
+import org.ragwortbank.core.entry.EntryIdentity
+import org.ragwortbank.core.entry.EntryInput
+import org.ragwortbank.core.entry.EntryTables
+import org.ragwortbank.core.entry.entrySchedule
+import org.ragwortbank.core.limits.LimitMember
+import org.ragwortbank.core.model.Call
+import org.ragwortbank.core.model.Configuration
+import org.ragwortbank.core.model.FailureDomain
+import org.ragwortbank.core.model.InstanceName
+import org.ragwortbank.core.model.RequestId
+import org.ragwortbank.core.result.Refusal
+import org.ragwortbank.node.NodeRuntime
+import org.ragwortbank.node.Ready
+import org.ragwortbank.node.admin.AdminPages
+import org.ragwortbank.node.admin.AdminServer
+import org.ragwortbank.node.admin.StatusDocument
+import org.ragwortbank.node.http.AnswerWriter
+import org.ragwortbank.node.http.CallSink
+import org.ragwortbank.node.http.EntryHttpServer
+import org.ragwortbank.node.link.PeerConnection
+import org.ragwortbank.node.link.PeerHandler
+import org.ragwortbank.node.link.PeerServer
+import org.ragwortbank.node.log.Logs
+import org.ragwortbank.node.loop.TickLoop
+import org.ragwortbank.node.metrics.BadInput
+import org.ragwortbank.node.settings.EntryNodeSettings
+import org.ragwortbank.node.wire.WireMessage
+import org.ragwortbank.node.wire.toCommand
+import org.ragwortbank.node.wire.toEntryMessage
+import org.ragwortbank.node.wire.toWire
+import java.util.concurrent.atomic.AtomicLong
+import kotlin.time.Duration.Companion.milliseconds
+
+/** An entry process: callers on one side, sidecars and other entries on the other. */
+class EntryNode(private val settings: EntryNodeSettings) {
+    private val runtime = NodeRuntime(settings.name, settings.platform)
+    private val name = InstanceName(settings.name)
+    private val sequence = AtomicLong()
+    private val calls = CallRegistry()
+
+    /** Starts the process and returns the addresses that it listens on. */
+    fun start(): Ready = runBlocking {
+        val peer = PeerServer(runtime.scope, runtime.selector, Peers()).start(settings.peerAddress)
+        val member = LimitMember(name, runtime.incarnation)
+        val identity = EntryIdentity(member, FailureDomain(settings.domain), peer.toString())
+        val tables = EntryTables(identity, settings.entry)
+        loop = TickLoop(entrySchedule(), tables, MAX_WAIT, runtime.metrics, ::perform)
+        platform = EntryPlatform(runtime, settings.platform, loop::post)
+        loop.start()
+        platform.start()
+        val admin = AdminServer(runtime.group, Pages()).start(settings.adminAddress)
+        val http = EntryHttpServer(runtime.group, settings.http, Sink()).start(settings.httpAddress)
+        Ready(settings.name, http, peer, admin)
+    }
+
+    /** Stops gracefully: no request is cut off. */
+    fun stop() = loop.post(EntryInput.StopAsked)
+
+    /** Waits until the process has stopped. */
+    fun awaitEnd() = runtime.awaitEnd()
+
+    private lateinit var loop: TickLoop<EntryTables, EntryInput, EntryEffect>
+    private lateinit var platform: EntryPlatform
+    private val links = EntryLinks(runtime.scope, runtime.selector, name) { loop.post(it) }
+
+    /** Messages of this entry to itself; they take the way of all inputs, so that the tick never waits for itself. */
+    private val loopback = Channel<EntryInput>(Channel.UNLIMITED).also { channel ->
+        runtime.scope.launch { for (input in channel) loop.post(input) }
+    }
+
+    private fun perform(effect: EntryEffect) =
+        when (effect) {
+            is EntryEffect.BeginAnswer -> calls.find(effect.request)?.begin(effect.head)
+            is EntryEffect.ContinueAnswer -> calls.find(effect.request)?.continueWith(effect.data)
+            is EntryEffect.EndAnswer -> endAnswer(effect)
+            is EntryEffect.Refuse -> refuse(effect)
+            is EntryEffect.ToSidecar -> links.send(effect.to, effect.command.toWire())
+            is EntryEffect.ToEntry -> sendToEntry(effect)
+            is EntryEffect.LinkTo -> links.keep(effect.instances)
+            is EntryEffect.ProposeEpoch -> platform.propose(effect.expected, effect.proposed)
+            is EntryEffect.Claim -> platform.claim(effect.request, effect.account, effect.key)
+            is EntryEffect.ReleaseClaim -> platform.release(effect.request, effect.account, effect.key)
+            EntryEffect.ReadConfiguration -> platform.readConfiguration()
+            EntryEffect.ReadEpoch -> platform.readEpoch()
+            is EntryEffect.Log -> Logs.write(effect.line)
+            EntryEffect.Stopped -> ended()
+        }
+
+    private fun endAnswer(effect: EntryEffect.EndAnswer) {
+        runtime.metrics.answered()
+        calls.remove(effect.request)?.end()
+    }
+
+    private fun refuse(effect: EntryEffect.Refuse) {
+        runtime.metrics.refused(effect.refusal)
+        calls.remove(effect.request)?.refuse(effect.refusal)
+    }
+
+    private fun sendToEntry(effect: EntryEffect.ToEntry) {
+        if (effect.to == name) {
+            loopback.trySend(EntryInput.EntrySaid(name, effect.message))
+        } else {
+            links.send(effect.to, effect.message.toWire())
+        }
+    }
+
+    private fun ended() {
+        Logs.drain.info("stopped")
+        loop.stop()
+        runtime.end()
+    }
+
+    private inner class Sink : CallSink {
+        override val configuration: Configuration get() = loop.tables.configuration
+
+        override fun nextId(): RequestId = RequestId(runtime.incarnation, sequence.incrementAndGet())
+
+        override fun onCall(call: Call, writer: AnswerWriter): Boolean {
+            calls.add(call.id, writer)
+            val taken = loop.offer(EntryInput.CallArrived(call))
+            if (!taken) calls.remove(call.id)
+            return taken
+        }
+
+        override fun onCallerGone(request: RequestId) {
+            if (calls.remove(request) != null) loop.post(EntryInput.CallerGone(request))
+        }
+
+        override fun onBadInput(kind: BadInput, refusal: Refusal) {
+            runtime.metrics.badInput(kind)
+            Logs.http.info("request refused: {} {}: {}", refusal.code.number, refusal.code, refusal.detail)
+        }
+    }
+
+    private inner class Peers : PeerHandler {
+        override fun onOpened(link: Long, peer: String, connection: PeerConnection) =
+            Logs.links.info("link {} of {} open", link, peer)
+
+        override fun onMessage(link: Long, peer: String, message: WireMessage): Boolean {
+            val known = message.toEntryMessage()
+            if (known == null) runtime.metrics.badInput(BadInput.FRAME)
+            if (known != null) loop.post(EntryInput.EntrySaid(InstanceName(peer), known))
+            return known != null && message.toCommand() == null
+        }
+
+        override fun onClosed(link: Long, peer: String) = Unit
+
+        override fun onStranger() = runtime.metrics.badInput(BadInput.STRANGER)
+    }
+
+    private inner class Pages : AdminPages {
+        override fun ready(): Boolean {
+            val tables = loop.tables
+            return !tables.stopping && tables.configuration.version > 0 && tables.upstreams.values.any { it.accepting }
+        }
+
+        override fun metrics(): String {
+            runtime.metrics.holding(loop.tables.requests.size)
+            return runtime.metrics.text()
+        }
+
+        override fun status(): String {
+            val tables = loop.tables
+            return StatusDocument(
+                name = settings.name,
+                role = "entry",
+                configVersion = tables.configuration.version,
+                requests = tables.requests.size,
+                upstreams = tables.upstreams.values.count { it.accepting },
+                stopping = tables.stopping,
+            ).text()
+        }
+    }
+
+    private companion object {
+        val MAX_WAIT = 50.milliseconds
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/ragwortbank/node/http/ErrorBody.kt
@@ -0,0 +1,33 @@
+package org.ragwortbank.node.http
+
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.json.Json
+import org.ragwortbank.core.result.Refusal
+
+/** JSON body of a refusal. */
+@Serializable
+internal data class ErrorBody(val error: ErrorDetail) {
+    /** The body as JSON text. */
+    fun text(): String = Json.encodeToString(serializer(), this)
+
+    companion object {
+        /** The body for [refusal]. */
+        fun of(refusal: Refusal): ErrorBody {
+            val code = refusal.code
+            return ErrorBody(ErrorDetail(code.number, code.name.lowercase(), refusal.detail, refusal.execution.text))
+        }
+    }
+}
+
+/**
+ * What a refusal says.
+ *
+ * @property execution `not run`, `ran` or `unknown`
+ */
+@Serializable
+internal data class ErrorDetail(
+    val code: Int,
+    val type: String,
+    val message: String,
+    val execution: String,
+)
--- /dev/null
+++ b/node/src/main/kotlin/org/ragwortbank/node/http/GenerateBody.kt
@@ -0,0 +1,120 @@
+package org.ragwortbank.node.http
+
+import kotlinx.io.bytestring.ByteString
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.booleanOrNull
+import kotlinx.serialization.json.contentOrNull
+import kotlinx.serialization.json.longOrNull
+import org.ragwortbank.core.model.GenerateApi
+import org.ragwortbank.core.model.Work
+
+/** A generation request as read from its body. */
+internal sealed interface GenerateBody {
+    /** Acceptable; [model] names the route. */
+    data class Good(val model: String, val work: Work.Generate) : GenerateBody
+
+    /** Not acceptable; [detail] tells path, what was found and what was expected. */
+    data class Bad(val detail: String) : GenerateBody
+}
+
+private const val BYTES_PER_TOKEN = 4
+private const val MAX_OUTPUT_TOKENS = 1_000_000L
+
+/** Reads the body of a generation call. */
+internal fun parseGenerate(body: ByteArray, api: GenerateApi, defaultMaxTokens: Long): GenerateBody =
+    try {
+        when (val json = Json.parseToJsonElement(body.decodeToString(throwOnInvalidSequence = true))) {
+            is JsonObject -> GenerateParser(json, body, api, defaultMaxTokens).parse()
+            else -> GenerateBody.Bad("body: found JSON that is no object, expected an object")
+        }
+    } catch (e: SerializationException) {
+        GenerateBody.Bad("body: found malformed JSON, expected an object: ${e.message?.lineSequence()?.first()}")
+    } catch (_: CharacterCodingException) {
+        GenerateBody.Bad("body: found bytes that are no UTF-8, expected JSON")
+    }
+
+private class GenerateParser(
+    private val json: JsonObject,
+    private val body: ByteArray,
+    private val api: GenerateApi,
+    private val defaultMaxTokens: Long,
+) {
+    fun parse(): GenerateBody {
+        val model = (json["model"] as? JsonPrimitive)?.takeIf { it.isString }?.content
+        val output = outputBound()
+        val text = promptText()
+        return when {
+            model == null -> bad("model", "the name of a route")
+            text == null -> bad(promptField(), promptExpectation())
+            output == null -> bad("max_tokens", "a whole number from 1 to $MAX_OUTPUT_TOKENS")
+            !isOneOf("n", 1) -> bad("n", "1")
+            !isOneOf("best_of", 1) -> bad("best_of", "1")
+            !isBoolean("stream") -> bad("stream", "true or false")
+            else -> GenerateBody.Good(model, work(text, output))
+        }
+    }
+
+    private fun work(text: String, output: Long): Work.Generate =
+        Work.Generate(
+            api = api,
+            stream = booleanOf(json["stream"]) ?: false,
+            promptTokens = text.encodeToByteArray().size / BYTES_PER_TOKEN + 1L,
+            maxTokens = output,
+            usageWanted = booleanOf((json["stream_options"] as? JsonObject)?.get("include_usage")) ?: false,
+            body = ByteString(body),
+        )
+
+    private fun outputBound(): Long? {
+        val given = json["max_completion_tokens"] ?: json["max_tokens"] ?: return defaultMaxTokens
+        return (given as? JsonPrimitive)?.longOrNull?.takeIf { it in 1..MAX_OUTPUT_TOKENS }
+    }
+
+    private fun promptText(): String? =
+        when (api) {
+            GenerateApi.COMPLETIONS -> (json["prompt"] as? JsonPrimitive)?.takeIf { it.isString }?.contentOrNull
+            GenerateApi.CHAT -> (json["messages"] as? JsonArray)?.takeIf { it.isNotEmpty() }?.let(::messagesText)
+        }
+
+    private fun messagesText(messages: JsonArray): String? {
+        val contents = messages.map { (it as? JsonObject)?.get("content") }
+        return if (contents.any { it == null }) null else contents.joinToString("\n") { textOf(it) }
+    }
+
+    private fun textOf(content: JsonElement?): String =
+        if (content is JsonPrimitive) content.contentOrNull.orEmpty() else content.toString()
+
+    private fun promptField(): String =
+        when (api) {
+            GenerateApi.COMPLETIONS -> "prompt"
+            GenerateApi.CHAT -> "messages"
+        }
+
+    private fun promptExpectation(): String =
+        when (api) {
+            GenerateApi.COMPLETIONS -> "one string"
+            GenerateApi.CHAT -> "a list of messages with content"
+        }
+
+    private fun isOneOf(field: String, value: Long): Boolean {
+        val given = json[field] ?: return true
+        return (given as? JsonPrimitive)?.longOrNull == value
+    }
+
+    private fun isBoolean(field: String): Boolean = json[field] == null || booleanOf(json[field]) != null
+
+    private fun booleanOf(element: JsonElement?): Boolean? = (element as? JsonPrimitive)?.booleanOrNull
+
+    private fun bad(field: String, expected: String): GenerateBody {
+        val found = json[field]?.toString()?.take(MAX_QUOTE) ?: "nothing"
+        return GenerateBody.Bad("$field: found $found, expected $expected")
+    }
+
+    private companion object {
+        const val MAX_QUOTE = 60
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/ragwortbank/node/http/ModelsBody.kt
@@ -0,0 +1,17 @@
+package org.ragwortbank.node.http
+
+import kotlinx.serialization.json.Json
+import org.ragwortbank.core.model.Configuration
+import org.ragwortbank.core.model.KeyHash
+import org.ragwortbank.platform.upstream.ModelEntry
+import org.ragwortbank.platform.upstream.ModelList
+
+/** The adapters that the key with [credential] may reach, as the OpenAI-compatible list of models. */
+internal fun modelsBody(configuration: Configuration, credential: KeyHash?): String {
+    val account = credential?.let { configuration.keys[it] }?.account
+    val names = configuration.routes.values
+        .filter { it.adapter != null && (it.open || account != null && account in it.accounts) }
+        .map { it.name.value }
+        .sorted()
+    return Json.encodeToString(ModelList.serializer(), ModelList(names.map { ModelEntry(it) }))
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/ragwortbank/node/link/PeerConnection.kt
@@ -0,0 +1,69 @@
+package org.ragwortbank.node.link
+
+import io.ktor.network.sockets.Socket
+import io.ktor.network.sockets.openReadChannel
+import io.ktor.network.sockets.openWriteChannel
+import io.ktor.utils.io.ByteWriteChannel
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.channels.ReceiveChannel
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.launch
+import org.ragwortbank.node.wire.WireMessage
+import org.ragwortbank.node.wire.encodeFrame
+import org.ragwortbank.node.wire.readFrame
+import org.ragwortbank.node.wire.writeFrame
+
+/** One open connection to another process; frames are sent in order by one writer. */
+internal class PeerConnection(private val socket: Socket) {
+    private val outgoing = Channel<ByteArray>(OUTGOING_FRAMES)
+
+    /** Queues [message]; a peer that does not keep up is disconnected. */
+    fun send(message: WireMessage) {
+        val queued = outgoing.trySend(encodeFrame(message)).isSuccess
+        if (!queued) socket.close()
+    }
+
+    /** Closes the connection, which ends [serve]. */
+    fun close() = socket.close()
+
+    /**
+     * Writes queued frames and passes received ones to [onMessage] until the connection ends.
+     *
+     * @return why it ended
+     */
+    suspend fun serve(onMessage: (WireMessage) -> Boolean): String =
+        coroutineScope {
+            val writer = launch { write(socket.openWriteChannel(), outgoing) }
+            try {
+                read(onMessage)
+            } finally {
+                writer.cancel()
+                socket.close()
+            }
+        }
+
+    private suspend fun read(onMessage: (WireMessage) -> Boolean): String {
+        val input = socket.openReadChannel()
+        while (true) {
+            val message = input.readFrame() ?: return "malformed frame"
+            if (!onMessage(message)) return "unexpected frame"
+        }
+    }
+
+    private suspend fun write(output: ByteWriteChannel, frames: ReceiveChannel<ByteArray>) {
+        for (frame in frames) {
+            output.writeFrame(frame)
+            writeQueued(output, frames)
+            output.flush()
+        }
+    }
+
+    private suspend fun writeQueued(output: ByteWriteChannel, frames: ReceiveChannel<ByteArray>) {
+        generateSequence { frames.tryReceive().getOrNull() }.forEach { output.writeFrame(it) }
+    }
+
+    private companion object {
+        const val OUTGOING_FRAMES = 16_384
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/ragwortbank/node/link/PeerDialer.kt
@@ -0,0 +1,79 @@
+package org.ragwortbank.node.link
+
+import io.ktor.network.selector.SelectorManager
+import io.ktor.network.sockets.aSocket
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeout
+import kotlinx.io.IOException
+import org.ragwortbank.node.log.Logs
+import org.ragwortbank.node.wire.WireMessage
+import org.ragwortbank.platform.http.Address
+import java.util.concurrent.atomic.AtomicReference
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Keeps one link to another process open, with a new attempt after each loss. */
+internal class PeerDialer(
+    private val selector: SelectorManager,
+    private val address: Address,
+    private val hello: WireMessage.Hello,
+    private val listener: DialListener,
+) {
+    private val connection = AtomicReference<PeerConnection?>(null)
+
+    /** Sends [message] if the link is open; otherwise it is lost, as the listener has been or will be told. */
+    fun send(message: WireMessage) {
+        connection.get()?.send(message)
+    }
+
+    /** Dials until [scope] is cancelled. */
+    fun start(scope: CoroutineScope) = scope.launch {
+        while (true) {
+            attempt()
+            delay(REDIAL_DELAY)
+        }
+    }
+
+    private suspend fun attempt() {
+        val cause = try {
+            connectAndServe()
+        } catch (e: CancellationException) {
+            lost()
+            throw e
+        } catch (e: IOException) {
+            e.message ?: "connection lost"
+        }
+        if (lost()) Logs.links.info("link to {} closed: {}", address, cause)
+    }
+
+    private suspend fun connectAndServe(): String {
+        val socket = withTimeoutOrIo { aSocket(selector).tcp().connect(address.host, address.port) { noDelay = true } }
+        val opened = PeerConnection(socket)
+        opened.send(hello)
+        connection.set(opened)
+        listener.onOpened()
+        Logs.links.info("link to {} open", address)
+        return opened.serve(listener::onMessage)
+    }
+
+    private suspend fun <T> withTimeoutOrIo(block: suspend () -> T): T =
+        try {
+            withTimeout(CONNECT_TIMEOUT) { block() }
+        } catch (e: kotlinx.coroutines.TimeoutCancellationException) {
+            throw IOException("no connection within $CONNECT_TIMEOUT", e)
+        }
+
+    private fun lost(): Boolean {
+        val had = connection.getAndSet(null) != null
+        if (had) listener.onClosed()
+        return had
+    }
+
+    private companion object {
+        val REDIAL_DELAY = 200.milliseconds
+        val CONNECT_TIMEOUT = 2.seconds
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/ragwortbank/node/link/PeerServer.kt
@@ -0,0 +1,80 @@
+package org.ragwortbank.node.link
+
+import io.ktor.network.selector.SelectorManager
+import io.ktor.network.sockets.InetSocketAddress
+import io.ktor.network.sockets.ServerSocket
+import io.ktor.network.sockets.Socket
+import io.ktor.network.sockets.aSocket
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.launch
+import kotlinx.io.IOException
+import org.ragwortbank.node.log.Logs
+import org.ragwortbank.node.wire.PROTOCOL_VERSION
+import org.ragwortbank.node.wire.WireMessage
+import org.ragwortbank.platform.http.Address
+import java.util.concurrent.atomic.AtomicLong
+
+/** Accepts links of other processes. */
+internal class PeerServer(
+    private val scope: CoroutineScope,
+    private val selector: SelectorManager,
+    private val handler: PeerHandler,
+) {
+    private val lastLink = AtomicLong()
+
+    /** Listens on [address] and returns the address bound, which differs when the port was zero. */
+    suspend fun start(address: Address): Address {
+        val server = aSocket(selector).tcp().bind(address.host, address.port)
+        scope.launch { accept(server) }
+        return Address(address.host, (server.localAddress as InetSocketAddress).port)
+    }
+
+    private suspend fun accept(server: ServerSocket) {
+        while (true) {
+            val socket = server.accept()
+            scope.launch { serve(socket) }
+        }
+    }
+
+    private suspend fun serve(socket: Socket) {
+        val link = IncomingLink(lastLink.incrementAndGet(), PeerConnection(socket), handler)
+        val cause = try {
+            link.connection.serve(link::receive)
+        } catch (e: CancellationException) {
+            throw e
+        } catch (e: IOException) {
+            e.message ?: "connection lost"
+        }
+        link.closed(cause)
+    }
+
+    private class IncomingLink(
+        private val number: Long,
+        val connection: PeerConnection,
+        private val handler: PeerHandler,
+    ) {
+        private var peer: String? = null
+
+        fun receive(message: WireMessage): Boolean {
+            val known = peer
+            return when {
+                known != null -> handler.onMessage(number, known, message)
+                message !is WireMessage.Hello || message.protocol != PROTOCOL_VERSION -> false
+                else -> greet(message)
+            }
+        }
+
+        fun closed(cause: String) {
+            val known = peer
+            Logs.links.info("link {} of {} closed: {}", number, known ?: "an unknown peer", cause)
+            if (known == null) handler.onStranger() else handler.onClosed(number, known)
+        }
+
+        private fun greet(hello: WireMessage.Hello): Boolean {
+            peer = hello.name
+            handler.onOpened(number, hello.name, connection)
+            return true
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/ragwortbank/node/log/LogSetup.kt
@@ -0,0 +1,44 @@
+package org.ragwortbank.node.log
+
+import org.apache.logging.log4j.Level
+import org.apache.logging.log4j.LogManager
+import org.apache.logging.log4j.core.config.Configurator
+import org.apache.logging.log4j.core.config.builder.api.ConfigurationBuilder
+import org.apache.logging.log4j.core.config.builder.api.ConfigurationBuilderFactory
+import org.apache.logging.log4j.core.config.builder.api.LayoutComponentBuilder
+import org.apache.logging.log4j.core.config.builder.impl.BuiltConfiguration
+
+/** Configures Log4j for a process of the system: asynchronous, to standard error. */
+object LogSetup {
+    private const val SELECTOR_PROPERTY = "log4j2.contextSelector"
+    private const val ASYNC_SELECTOR = "org.apache.logging.log4j.core.async.BasicAsyncLoggerContextSelector"
+    private const val RING_PROPERTY = "log4j2.asyncLoggerRingBufferSize"
+    private const val RING_SIZE = "16384"
+    private const val APPENDER = "console"
+
+    /** Must be called before the first logger is used. */
+    fun configure(level: String, format: LogFormat) {
+        System.setProperty(SELECTOR_PROPERTY, ASYNC_SELECTOR)
+        System.setProperty(RING_PROPERTY, RING_SIZE)
+        val builder = ConfigurationBuilderFactory.newConfigurationBuilder().setShutdownHook("disable")
+        val appender = builder.newAppender(APPENDER, "Console")
+            .addAttribute("target", "SYSTEM_ERR")
+            .add(layout(builder, format))
+        val root = builder.newAsyncRootLogger(Level.toLevel(level)).add(builder.newAppenderRef(APPENDER))
+        Configurator.initialize(builder.add(appender).add(root).build(false))
+    }
+
+    /** Writes all lines out; nothing may be logged afterwards. */
+    fun flush() = LogManager.shutdown()
+
+    private fun layout(
+        builder: ConfigurationBuilder<BuiltConfiguration>,
+        format: LogFormat,
+    ): LayoutComponentBuilder =
+        when (format) {
+            LogFormat.TEXT ->
+                builder.newLayout("PatternLayout").addAttribute("pattern", "%d{ISO8601} %-5level %c: %m%n")
+            LogFormat.JSON ->
+                builder.newLayout("JsonTemplateLayout").addAttribute("eventTemplateUri", "classpath:LogTemplate.json")
+        }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/ragwortbank/node/loop/TickLoop.kt
@@ -0,0 +1,74 @@
+package org.ragwortbank.node.loop
+
+import kotlinx.collections.immutable.toPersistentList
+import org.ragwortbank.core.tick.Schedule
+import org.ragwortbank.core.tick.Step
+import org.ragwortbank.core.tick.Tick
+import org.ragwortbank.core.tick.Timestamp
+import java.util.concurrent.LinkedBlockingQueue
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicReference
+import kotlin.concurrent.thread
+import kotlin.time.Duration
+
+/**
+ * Runs the systems of a process over its tables whenever inputs have arrived, and at least once per [maxWait].
+ *
+ * One thread runs all ticks and performs their effects; it blocks while there is nothing to do.
+ */
+class TickLoop<T, I, E>(
+    private val schedule: Schedule<T, I, E>,
+    initial: T,
+    private val maxWait: Duration,
+    private val observer: TickObserver,
+    private val perform: (E) -> Unit,
+) {
+    private val inbox = LinkedBlockingQueue<I>(INBOX_CAPACITY)
+    private val current = AtomicReference(initial)
+    private val runner = thread(start = false, name = "tick") { run() }
+
+    /** The tables after the last tick. */
+    val tables: T get() = current.get()
+
+    /** Starts the thread. */
+    fun start() = runner.start()
+
+    /** Ends the loop after the tick under way. */
+    fun stop() = runner.interrupt()
+
+    /** Adds an input, waiting for room in the inbox; never called by the tick's own thread. */
+    fun post(input: I) = inbox.put(input)
+
+    /** Adds an input if there is room, and tells whether there was. */
+    fun offer(input: I): Boolean = inbox.offer(input)
+
+    private fun run() {
+        try {
+            while (true) tick()
+        } catch (_: InterruptedException) {
+            Thread.currentThread().interrupt()
+        }
+    }
+
+    private fun tick() {
+        val first = inbox.poll(maxWait.inWholeMicroseconds, TimeUnit.MICROSECONDS)
+        val inputs = buildList {
+            if (first != null) add(first)
+            inbox.drainTo(this, MAX_INPUTS)
+        }
+        val begin = System.nanoTime()
+        val step = schedule.run(Tick(Timestamp(begin), inputs.toPersistentList()), current.get())
+        finish(step)
+        observer.onTick(inputs.size, System.nanoTime() - begin)
+    }
+
+    private fun finish(step: Step<T, E>) {
+        current.set(step.tables)
+        step.effects.forEach(perform)
+    }
+
+    private companion object {
+        const val INBOX_CAPACITY = 65_536
+        const val MAX_INPUTS = 1_024
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/ragwortbank/node/metrics/NodeMetrics.kt
@@ -0,0 +1,74 @@
+package org.ragwortbank.node.metrics
+
+import io.prometheus.metrics.core.metrics.Counter
+import io.prometheus.metrics.core.metrics.Gauge
+import io.prometheus.metrics.core.metrics.Histogram
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+import org.ragwortbank.core.result.Refusal
+import org.ragwortbank.node.loop.TickObserver
+import java.io.ByteArrayOutputStream
+
+/** The metrics of one process. */
+class NodeMetrics : TickObserver {
+    private val registry = PrometheusRegistry()
+
+    private val ticks = Histogram.builder()
+        .name("ragwortbank_tick_seconds")
+        .help("Time taken by a tick with its effects")
+        .classicOnly()
+        .classicUpperBounds(*TICK_BOUNDS)
+        .register(registry)
+
+    private val inputs = counter("ragwortbank_tick_inputs_total", "Inputs handled by ticks")
+
+    private val refusals = counter("ragwortbank_refusals_total", "Requests that got no complete answer", "code", "execution")
+
+    private val answers = counter("ragwortbank_answers_total", "Requests that got a complete answer")
+
+    private val badInput = counter("ragwortbank_bad_input_total", "Malformed or unexpected input", "kind")
+
+    private val platformCalls = counter("ragwortbank_platform_calls_total", "Calls of the platform", "call", "outcome")
+
+    private val open = Gauge.builder()
+        .name("ragwortbank_open_requests")
+        .help("Requests or runs held at present")
+        .register(registry)
+
+    override fun onTick(inputs: Int, nanos: Long) {
+        ticks.observe(nanos / NANOS_PER_SECOND)
+        this.inputs.inc(inputs.toLong())
+    }
+
+    /** Counts a request that was answered in full. */
+    fun answered() = answers.inc()
+
+    /** Counts a request that was refused or broken off. */
+    fun refused(refusal: Refusal) =
+        refusals.labelValues(refusal.code.number.toString(), refusal.execution.text).inc()
+
+    /** Counts malformed or unexpected input. */
+    fun badInput(kind: BadInput) = badInput.labelValues(kind.label).inc()
+
+    /** Counts a call of the platform. */
+    fun called(call: PlatformCall, answered: Boolean) =
+        platformCalls.labelValues(call.label, if (answered) "answered" else "unanswered").inc()
+
+    /** Sets the number of requests or runs held. */
+    fun holding(count: Int) = open.set(count.toDouble())
+
+    /** All metrics in the text format of Prometheus. */
+    fun text(): String {
+        val out = ByteArrayOutputStream()
+        PrometheusTextFormatWriter.create().write(out, registry.scrape())
+        return out.toString(Charsets.UTF_8)
+    }
+
+    private fun counter(name: String, help: String, vararg labels: String): Counter =
+        Counter.builder().name(name).help(help).labelNames(*labels).register(registry)
+
+    private companion object {
+        const val NANOS_PER_SECOND = 1e9
+        val TICK_BOUNDS = doubleArrayOf(0.00001, 0.00003, 0.0001, 0.0003, 0.001, 0.003, 0.01, 0.03, 0.1, 1.0)
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/ragwortbank/node/settings/PlatformSettings.kt
@@ -0,0 +1,27 @@
+package org.ragwortbank.node.settings
+
+import org.ragwortbank.platform.http.Address
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * How the platform's services are reached.
+ *
+ * @property keyValueAddress the key-value service
+ * @property instancesAddress the instance list
+ * @property callTimeout longest wait for an answer of either
+ * @property connectTimeout longest wait for a connection
+ * @property instancesInterval time between two reads of the instance list
+ * @property epochInterval time between two reads of the limit epoch
+ * @property configInterval time between two reads of the operators' tables, besides the watch
+ */
+data class PlatformSettings(
+    val keyValueAddress: Address = Address("127.0.0.1", 2379),
+    val instancesAddress: Address = Address("127.0.0.1", 8500),
+    val callTimeout: Duration = 1.seconds,
+    val connectTimeout: Duration = 500.milliseconds,
+    val instancesInterval: Duration = 500.milliseconds,
+    val epochInterval: Duration = 1.seconds,
+    val configInterval: Duration = 5.seconds,
+)
--- /dev/null
+++ b/node/src/main/kotlin/org/ragwortbank/node/sidecar/SidecarNode.kt
@@ -0,0 +1,191 @@
+package org.ragwortbank.node.sidecar
+
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.runBlocking
+import kotlinx.io.bytestring.ByteString
+import org.ragwortbank.core.message.RunId
+import org.ragwortbank.core.message.SidecarCommand
+import org.ragwortbank.core.model.AnswerHead
+import org.ragwortbank.core.model.InstanceName
+import org.ragwortbank.core.model.UpstreamKind
+import org.ragwortbank.core.model.Usage
+import org.ragwortbank.core.sidecar.AdapterState
+import org.ragwortbank.core.sidecar.LinkId
+import org.ragwortbank.core.sidecar.RunFailure
+import org.ragwortbank.core.sidecar.SidecarEffect
+import org.ragwortbank.core.sidecar.SidecarInput
+import org.ragwortbank.core.sidecar.SidecarTables
+import org.ragwortbank.core.sidecar.sidecarSchedule
+import org.ragwortbank.node.NodeRuntime
+import org.ragwortbank.node.Ready
+import org.ragwortbank.node.admin.AdminPages
+import org.ragwortbank.node.admin.AdminServer
+import org.ragwortbank.node.admin.StatusDocument
+import org.ragwortbank.node.link.PeerConnection
+import org.ragwortbank.node.link.PeerHandler
+import org.ragwortbank.node.link.PeerServer
+import org.ragwortbank.node.log.Logs
+import org.ragwortbank.node.loop.TickLoop
+import org.ragwortbank.node.metrics.BadInput
+import org.ragwortbank.node.metrics.PlatformCall
+import org.ragwortbank.node.settings.SidecarNodeSettings
+import org.ragwortbank.node.wire.WireMessage
+import org.ragwortbank.node.wire.toCommand
+import org.ragwortbank.node.wire.toWire
+import org.ragwortbank.platform.fencing.FencingStore
+import org.ragwortbank.platform.upstream.EngineClient
+import org.ragwortbank.platform.upstream.RunListener
+import org.ragwortbank.platform.upstream.ServiceClient
+import org.ragwortbank.platform.upstream.UpstreamClient
+import java.util.concurrent.atomic.AtomicReference
+import kotlin.time.Duration.Companion.milliseconds
+
+/** A sidecar process: entries on one side, one upstream on the other. */
+class SidecarNode(private val settings: SidecarNodeSettings) {
+    private val runtime = NodeRuntime(settings.name, settings.platform)
+    private val upstream = upstreamClient()
+    private val runs = RunRegistry()
+    private val links = AtomicReference<PersistentMap<LinkId, PeerConnection>>(persistentMapOf())
+    private val tables = SidecarTables(InstanceName(settings.name), settings.sidecar)
+    private val loop = TickLoop(sidecarSchedule(), tables, MAX_WAIT, runtime.metrics, ::perform)
+
+    /** Starts the process and returns the addresses that it listens on. */
+    fun start(): Ready = runBlocking {
+        loop.start()
+        takeFencing()
+        val peer = PeerServer(runtime.scope, runtime.selector, Entries()).start(settings.peerAddress)
+        val admin = AdminServer(runtime.group, Pages()).start(settings.adminAddress)
+        Ready(settings.name, null, peer, admin)
+    }
+
+    /** Stops gracefully: no run is cut off. */
+    fun stop() = loop.post(SidecarInput.StopAsked)
+
+    /** Waits until the process has stopped. */
+    fun awaitEnd() = runtime.awaitEnd()
+
+    private fun upstreamClient(): UpstreamClient {
+        val timeout = settings.platform.callTimeout
+        val address = settings.upstreamAddress
+        return when (settings.sidecar.kind) {
+            UpstreamKind.SERVICE -> ServiceClient(runtime.client, address, timeout)
+            UpstreamKind.ENGINE -> {
+                val loadTimeout = settings.sidecar.loadTimeout
+                EngineClient(runtime.client, address, settings.weightPrefix, loadTimeout, timeout)
+            }
+        }
+    }
+
+    private fun takeFencing() = runtime.scope.launch {
+        val store = FencingStore(runtime.store)
+        var number: Long? = null
+        while (number == null) {
+            number = store.take(InstanceName(settings.name))
+            runtime.metrics.called(PlatformCall.FENCING, number != null)
+            if (number == null) delay(FENCING_RETRY_DELAY)
+        }
+        loop.post(SidecarInput.FencingGiven(number))
+    }
+
+    private fun perform(effect: SidecarEffect) {
+        when (effect) {
+            is SidecarEffect.Report -> links.get()[effect.link]?.send(effect.report.toWire())
+            is SidecarEffect.StartRun -> startRun(effect.command)
+            is SidecarEffect.CancelRun -> runs.find(effect.run)?.close()
+            is SidecarEffect.Load -> load(effect)
+            is SidecarEffect.Unload -> unload(effect)
+            SidecarEffect.Probe -> probe()
+            is SidecarEffect.Log -> Logs.write(effect.line)
+            SidecarEffect.Stopped -> ended()
+        }
+    }
+
+    private fun startRun(command: SidecarCommand.Dispatch) =
+        runs.add(command.run, upstream.run(command, Listener(command.run)))
+
+    private fun load(effect: SidecarEffect.Load) = runtime.scope.launch {
+        loop.post(SidecarInput.LoadEnded(effect.adapter, upstream.load(effect.adapter, effect.fencing)))
+    }
+
+    private fun unload(effect: SidecarEffect.Unload) = runtime.scope.launch {
+        loop.post(SidecarInput.UnloadEnded(effect.adapter, upstream.unload(effect.adapter, effect.fencing)))
+    }
+
+    private fun probe() = runtime.scope.launch {
+        loop.post(SidecarInput.Probed(upstream.resident()))
+    }
+
+    private fun ended() {
+        Logs.drain.info("stopped")
+        loop.stop()
+        runtime.end()
+    }
+
+    private inner class Listener(private val run: RunId) : RunListener {
+        override fun began(head: AnswerHead) = loop.post(SidecarInput.RunBegan(run, head))
+
+        override fun continued(tokens: Long, data: ByteString) =
+            loop.post(SidecarInput.RunContinued(run, tokens, data))
+
+        override fun completed(usage: Usage?) {
+            runs.remove(run)
+            loop.post(SidecarInput.RunCompleted(run, usage))
+        }
+
+        override fun broke(failure: RunFailure) {
+            runs.remove(run)
+            loop.post(SidecarInput.RunBroke(run, failure))
+        }
+    }
+
+    private inner class Entries : PeerHandler {
+        override fun onOpened(link: Long, peer: String, connection: PeerConnection) {
+            links.updateAndGet { it.put(LinkId(link), connection) }
+            loop.post(SidecarInput.LinkOpened(LinkId(link)))
+        }
+
+        override fun onMessage(link: Long, peer: String, message: WireMessage): Boolean {
+            val command = message.toCommand()
+            if (command == null) runtime.metrics.badInput(BadInput.FRAME)
+            if (command != null) loop.post(SidecarInput.EntrySaid(LinkId(link), command))
+            return command != null
+        }
+
+        override fun onClosed(link: Long, peer: String) {
+            links.updateAndGet { it.remove(LinkId(link)) }
+            loop.post(SidecarInput.LinkClosed(LinkId(link)))
+        }
+
+        override fun onStranger() = runtime.metrics.badInput(BadInput.STRANGER)
+    }
+
+    private inner class Pages : AdminPages {
+        override fun ready(): Boolean = loop.tables.upstreamUp && !loop.tables.stopping
+
+        override fun metrics(): String {
+            runtime.metrics.holding(loop.tables.runs.size)
+            return runtime.metrics.text()
+        }
+
+        override fun status(): String {
+            val tables = loop.tables
+            val resident = tables.adapters.filterValues { it.state == AdapterState.RESIDENT }.keys
+            return StatusDocument(
+                name = settings.name,
+                role = "sidecar",
+                requests = tables.runs.size,
+                adapters = resident.map { it.engineName }.sorted(),
+                fencing = tables.fencing,
+                stopping = tables.stopping,
+            ).text()
+        }
+    }
+
+    private companion object {
+        val MAX_WAIT = 50.milliseconds
+        val FENCING_RETRY_DELAY = 500.milliseconds
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/ragwortbank/node/wire/SidecarCodec.kt
@@ -0,0 +1,134 @@
+package org.ragwortbank.node.wire
+
+import kotlinx.collections.immutable.toPersistentList
+import kotlinx.collections.immutable.toPersistentSet
+import kotlinx.io.bytestring.ByteString
+import org.ragwortbank.core.message.RunId
+import org.ragwortbank.core.message.SidecarCommand
+import org.ragwortbank.core.message.SidecarReport
+import org.ragwortbank.core.model.AccountId
+import org.ragwortbank.core.model.AdapterRef
+import org.ragwortbank.core.model.AnswerHead
+import org.ragwortbank.core.model.GenerateApi
+import org.ragwortbank.core.model.Header
+import org.ragwortbank.core.model.Incarnation
+import org.ragwortbank.core.model.RequestId
+import org.ragwortbank.core.model.RouteName
+import org.ragwortbank.core.model.Usage
+import org.ragwortbank.core.model.Work
+import org.ragwortbank.core.result.Execution
+import org.ragwortbank.core.result.Refusal
+import org.ragwortbank.core.result.ResultCode
+import kotlin.time.Duration.Companion.milliseconds
+
+internal fun SidecarCommand.toWire(): WireMessage =
+    when (this) {
+        is SidecarCommand.Cancel -> WireMessage.Cancel(run.toWire())
+        is SidecarCommand.Dispatch ->
+            WireMessage.Dispatch(
+                run = run.toWire(),
+                account = account.value,
+                route = route.value,
+                adapter = adapter?.toWire(),
+                idempotent = idempotent,
+                generate = (work as? Work.Generate)?.toWire(),
+                plain = (work as? Work.Plain)?.toWire(),
+            )
+    }
+
+/** The command that this frame carries; null when it is another kind of frame or incomplete. */
+internal fun WireMessage.toCommand(): SidecarCommand? =
+    when (this) {
+        is WireMessage.Cancel -> SidecarCommand.Cancel(run.toRunId())
+        is WireMessage.Dispatch -> toDispatch()
+        else -> null
+    }
+
+internal fun SidecarReport.toWire(): WireMessage =
+    when (this) {
+        is SidecarReport.Started ->
+            WireMessage.Started(run.toWire(), head.status, head.headers.map { it.toWire() }, head.streamed)
+        is SidecarReport.Chunk -> WireMessage.Chunk(run.toWire(), index, tokens, data.toByteArray())
+        is SidecarReport.Done -> WireMessage.Done(run.toWire(), chunks, usage?.toWire())
+        is SidecarReport.Failed -> toWire()
+        is SidecarReport.Digest -> WireMessage.Digest(resident.map { it.toWire() }, queued, running, accepting)
+    }
+
+/** The report that this frame carries; null when it is another kind of frame. */
+internal fun WireMessage.toReport(): SidecarReport? =
+    when (this) {
+        is WireMessage.Started ->
+            SidecarReport.Started(run.toRunId(), AnswerHead(status, headers.toHeaders(), streamed))
+        is WireMessage.Chunk -> SidecarReport.Chunk(run.toRunId(), index, tokens, ByteString(data))
+        is WireMessage.Done -> SidecarReport.Done(run.toRunId(), chunks, usage?.let { Usage(it.prompt, it.output) })
+        is WireMessage.Failed -> toFailed()
+        is WireMessage.Digest ->
+            SidecarReport.Digest(resident.map { it.toAdapter() }.toPersistentSet(), queued, running, accepting)
+        else -> null
+    }
+
+private fun WireMessage.Dispatch.toDispatch(): SidecarCommand? {
+    val work = generate?.toWork() ?: plain?.toWork() ?: return null
+    return SidecarCommand.Dispatch(
+        run = run.toRunId(),
+        account = AccountId(account),
+        route = RouteName(route),
+        adapter = adapter?.toAdapter(),
+        idempotent = idempotent,
+        work = work,
+    )
+}
+
+private fun SidecarReport.Failed.toWire(): WireMessage =
+    WireMessage.Failed(
+        run = run.toWire(),
+        code = refusal.code.number,
+        execution = refusal.execution.name,
+        detail = refusal.detail,
+        retryAfterMs = refusal.retryAfter?.inWholeMilliseconds,
+    )
+
+private fun WireMessage.Failed.toFailed(): SidecarReport {
+    val known = ResultCode.entries.firstOrNull { it.number == code } ?: ResultCode.UPSTREAM_FAILED
+    val execution = Execution.entries.firstOrNull { it.name == execution } ?: Execution.UNKNOWN
+    return SidecarReport.Failed(run.toRunId(), Refusal(known, execution, detail, retryAfterMs?.milliseconds))
+}
+
+private fun RunId.toWire(): WireRun = WireRun(request.incarnation.value, request.sequence, attempt)
+
+private fun WireRun.toRunId(): RunId = RunId(RequestId(Incarnation(incarnation), sequence), attempt)
+
+private fun AdapterRef.toWire(): WireAdapter = WireAdapter(adapter, version)
+
+private fun WireAdapter.toAdapter(): AdapterRef = AdapterRef(name, version)
+
+private fun Header.toWire(): WireHeader = WireHeader(name, value)
+
+private fun List<WireHeader>.toHeaders() = map { Header(it.name, it.value) }.toPersistentList()
+
+private fun Usage.toWire(): WireUsage = WireUsage(promptTokens, outputTokens)
+
+private fun Work.Generate.toWire(): WireGenerate =
+    WireGenerate(
+        chat = api == GenerateApi.CHAT,
+        stream = stream,
+        promptTokens = promptTokens,
+        maxTokens = maxTokens,
+        usageWanted = usageWanted,
+        body = body.toByteArray(),
+    )
+
+private fun WireGenerate.toWork(): Work =
+    Work.Generate(
+        api = if (chat) GenerateApi.CHAT else GenerateApi.COMPLETIONS,
+        stream = stream,
+        promptTokens = promptTokens,
+        maxTokens = maxTokens,
+        usageWanted = usageWanted,
+        body = ByteString(body),
+    )
+
+private fun Work.Plain.toWire(): WirePlain =
+    WirePlain(method, path, headers.map { it.toWire() }, body.toByteArray())
+
+private fun WirePlain.toWork(): Work = Work.Plain(method, path, headers.toHeaders(), ByteString(body))
--- /dev/null
+++ b/node/src/main/kotlin/org/ragwortbank/node/wire/WireParts.kt
@@ -0,0 +1,56 @@
+package org.ragwortbank.node.wire
+
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.cbor.ByteString
+
+/** One attempt to run a request. */
+@Serializable
+internal data class WireRun(
+    val incarnation: String,
+    val sequence: Long,
+    val attempt: Int,
+)
+
+/** One version of an adapter. */
+@Serializable
+internal data class WireAdapter(
+    val name: String,
+    val version: String,
+)
+
+/** An HTTP header field. */
+@Serializable
+internal data class WireHeader(
+    val name: String,
+    val value: String,
+)
+
+/** Tokens that a request took. */
+@Serializable
+internal data class WireUsage(
+    val prompt: Long,
+    val output: Long,
+)
+
+/** Text generation. */
+@OptIn(ExperimentalSerializationApi::class)
+@Serializable
+internal class WireGenerate(
+    val chat: Boolean,
+    val stream: Boolean,
+    val promptTokens: Long,
+    val maxTokens: Long,
+    val usageWanted: Boolean,
+    @ByteString val body: ByteArray,
+)
+
+/** A call of a plain service. */
+@OptIn(ExperimentalSerializationApi::class)
+@Serializable
+internal class WirePlain(
+    val method: String,
+    val path: String,
+    val headers: List<WireHeader>,
+    @ByteString val body: ByteArray,
+)
