--- /dev/null
+++ b/standins/src/main/kotlin/org/ragwortbank/standins/fleet/Caller.kt
@@ -0,0 +1,36 @@
+package org.ragwortbank.standins.fleet
+
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.coroutines.runBlocking
+import org.ragwortbank.core.model.Header
+import org.ragwortbank.platform.http.Address
+import org.ragwortbank.platform.http.HttpCall
+import org.ragwortbank.platform.http.HttpClient
+import org.ragwortbank.platform.http.HttpReply
+import org.ragwortbank.platform.http.fetch
+import kotlin.time.Duration.Companion.seconds
+
+/** A caller of the system, and of the stand-ins' control pages. */
+object Caller {
+    private val timeout = 30.seconds
+    private val group = MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory())
+
+    /** The HTTP client of all callers in this process. */
+    val client: HttpClient = HttpClient(group, 2.seconds)
+
+    /** Sends [call] and waits for the answer. */
+    fun blocking(address: Address, call: HttpCall): HttpReply = runBlocking { client.fetch(address, call, timeout) }
+
+    /** Reads [path]. */
+    fun get(address: Address, path: String, key: String? = null): HttpReply =
+        blocking(address, HttpCall("GET", path, headers(key)))
+
+    /** Posts [body] with [key]. */
+    fun post(address: Address, path: String, key: String?, body: String, vararg more: Header): HttpReply =
+        blocking(address, HttpCall("POST", path, headers(key).addAll(more.toList()), body.encodeToByteArray()))
+
+    private fun headers(key: String?) =
+        if (key == null) persistentListOf() else persistentListOf(Header("Authorization", "Bearer $key"))
+}
--- /dev/null
+++ b/standins/src/main/kotlin/org/ragwortbank/standins/fleet/Fleet.kt
@@ -0,0 +1,150 @@
+package org.ragwortbank.standins.fleet
+
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.runBlocking
+import kotlinx.serialization.json.Json
+import org.ragwortbank.platform.http.Address
+import org.ragwortbank.platform.http.HttpCall
+import org.ragwortbank.platform.instances.InstanceDocument
+import kotlin.time.Duration.Companion.seconds
+
+/** Stand-ins, sidecars and entries as separate processes on the loopback interface. */
+class Fleet(private val launcher: Launcher, private val plan: FleetPlan) {
+    private val platform = startAll(
+        Start("kv") { launcher.standIn("kv", "kv") },
+        Start("instances") { launcher.standIn("instances", "instances") },
+        Start("weights") { launcher.standIn("weights", "weights") },
+    )
+
+    /** The key-value service. */
+    val kv: Child = platform[0]
+
+    /** The instance list. */
+    val instances: Child = platform[1]
+
+    /** The weight store. */
+    val weights: Child = platform[2]
+
+    /** The upstreams: engines, then plain services. */
+    val upstreams: List<Child> = startAll(*(engineStarts() + serviceStarts()).toTypedArray())
+
+    /** The sidecars, in the order of [upstreams]. */
+    val sidecars: List<Child> = startAll(*upstreams.map(::sidecarStart).toTypedArray())
+
+    /** The entries. */
+    val entries: List<Child> = startAll(*(1..plan.entries).map { entryStart("entry-$it") }.toTypedArray())
+
+    /** Where the key-value service is reached. */
+    val kvAddress: Address get() = kv.address("address")
+
+    /** Where the instance list is reached. */
+    val instancesAddress: Address get() = instances.address("address")
+
+    /** Where callers reach the entries. */
+    val httpAddresses: List<Address> get() = entries.map { it.address("http") }
+
+    init {
+        entries.forEach { list(it, "entry") }
+        sidecars.forEach { list(it, "sidecar") }
+    }
+
+    /** Starts one more entry, which is not yet on the instance list. */
+    fun startEntry(name: String): Child = entryStart(name).action()
+
+    /** Starts another sidecar for the upstream of [sidecar]. */
+    fun startSidecar(sidecar: Child): Child =
+        sidecarStart(upstreams[sidecars.indexOf(sidecar)]).action()
+
+    /** Puts [child] on the instance list. */
+    fun list(child: Child, role: String, state: String = "live") {
+        val document = InstanceDocument(
+            name = child.name,
+            role = role,
+            address = child.address("peer").toString(),
+            admin = child.address("admin").toString(),
+            domain = "a",
+            state = state,
+        )
+        val body = Json.encodeToString(InstanceDocument.serializer(), document).encodeToByteArray()
+        Caller.blocking(instancesAddress, HttpCall("PUT", "/instances/${child.name}", body = body))
+    }
+
+    /** Takes [child] off the instance list. */
+    fun unlist(child: Child) {
+        Caller.blocking(instancesAddress, HttpCall("DELETE", "/instances/${child.name}"))
+    }
+
+    /** Stops entries and sidecars gracefully and ends the stand-ins; returns the names of those that did not stop. */
+    fun stop(): List<String> {
+        val stuck = stopGracefully(entries) + stopGracefully(sidecars)
+        (platform + upstreams).forEach { it.kill() }
+        return stuck.map { it.name }
+    }
+
+    /** Ends every process at once. */
+    fun kill() = (platform + upstreams + sidecars + entries).forEach { it.kill() }
+
+    private fun stopGracefully(children: List<Child>): List<Child> {
+        val living = children.filter { it.alive }
+        living.forEach { it.terminate() }
+        return living.filter { it.awaitExit(STOP_TIMEOUT) != 0 }
+    }
+
+    private fun engineStarts(): List<Start> = (1..plan.engines).map { number ->
+        val name = "engine-$number"
+        Start(name) {
+            launcher.standIn(
+                name, "engine",
+                "--slots", plan.slots.toString(),
+                "--token-ms", plan.tokenMillis.toString(),
+                "--answer-tokens", plan.answerTokens.toString(),
+            )
+        }
+    }
+
+    private fun serviceStarts(): List<Start> =
+        (1..plan.services).map { number -> Start("booking-$number") { launcher.standIn("booking-$number", "service") } }
+
+    private fun sidecarStart(upstream: Child): Start {
+        val kind = if (upstream.name.startsWith("engine")) "engine" else "service"
+        val text = """
+            name = "${upstream.name}"
+            upstream_address = "${upstream.address("address")}"
+            weight_prefix = "http://${weights.address("address")}/adapters/"
+            ${platformSettings()}
+            [sidecar]
+            kind = "$kind"
+            slots = ${plan.slots}
+            ${plan.sidecarSettings}
+        """.trimIndent()
+        val path = launcher.write("sidecar-${upstream.name}.toml", text)
+        return Start(upstream.name) { launcher.product(upstream.name, "sidecar", "--config", path.toString()) }
+    }
+
+    private fun entryStart(name: String): Start {
+        val text = """
+            name = "$name"
+            ${platformSettings()}
+            ${plan.entrySettings}
+        """.trimIndent()
+        val path = launcher.write("$name.toml", text)
+        return Start(name) { launcher.product(name, "entry", "--config", path.toString()) }
+    }
+
+    private fun platformSettings(): String =
+        "[platform]\nkey_value_address = \"$kvAddress\"\ninstances_address = \"$instancesAddress\""
+
+    private fun startAll(vararg starts: Start): PersistentList<Child> = runBlocking(Dispatchers.IO) {
+        persistentListOf<Child>().addAll(starts.map { async { it.action() } }.awaitAll())
+    }
+
+    private class Start(val name: String, val action: () -> Child)
+
+    private companion object {
+        val STOP_TIMEOUT = 30.seconds
+    }
+}
--- /dev/null
+++ b/standins/src/main/kotlin/org/ragwortbank/standins/fleet/FleetPlan.kt
@@ -0,0 +1,18 @@
+package org.ragwortbank.standins.fleet
+
+/**
+ * What a fleet consists of.
+ *
+ * @property entrySettings TOML text added to each entry's settings
+ * @property sidecarSettings TOML text added to each sidecar's `sidecar` table
+ */
+data class FleetPlan(
+    val entries: Int = 2,
+    val engines: Int = 2,
+    val services: Int = 1,
+    val slots: Int = 4,
+    val tokenMillis: Int = 5,
+    val answerTokens: Int = 24,
+    val entrySettings: String = "",
+    val sidecarSettings: String = "",
+)
--- /dev/null
+++ b/standins/src/main/kotlin/org/ragwortbank/standins/fleet/Launcher.kt
@@ -0,0 +1,70 @@
+package org.ragwortbank.standins.fleet
+
+import java.io.File
+import java.nio.file.Files
+import java.nio.file.Path
+import kotlin.io.path.createDirectories
+
+/**
+ * Starts processes of the system and of the stand-ins, for tests and the demo.
+ *
+ * @param productJar the product's one binary
+ * @param standInsJar the stand-ins, which run with the product's libraries
+ * @param directory where settings and logs are written
+ */
+class Launcher(
+    private val productJar: Path,
+    private val standInsJar: Path,
+    val directory: Path,
+) {
+    init {
+        directory.createDirectories()
+    }
+
+    /** Starts a process of the product and waits until it is ready. */
+    fun product(name: String, vararg arguments: String): Child =
+        start(name, listOf("-jar", productJar.toString()) + arguments)
+
+    /** Starts a stand-in and waits until it is ready. */
+    fun standIn(name: String, vararg arguments: String): Child {
+        val classPath = standInsJar.toString() + File.pathSeparator + productJar
+        return start(name, listOf("-cp", classPath, STAND_INS_MAIN) + arguments)
+    }
+
+    /** Runs a command of the product to its end. */
+    fun command(vararg arguments: String): CommandResult {
+        val process = ProcessBuilder(java() + listOf("-jar", productJar.toString()) + arguments)
+            .redirectError(ProcessBuilder.Redirect.appendTo(log("commands")))
+            .start()
+        val output = process.inputStream.bufferedReader().readText()
+        return CommandResult(process.waitFor(), output.trim())
+    }
+
+    /** Writes a settings file and returns its path. */
+    fun write(name: String, text: String): Path {
+        val path = directory.resolve(name)
+        Files.writeString(path, text)
+        return path
+    }
+
+    private fun start(name: String, arguments: List<String>): Child {
+        val process = ProcessBuilder(java() + arguments)
+            .redirectError(ProcessBuilder.Redirect.appendTo(log(name)))
+            .start()
+        val ready = process.inputStream.bufferedReader().lineSequence().firstOrNull { it.startsWith("ready ") }
+        if (ready == null) {
+            process.destroyForcibly()
+            error("$name did not become ready, see ${log(name)}")
+        }
+        return Child(name, process, ready)
+    }
+
+    private fun log(name: String): File = directory.resolve("$name.log").toFile()
+
+    private fun java(): List<String> = listOf(javaBinary, "-Xms16m", "-Xmx96m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1")
+
+    private companion object {
+        const val STAND_INS_MAIN = "org.ragwortbank.standins.StandInsKt"
+        val javaBinary: String = Path.of(System.getProperty("java.home"), "bin", "java").toString()
+    }
+}
--- /dev/null
+++ b/standins/src/main/kotlin/org/ragwortbank/standins/http/Responder.kt
@@ -0,0 +1,63 @@
+package org.ragwortbank.standins.http
+
+import io.netty.buffer.Unpooled
+import io.netty.channel.Channel
+import io.netty.handler.codec.http.DefaultFullHttpResponse
+import io.netty.handler.codec.http.DefaultHttpContent
+import io.netty.handler.codec.http.DefaultHttpResponse
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaderValues
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpVersion
+import io.netty.handler.codec.http.LastHttpContent
+import java.util.concurrent.TimeUnit
+import kotlin.time.Duration
+
+/** Answers one request. */
+class Responder(private val channel: Channel) {
+    /** Whether the caller is still connected. */
+    val open: Boolean get() = channel.isActive
+
+    /** Answers with a whole body. */
+    fun send(status: Int, body: String, type: String = "application/json", tag: String? = null) {
+        val bytes = Unpooled.copiedBuffer(body, Charsets.UTF_8)
+        val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), bytes)
+        response.headers().set(HttpHeaderNames.CONTENT_TYPE, type)
+        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, bytes.readableBytes())
+        tag?.let { response.headers().set(HttpHeaderNames.ETAG, it) }
+        channel.writeAndFlush(response)
+    }
+
+    /** Begins an answer whose body follows in pieces. */
+    fun begin(type: String) {
+        val response = DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK)
+        response.headers().set(HttpHeaderNames.CONTENT_TYPE, type)
+        response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED)
+        channel.writeAndFlush(response)
+    }
+
+    /** Sends the next piece. */
+    fun piece(text: String) {
+        channel.writeAndFlush(DefaultHttpContent(Unpooled.copiedBuffer(text, Charsets.UTF_8)))
+    }
+
+    /** Ends an answer in pieces. */
+    fun end() {
+        channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
+    }
+
+    /** Closes the connection in place of an answer. */
+    fun drop() {
+        channel.close()
+    }
+
+    /** Runs [action] after [delay], on the connection's thread. */
+    fun later(delay: Duration, action: () -> Unit) {
+        channel.eventLoop().schedule(action, delay.inWholeMicroseconds, TimeUnit.MICROSECONDS)
+    }
+
+    /** Calls [action] when the caller has disconnected. */
+    fun onClose(action: () -> Unit) {
+        channel.closeFuture().addListener { action() }
+    }
+}
--- /dev/null
+++ b/standins/src/main/kotlin/org/ragwortbank/standins/http/StandInServer.kt
@@ -0,0 +1,50 @@
+package org.ragwortbank.standins.http
+
+import io.netty.bootstrap.ServerBootstrap
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.channel.socket.SocketChannel
+import io.netty.channel.socket.nio.NioServerSocketChannel
+import io.netty.handler.codec.http.FullHttpRequest
+import io.netty.handler.codec.http.HttpObjectAggregator
+import io.netty.handler.codec.http.HttpServerCodec
+import org.ragwortbank.platform.http.Address
+import java.net.InetSocketAddress
+
+/** An HTTP server for stand-ins, one request at a time on each connection. */
+class StandInServer(private val group: EventLoopGroup, private val handler: StandInHandler) {
+    /** Listens on [port] of the loopback interface, on a free one when it is zero. */
+    fun start(port: Int): Address {
+        val server = ServerBootstrap()
+            .group(group)
+            .channel(NioServerSocketChannel::class.java)
+            .childHandler(Setup())
+            .bind(HOST, port)
+            .sync()
+            .channel()
+        return Address(HOST, (server.localAddress() as InetSocketAddress).port)
+    }
+
+    private inner class Setup : ChannelInitializer<SocketChannel>() {
+        override fun initChannel(channel: SocketChannel) {
+            channel.pipeline().addLast(HttpServerCodec(), HttpObjectAggregator(MAX_BODY_BYTES), Requests())
+        }
+    }
+
+    private inner class Requests : SimpleChannelInboundHandler<FullHttpRequest>() {
+        override fun channelRead0(ctx: ChannelHandlerContext, request: FullHttpRequest) =
+            handler.handle(StandInRequest.of(request), Responder(ctx.channel()))
+
+        @Deprecated("Deprecated in Java")
+        override fun exceptionCaught(ctx: ChannelHandlerContext, cause: Throwable) {
+            ctx.close()
+        }
+    }
+
+    private companion object {
+        const val HOST = "127.0.0.1"
+        const val MAX_BODY_BYTES = 64 * 1024 * 1024
+    }
+}
--- /dev/null
+++ b/standins/src/main/kotlin/org/ragwortbank/standins/instances/InstancesStandIn.kt
@@ -0,0 +1,60 @@
+package org.ragwortbank.standins.instances
+
+import io.netty.channel.EventLoopGroup
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.serialization.json.Json
+import org.ragwortbank.platform.http.Address
+import org.ragwortbank.platform.instances.InstanceDocument
+import org.ragwortbank.platform.instances.InstancesDocument
+import org.ragwortbank.standins.http.Responder
+import org.ragwortbank.standins.http.StandInRequest
+import org.ragwortbank.standins.http.StandInServer
+import java.util.concurrent.atomic.AtomicReference
+
+/** Stands in for the instance list; `PUT /instances/NAME` and `DELETE /instances/NAME` change it. */
+class InstancesStandIn(group: EventLoopGroup) {
+    private val server = StandInServer(group, ::handle)
+    private val state = AtomicReference(Listed())
+
+    /** Listens on [port]. */
+    fun start(port: Int): Address = server.start(port)
+
+    private fun handle(request: StandInRequest, responder: Responder) {
+        val name = request.path.removePrefix("/instances").removePrefix("/")
+        when (request.method) {
+            "PUT" -> change(responder) { it.put(name, Json.decodeFromString(InstanceDocument.serializer(), request.body)) }
+            "DELETE" -> change(responder) { it.remove(name) }
+            else -> show(request, responder)
+        }
+    }
+
+    private fun change(
+        responder: Responder,
+        edit: (PersistentMap<String, InstanceDocument>) -> PersistentMap<String, InstanceDocument>,
+    ) {
+        state.updateAndGet { Listed(it.version + 1, edit(it.instances)) }
+        responder.send(OK, "{}")
+    }
+
+    private fun show(request: StandInRequest, responder: Responder) {
+        val listed = state.get()
+        val tag = "\"${listed.version}\""
+        if (request.header("If-None-Match") == tag) {
+            responder.send(NOT_MODIFIED, "", tag = tag)
+        } else {
+            val document = InstancesDocument(listed.instances.values.toList())
+            responder.send(OK, Json.encodeToString(InstancesDocument.serializer(), document), tag = tag)
+        }
+    }
+
+    private data class Listed(
+        val version: Long = 0,
+        val instances: PersistentMap<String, InstanceDocument> = persistentMapOf(),
+    )
+
+    private companion object {
+        const val OK = 200
+        const val NOT_MODIFIED = 304
+    }
+}
--- /dev/null
+++ b/standins/src/main/kotlin/org/ragwortbank/standins/kv/KvStandIn.kt
@@ -0,0 +1,93 @@
+package org.ragwortbank.standins.kv
+
+import io.netty.channel.EventLoopGroup
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.serialization.json.Json
+import org.ragwortbank.platform.http.Address
+import org.ragwortbank.platform.kv.KeyValue
+import org.ragwortbank.platform.kv.TxnRequest
+import org.ragwortbank.platform.kv.TxnResponse
+import org.ragwortbank.platform.kv.WatchAnswer
+import org.ragwortbank.platform.kv.WatchEvent
+import org.ragwortbank.platform.kv.WatchRequest
+import org.ragwortbank.platform.kv.WatchResult
+import org.ragwortbank.platform.kv.decodeBase64
+import org.ragwortbank.standins.http.Responder
+import org.ragwortbank.standins.http.StandInRequest
+import org.ragwortbank.standins.http.StandInServer
+import java.util.concurrent.atomic.AtomicReference
+
+/** Stands in for the key-value service: transactions and watches of the etcd v3 JSON gateway, in memory. */
+class KvStandIn(group: EventLoopGroup) {
+    private val server = StandInServer(group, ::handle)
+    private val data = AtomicReference(KvData())
+    private val watches = AtomicReference<PersistentList<Watch>>(persistentListOf())
+    private val fault = AtomicReference(KvFault.NONE)
+
+    /** Listens on [port]. */
+    fun start(port: Int): Address = server.start(port)
+
+    private fun handle(request: StandInRequest, responder: Responder) {
+        when {
+            request.path.startsWith(CONTROL) -> control(request, responder)
+            fault.get() == KvFault.DOWN -> responder.drop()
+            request.path == "/v3/kv/txn" -> transact(request, responder)
+            request.path == "/v3/watch" -> watch(request, responder)
+            else -> responder.send(NOT_FOUND, "{}")
+        }
+    }
+
+    private fun control(request: StandInRequest, responder: Responder) {
+        val wanted = KvFault.valueOf(request.path.removePrefix(CONTROL).uppercase())
+        fault.set(wanted)
+        if (wanted == KvFault.DOWN) watches.getAndSet(persistentListOf()).forEach { it.responder.drop() }
+        responder.send(OK, "{}")
+    }
+
+    private fun transact(request: StandInRequest, responder: Responder) {
+        val txn = json.decodeFromString(TxnRequest.serializer(), request.body)
+        val outcome = perform(txn)
+        tell(outcome.changed)
+        val lost = fault.get() == KvFault.LOSE_ANSWERS && outcome.changed.isNotEmpty()
+        if (lost) responder.drop() else responder.send(OK, json.encodeToString(TxnResponse.serializer(), outcome.response))
+    }
+
+    @Synchronized
+    private fun perform(txn: TxnRequest): KvOutcome {
+        val outcome = data.get().apply(txn)
+        data.set(outcome.data)
+        return outcome
+    }
+
+    private fun watch(request: StandInRequest, responder: Responder) {
+        val create = json.decodeFromString(WatchRequest.serializer(), request.body).create
+        val watch = Watch(create.key.decodeBase64(), create.end.decodeBase64(), responder)
+        responder.begin("application/json")
+        watches.updateAndGet { it.add(watch) }
+        responder.onClose { watches.updateAndGet { it.remove(watch) } }
+        watch.send(WatchResult(created = true))
+    }
+
+    private fun tell(changed: List<KeyValue>) {
+        if (changed.isEmpty()) return
+        watches.get().forEach { watch ->
+            val events = changed.filter { watch.covers(it.key.decodeBase64()) }.map(::WatchEvent)
+            if (events.isNotEmpty()) watch.send(WatchResult(events = events))
+        }
+    }
+
+    private class Watch(private val from: String, private val end: String, val responder: Responder) {
+        fun covers(key: String): Boolean = key >= from && key < end
+
+        fun send(result: WatchResult) =
+            responder.piece(json.encodeToString(WatchAnswer.serializer(), WatchAnswer(result)) + "\n")
+    }
+
+    private companion object {
+        const val CONTROL = "/control/"
+        const val OK = 200
+        const val NOT_FOUND = 404
+        val json = Json { ignoreUnknownKeys = true }
+    }
+}
--- /dev/null
+++ b/standins/src/main/kotlin/org/ragwortbank/standins/weights/WeightsStandIn.kt
@@ -0,0 +1,41 @@
+package org.ragwortbank.standins.weights
+
+import io.netty.channel.EventLoopGroup
+import org.ragwortbank.platform.http.Address
+import org.ragwortbank.standins.http.Responder
+import org.ragwortbank.standins.http.StandInRequest
+import org.ragwortbank.standins.http.StandInServer
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.time.Duration
+
+/**
+ * Stands in for the weight store: every adapter exists, and loads slow down in proportion when more than
+ * [fullSpeedLoads] are in flight.
+ */
+class WeightsStandIn(
+    group: EventLoopGroup,
+    private val loadTime: Duration,
+    private val fullSpeedLoads: Int,
+) {
+    private val server = StandInServer(group, ::handle)
+    private val inFlight = AtomicInteger()
+    private val served = AtomicInteger()
+
+    /** Listens on [port]. */
+    fun start(port: Int): Address = server.start(port)
+
+    private fun handle(request: StandInRequest, responder: Responder) {
+        if (request.path == "/control/served") return responder.send(OK, served.get().toString())
+        val load = inFlight.incrementAndGet()
+        val slowdown = (load.toDouble() / fullSpeedLoads).coerceAtLeast(1.0)
+        responder.later(loadTime * slowdown) {
+            inFlight.decrementAndGet()
+            served.incrementAndGet()
+            responder.send(OK, "weights of ${request.path}", type = "application/octet-stream")
+        }
+    }
+
+    private companion object {
+        const val OK = 200
+    }
+}
