--- a/cli/src/main/kotlin/org/ragwortbank/cli/command/ApplyCommand.kt
+++ b/cli/src/main/kotlin/org/ragwortbank/cli/command/ApplyCommand.kt
@@ -14,7 +14,11 @@
 import kotlin.time.Duration.Companion.seconds
 
 /** Makes the declared tables true. */
-@Command(name = "apply", description = ["Stores the declared tables and waits until they are in force everywhere."])
+@Command(
+    name = "apply",
+    description = ["Stores the declared tables and waits until they are in force everywhere."],
+    mixinStandardHelpOptions = true,
+)
 class ApplyCommand : Callable<Int> {
     @Mixin
     private lateinit var tables: TableOptions
@@ -43,9 +47,6 @@
     @Option(names = ["--json"], description = ["Prints JSON."])
     private var json = false
 
-    @Option(names = ["-h", "--help"], usageHelp = true, description = ["Shows this help."])
-    private var help = false
-
     override fun call(): Int =
         when (val declared = TablesFile.read(tables.routes, tables.pools)) {
             is Checked.Bad -> reportProblems(declared.problems)
@@ -60,7 +61,9 @@
     }
 
     private fun follow(stored: Configuration): Int {
-        val states = Platform.withClient { client -> Fleet(client, instances.address).await(stored.version, wait.seconds) }
+        val states = Platform.withClient { client ->
+            Fleet(client, instances.address).await(stored.version, wait.seconds)
+        }
         val entries = states.orEmpty().filter { it.role == "entry" }
         val late = entries.filter { (it.configVersion ?: 0) < stored.version }
         val applied = Applied(
--- a/cli/src/main/kotlin/org/ragwortbank/cli/command/ChangeLines.kt
+++ b/cli/src/main/kotlin/org/ragwortbank/cli/command/ChangeLines.kt
@@ -14,7 +14,8 @@
     when (change) {
         is TableChange.PutRoute -> put(change.path, present.routes[change.route.name]?.text(), change.route.text())
         is TableChange.PutPool -> put(change.path, present.pools[change.pool.name]?.text(), change.pool.text())
-        is TableChange.PutAccount -> put(change.path, present.accounts[change.account.id]?.text(), change.account.text())
+        is TableChange.PutAccount ->
+            put(change.path, present.accounts[change.account.id]?.text(), change.account.text())
         is TableChange.GiveKey -> put(change.path, null, "account ${change.grant.account}")
         is TableChange.RemoveRoute,
         is TableChange.RemovePool,
--- a/cli/src/main/kotlin/org/ragwortbank/cli/command/CheckCommand.kt
+++ b/cli/src/main/kotlin/org/ragwortbank/cli/command/CheckCommand.kt
@@ -4,15 +4,19 @@
 import org.ragwortbank.cli.tables.TablesFile
 import org.ragwortbank.cli.toml.Checked
 import picocli.CommandLine.Command
+import picocli.CommandLine.Model.CommandSpec
 import picocli.CommandLine.Option
 import picocli.CommandLine.ParameterException
-import picocli.CommandLine.Model.CommandSpec
 import picocli.CommandLine.Spec
 import java.nio.file.Path
 import java.util.concurrent.Callable
 
 /** Checks files without any network. */
-@Command(name = "check", description = ["Checks settings and table files and names all mistakes; uses no network."])
+@Command(
+    name = "check",
+    description = ["Checks settings and table files and names all mistakes; uses no network."],
+    mixinStandardHelpOptions = true,
+)
 class CheckCommand : Callable<Int> {
     @Spec
     private lateinit var spec: CommandSpec
@@ -29,9 +33,6 @@
     @Option(names = ["--pools"], paramLabel = "FILE", description = ["The pools table; needs --routes too."])
     private var pools: Path? = null
 
-    @Option(names = ["-h", "--help"], usageHelp = true, description = ["Shows this help."])
-    private var help = false
-
     override fun call(): Int {
         val problems = results().filterIsInstance<Checked.Bad>().flatMap { it.problems }
         if (problems.isNotEmpty()) return reportProblems(problems)
--- a/cli/src/main/kotlin/org/ragwortbank/cli/command/EntryCommand.kt
+++ b/cli/src/main/kotlin/org/ragwortbank/cli/command/EntryCommand.kt
@@ -11,14 +11,15 @@
 import java.util.concurrent.Callable
 
 /** Runs an entry process. */
-@Command(name = "entry", description = ["Runs an entry process until it is stopped by TERM or INT."])
+@Command(
+    name = "entry",
+    description = ["Runs an entry process until it is stopped by TERM or INT."],
+    mixinStandardHelpOptions = true,
+)
 class EntryCommand : Callable<Int> {
     @Option(names = ["--config"], required = true, paramLabel = "FILE", description = ["Settings in TOML."])
     private lateinit var config: Path
 
-    @Option(names = ["-h", "--help"], usageHelp = true, description = ["Shows this help."])
-    private var help = false
-
     override fun call(): Int =
         when (val settings = SettingsFile.entry(config)) {
             is Checked.Bad -> reportProblems(settings.problems)
--- a/cli/src/main/kotlin/org/ragwortbank/cli/command/KeysCommand.kt
+++ b/cli/src/main/kotlin/org/ragwortbank/cli/command/KeysCommand.kt
@@ -29,7 +29,11 @@
 class KeysCommand
 
 /** Makes a key for an account. */
-@Command(name = "give", description = ["Makes a key for an account and prints it; it can't be shown again."])
+@Command(
+    name = "give",
+    description = ["Makes a key for an account and prints it; it can't be shown again."],
+    mixinStandardHelpOptions = true,
+)
 class KeysGiveCommand : Callable<Int> {
     @Parameters(paramLabel = "ACCOUNT", description = ["The client account that the key speaks for."])
     private lateinit var account: String
@@ -40,9 +44,6 @@
     @Option(names = ["--json"], description = ["Prints JSON."])
     private var json = false
 
-    @Option(names = ["-h", "--help"], usageHelp = true, description = ["Shows this help."])
-    private var help = false
-
     override fun call(): Int {
         val key = newKey()
         val grant = KeyGrant(hashKey(key), AccountId(account))
@@ -68,29 +69,35 @@
 }
 
 /** Withdraws a key. */
-@Command(name = "withdraw", description = ["Withdraws a key; it stops working within seconds."])
+@Command(
+    name = "withdraw",
+    description = ["Withdraws a key; it stops working within seconds."],
+    mixinStandardHelpOptions = true,
+)
 class KeysWithdrawCommand : Callable<Int> {
     @Parameters(
         paramLabel = "HASH",
-        description = ["The key's hash as printed by list, or its first 8 digits or more; '-' reads the key itself from standard input."],
+        description = [
+            "The key's hash as printed by list, or its first 8 digits or more;",
+            "'-' reads the key itself from standard input.",
+        ],
     )
     private lateinit var hash: String
 
     @Mixin
     private lateinit var store: KeyValueOptions
 
-    @Option(names = ["-h", "--help"], usageHelp = true, description = ["Shows this help."])
-    private var help = false
-
     override fun call(): Int {
         val wanted = if (hash == "-") hashKey(readln().trim()).hex else hash.lowercase()
-        if (wanted.length < MIN_DIGITS) return fail(ExitCode.USAGE, "found ${wanted.length} digits, expected $MIN_DIGITS or more")
-        return Platform.withConfig(store.address) { config -> withdraw(config, wanted) }
+        return when {
+            wanted.length < MIN_DIGITS -> fail(ExitCode.USAGE, "found '$wanted', expected $MIN_DIGITS digits or more")
+            else -> Platform.withConfig(store.address) { config -> withdraw(config, wanted) }
+        }
     }
 
     private suspend fun withdraw(config: ConfigStore, wanted: String): Int {
         var matching: List<KeyHash> = emptyList()
-        val write = changeTables(config) { present ->
+        val write = changeTablesRepeatedly(config) { present ->
             matching = present.keys.keys.filter { it.hex.startsWith(wanted) }
             val found = matching.singleOrNull()
             if (found == null) persistentListOf() else persistentListOf(TableChange.WithdrawKey(found))
@@ -113,7 +120,11 @@
 }
 
 /** Lists the keys that are given. */
-@Command(name = "list", description = ["Lists the hashes of all given keys with their accounts."])
+@Command(
+    name = "list",
+    description = ["Lists the hashes of all given keys with their accounts."],
+    mixinStandardHelpOptions = true,
+)
 class KeysListCommand : Callable<Int> {
     @Mixin
     private lateinit var store: KeyValueOptions
@@ -121,13 +132,10 @@
     @Option(names = ["--json"], description = ["Prints JSON."])
     private var json = false
 
-    @Option(names = ["-h", "--help"], usageHelp = true, description = ["Shows this help."])
-    private var help = false
-
     override fun call(): Int = showTable(store.address, json) { tables ->
         tables.keys.values.sortedBy { it.account.value + it.hash.hex }.map { TableRow(it.hash.hex, it.account.value) }
     }
 }
 
 private fun changeKeys(address: Address, change: TableChange): ConfigWrite =
-    Platform.withConfig(address) { config -> changeTables(config) { persistentListOf(change) } }
+    Platform.withConfig(address) { config -> changeTablesRepeatedly(config) { persistentListOf(change) } }
--- a/cli/src/main/kotlin/org/ragwortbank/cli/command/PlanCommand.kt
+++ b/cli/src/main/kotlin/org/ragwortbank/cli/command/PlanCommand.kt
@@ -13,7 +13,11 @@
 import java.util.concurrent.Callable
 
 /** Shows what `apply` would change. */
-@Command(name = "plan", description = ["Shows the difference between the declared and the stored tables."])
+@Command(
+    name = "plan",
+    description = ["Shows the difference between the declared and the stored tables."],
+    mixinStandardHelpOptions = true,
+)
 class PlanCommand : Callable<Int> {
     @Mixin
     private lateinit var tables: TableOptions
@@ -24,9 +28,6 @@
     @Option(names = ["--json"], description = ["Prints JSON."])
     private var json = false
 
-    @Option(names = ["-h", "--help"], usageHelp = true, description = ["Shows this help."])
-    private var help = false
-
     override fun call(): Int =
         when (val declared = TablesFile.read(tables.routes, tables.pools)) {
             is Checked.Bad -> reportProblems(declared.problems)
--- a/cli/src/main/kotlin/org/ragwortbank/cli/command/RoutesCommand.kt
+++ b/cli/src/main/kotlin/org/ragwortbank/cli/command/RoutesCommand.kt
@@ -6,7 +6,11 @@
 import java.util.concurrent.Callable
 
 /** Shows the stored routes table. */
-@Command(name = "routes", description = ["Shows the stored routes table."])
+@Command(
+    name = "routes",
+    description = ["Shows the stored routes table."],
+    mixinStandardHelpOptions = true,
+)
 class RoutesCommand : Callable<Int> {
     @Mixin
     private lateinit var store: KeyValueOptions
@@ -14,9 +18,6 @@
     @Option(names = ["--json"], description = ["Prints JSON."])
     private var json = false
 
-    @Option(names = ["-h", "--help"], usageHelp = true, description = ["Shows this help."])
-    private var help = false
-
     override fun call(): Int = showTable(store.address, json) { tables ->
         tables.routes.values.sortedBy { it.name.value }.map { TableRow(it.name.value, it.text()) }
     }
--- a/cli/src/main/kotlin/org/ragwortbank/cli/command/SidecarCommandLine.kt
+++ b/cli/src/main/kotlin/org/ragwortbank/cli/command/SidecarCommandLine.kt
@@ -11,14 +11,15 @@
 import java.util.concurrent.Callable
 
 /** Runs a sidecar process. */
-@Command(name = "sidecar", description = ["Runs a sidecar process beside one upstream until TERM or INT."])
+@Command(
+    name = "sidecar",
+    description = ["Runs a sidecar process beside one upstream until TERM or INT."],
+    mixinStandardHelpOptions = true,
+)
 class SidecarCommandLine : Callable<Int> {
     @Option(names = ["--config"], required = true, paramLabel = "FILE", description = ["Settings in TOML."])
     private lateinit var config: Path
 
-    @Option(names = ["-h", "--help"], usageHelp = true, description = ["Shows this help."])
-    private var help = false
-
     override fun call(): Int =
         when (val settings = SettingsFile.sidecar(config)) {
             is Checked.Bad -> reportProblems(settings.problems)
--- a/cli/src/main/kotlin/org/ragwortbank/cli/command/StatusCommand.kt
+++ b/cli/src/main/kotlin/org/ragwortbank/cli/command/StatusCommand.kt
@@ -9,7 +9,11 @@
 import java.util.concurrent.Callable
 
 /** Shows the fleet. */
-@Command(name = "status", description = ["Shows each process and the version of the tables that it has in force."])
+@Command(
+    name = "status",
+    description = ["Shows each process and the version of the tables that it has in force."],
+    mixinStandardHelpOptions = true,
+)
 class StatusCommand : Callable<Int> {
     @Mixin
     private lateinit var instances: InstancesOptions
@@ -17,9 +21,6 @@
     @Option(names = ["--json"], description = ["Prints JSON."])
     private var json = false
 
-    @Option(names = ["-h", "--help"], usageHelp = true, description = ["Shows this help."])
-    private var help = false
-
     override fun call(): Int {
         val states = Platform.withClient { Fleet(it, instances.address).states() }
             ?: return fail(ExitCode.UNAVAILABLE, "the instance list can't be read")
--- a/cli/src/main/kotlin/org/ragwortbank/cli/command/Writes.kt
+++ b/cli/src/main/kotlin/org/ragwortbank/cli/command/Writes.kt
@@ -1,6 +1,9 @@
 package org.ragwortbank.cli.command
 
 import kotlinx.collections.immutable.ImmutableList
+import kotlinx.coroutines.flow.asFlow
+import kotlinx.coroutines.flow.firstOrNull
+import kotlinx.coroutines.flow.map
 import org.ragwortbank.core.config.TableChange
 import org.ragwortbank.core.model.Configuration
 import org.ragwortbank.platform.config.ConfigRead
@@ -8,6 +11,17 @@
 import org.ragwortbank.platform.config.ConfigWrite
 import java.util.UUID
 
+private const val MAX_ATTEMPTS = 8
+
+/** Changes the tables by what [decide] makes of the stored ones, again when somebody else was faster. */
+internal suspend fun changeTablesRepeatedly(
+    store: ConfigStore,
+    decide: (Configuration) -> ImmutableList<TableChange>,
+): ConfigWrite {
+    val writes = generateSequence(1) { it + 1 }.take(MAX_ATTEMPTS).asFlow().map { changeTables(store, null, decide) }
+    return writes.firstOrNull { it !is ConfigWrite.Conflict } ?: ConfigWrite.Unavailable("too many other operators")
+}
+
 /** Changes the tables by what [decide] makes of the stored ones; [base] is the version expected, if any. */
 internal suspend fun changeTables(
     store: ConfigStore,
@@ -37,7 +51,8 @@
         is ConfigWrite.Stored -> ExitCode.OK.number
         is ConfigWrite.Invalid -> reportProblems(write.problems.map { it.toString() })
         is ConfigWrite.Conflict -> fail(ExitCode.CONFLICT, conflictText(write))
-        is ConfigWrite.Unavailable -> fail(ExitCode.UNAVAILABLE, "key-value service: ${write.cause}; nothing was changed")
+        is ConfigWrite.Unavailable ->
+            fail(ExitCode.UNAVAILABLE, "key-value service: ${write.cause}; nothing was changed")
         is ConfigWrite.Unknown -> fail(ExitCode.UNKNOWN, "key-value service: ${write.cause}; the change may be stored")
     }
 
--- a/cli/src/main/kotlin/org/ragwortbank/cli/settings/EntryReader.kt
+++ b/cli/src/main/kotlin/org/ragwortbank/cli/settings/EntryReader.kt
@@ -1,15 +1,26 @@
 package org.ragwortbank.cli.settings
 
 import org.ragwortbank.cli.toml.TomlReader
+import org.ragwortbank.cli.toml.address
+import org.ragwortbank.cli.toml.choice
+import org.ragwortbank.cli.toml.duration
+import org.ragwortbank.cli.toml.int
+import org.ragwortbank.cli.toml.long
+import org.ragwortbank.cli.toml.string
 import org.ragwortbank.core.entry.EntrySettings
 import org.ragwortbank.node.log.LogFormat
 import org.ragwortbank.node.settings.EntryNodeSettings
 import org.ragwortbank.node.settings.HttpSettings
 
-private val countRange = 1..1_000_000
-private val bytesRange = 1_024..64 * 1024 * 1024
-private val tokensRange = 1L..1_000_000L
-private val attemptsRange = 1..10
+private const val MAX_COUNT = 1_000_000
+private const val MIN_BYTES = 1_024
+private const val MAX_BYTES = 64 * 1_024 * 1_024
+private const val MAX_TOKENS = 1_000_000L
+private const val MAX_ATTEMPTS = 10
+private val countRange = 1..MAX_COUNT
+private val bytesRange = MIN_BYTES..MAX_BYTES
+private val tokensRange = 1L..MAX_TOKENS
+private val attemptsRange = 1..MAX_ATTEMPTS
 
 internal fun readEntry(reader: TomlReader): EntryNodeSettings {
     val defaults = EntryNodeSettings(name = "")
--- a/cli/src/main/kotlin/org/ragwortbank/cli/settings/PlatformReader.kt
+++ b/cli/src/main/kotlin/org/ragwortbank/cli/settings/PlatformReader.kt
@@ -1,6 +1,8 @@
 package org.ragwortbank.cli.settings
 
 import org.ragwortbank.cli.toml.TomlReader
+import org.ragwortbank.cli.toml.address
+import org.ragwortbank.cli.toml.duration
 import org.ragwortbank.node.settings.PlatformSettings
 
 internal fun readPlatform(reader: TomlReader): PlatformSettings {
--- a/cli/src/main/kotlin/org/ragwortbank/cli/settings/SidecarReader.kt
+++ b/cli/src/main/kotlin/org/ragwortbank/cli/settings/SidecarReader.kt
@@ -1,14 +1,23 @@
 package org.ragwortbank.cli.settings
 
 import org.ragwortbank.cli.toml.TomlReader
+import org.ragwortbank.cli.toml.address
+import org.ragwortbank.cli.toml.choice
+import org.ragwortbank.cli.toml.duration
+import org.ragwortbank.cli.toml.int
+import org.ragwortbank.cli.toml.optionalString
+import org.ragwortbank.cli.toml.string
 import org.ragwortbank.core.model.UpstreamKind
 import org.ragwortbank.core.sidecar.SidecarSettings
 import org.ragwortbank.node.settings.SidecarNodeSettings
 import org.ragwortbank.platform.http.Address
 
-private val slotsRange = 1..10_000
-private val loadsRange = 1..64
-private val queueRange = 1..100_000
+private const val MAX_SLOTS = 10_000
+private const val MAX_LOADS = 64
+private const val MAX_QUEUED = 100_000
+private val slotsRange = 1..MAX_SLOTS
+private val loadsRange = 1..MAX_LOADS
+private val queueRange = 1..MAX_QUEUED
 
 internal fun readSidecar(reader: TomlReader): SidecarNodeSettings {
     val defaults = SidecarNodeSettings(name = "", upstreamAddress = Address("", 0))
--- a/cli/src/main/kotlin/org/ragwortbank/cli/tables/TablesFile.kt
+++ b/cli/src/main/kotlin/org/ragwortbank/cli/tables/TablesFile.kt
@@ -6,6 +6,12 @@
 import org.ragwortbank.cli.toml.TomlContent
 import org.ragwortbank.cli.toml.TomlFile
 import org.ragwortbank.cli.toml.TomlReader
+import org.ragwortbank.cli.toml.choice
+import org.ragwortbank.cli.toml.long
+import org.ragwortbank.cli.toml.optionalBoolean
+import org.ragwortbank.cli.toml.optionalString
+import org.ragwortbank.cli.toml.string
+import org.ragwortbank.cli.toml.strings
 import org.ragwortbank.core.config.TableChange
 import org.ragwortbank.core.config.checkConfiguration
 import org.ragwortbank.core.config.with
@@ -21,7 +27,8 @@
 import org.ragwortbank.core.model.UpstreamPattern
 import java.nio.file.Path
 
-private val tokensRange = 1L..1_000_000_000L
+private const val MAX_TOKENS = 1_000_000_000L
+private val tokensRange = 1L..MAX_TOKENS
 
 /** Reads the operators' table files. */
 object TablesFile {
@@ -76,7 +83,7 @@
                 pool = PoolName(reader.string("pool")),
                 adapter = if (adapter == null || version == null) null else AdapterRef(adapter, version),
                 accounts = reader.strings("accounts").map(::AccountId).toPersistentSet(),
-                open = reader.boolean("open", false),
+                open = reader.optionalBoolean("open") ?: false,
                 idempotent = reader.optionalBoolean("idempotent"),
             ),
         )
--- a/core/src/main/kotlin/org/ragwortbank/core/config/ConfigurationCheck.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/config/ConfigurationCheck.kt
@@ -59,7 +59,7 @@
 private fun adapterProblem(path: String, route: Route, pool: Pool): ConfigProblem? =
     when (pool.kind) {
         UpstreamKind.ENGINE ->
-            problemIf(route.adapter == null, "$path.adapter", "nothing", "an adapter, because '${pool.name}' has engines")
+            problemIf(route.adapter == null, "$path.adapter", "nothing", "an adapter for the engines of '${pool.name}'")
         UpstreamKind.SERVICE ->
             problemIf(route.adapter != null, "$path.adapter", "'${route.adapter}'", "no adapter for a plain service")
     }
--- /dev/null
+++ b/core/src/main/kotlin/org/ragwortbank/core/entry/AdmissionCheck.kt
@@ -0,0 +1,59 @@
+package org.ragwortbank.core.entry
+
+import org.ragwortbank.core.model.Account
+import org.ragwortbank.core.model.AccountId
+import org.ragwortbank.core.model.Call
+import org.ragwortbank.core.model.Route
+import org.ragwortbank.core.model.UpstreamKind
+import org.ragwortbank.core.model.Work
+import org.ragwortbank.core.result.Refusal
+import org.ragwortbank.core.result.ResultCode
+import org.ragwortbank.core.tick.Timestamp
+
+/** Checks [call], which arrived at [now], against stopping, bounds, routes and keys. */
+internal fun checkAdmission(tables: EntryTables, call: Call, now: Timestamp): Admission {
+    val route = tables.configuration.routes[call.route]
+    return when {
+        tables.refusesNewWork(now) -> refused(ResultCode.DRAINING)
+        tables.requests.size >= tables.settings.maxRequests -> refused(ResultCode.OVERLOADED)
+        route == null -> refused(ResultCode.ROUTE_UNKNOWN, "no route is named '${call.route}'")
+        else -> checkAccount(tables, call, route)
+    }
+}
+
+private fun EntryTables.refusesNewWork(now: Timestamp): Boolean =
+    stoppingSince != null && now - stoppingSince > settings.drainGrace
+
+private fun checkAccount(tables: EntryTables, call: Call, route: Route): Admission {
+    val account = call.credential?.let { tables.configuration.keys[it] }?.account
+    return when {
+        account != null && (route.open || account in route.accounts) -> checkWork(tables, call, route, account)
+        route.open -> checkWork(tables, call, route, Account.ANONYMOUS)
+        call.credential == null -> refused(ResultCode.KEY_MISSING)
+        account == null -> refused(ResultCode.KEY_UNKNOWN)
+        else -> refused(ResultCode.ROUTE_FORBIDDEN, "account '$account' may not use route '${route.name}'")
+    }
+}
+
+private fun checkWork(tables: EntryTables, call: Call, route: Route, id: AccountId): Admission {
+    val account = tables.configuration.accounts[id]
+    val reserve = reserveFor(call.work, tables.settings)
+    return when {
+        kindOf(call.work) != tables.configuration.pools[route.pool]?.kind -> refused(ResultCode.WRONG_CALL)
+        account == null -> refused(ResultCode.NO_AGREEMENT, "account '$id' has no rate and burst")
+        reserve > account.burst -> exceedsBurst(reserve, account)
+        else -> Admission.Allowed(route, id, reserve)
+    }
+}
+
+private fun exceedsBurst(reserve: Long, account: Account): Admission =
+    refused(ResultCode.EXCEEDS_BURST, "the request may take $reserve tokens, the burst is ${account.burst}")
+
+private fun kindOf(work: Work): UpstreamKind =
+    when (work) {
+        is Work.Generate -> UpstreamKind.ENGINE
+        is Work.Plain -> UpstreamKind.SERVICE
+    }
+
+private fun refused(code: ResultCode, detail: String = code.meaning): Admission =
+    Admission.Refused(Refusal.notRun(code, detail))
--- /dev/null
+++ b/core/src/main/kotlin/org/ragwortbank/core/entry/BucketCollection.kt
@@ -0,0 +1,46 @@
+package org.ragwortbank.core.entry
+
+import kotlinx.collections.immutable.toPersistentSet
+import org.ragwortbank.core.log.LogPart
+import org.ragwortbank.core.message.EntryMessage
+import org.ragwortbank.core.model.AccountId
+import org.ragwortbank.core.model.InstanceName
+import org.ragwortbank.core.tick.Timestamp
+
+/** Begins to ask all other members for the bucket that [queued] needs, or adds it to what is being asked for. */
+internal fun EntryStep.collect(queued: QueuedAsk): EntryStep {
+    val epoch = tables.membership.epoch
+    val id = queued.ask.account
+    val row = tables.homes[id]
+    return when {
+        epoch == null || homeOf(tables, id) != tables.identity.member.name -> notHome(queued)
+        row is HomeRow.Collecting && row.epoch == epoch.number -> putHome(id, row.copy(asks = row.asks.add(queued)))
+        else -> startCollecting(queued, epoch.number, (row as? HomeRow.Parked)?.remains ?: BucketRemains())
+    }
+}
+
+/** Gives the bucket of [id] to [to]; this entry grants nothing for it afterwards. */
+internal fun EntryStep.giveBucket(to: InstanceName, id: AccountId, epoch: Long, now: Timestamp): EntryStep {
+    val remains = tables.remainsOf(id, now)
+    return log(LogPart.LIMITS, "gave the bucket of $id to $to with level ${remains.level ?: "unknown"}")
+        .putHome(id, HomeRow.Surrendered)
+        .emit(EntryEffect.ToEntry(to, EntryMessage.BucketGiven(epoch, id, remains.level, remains.unspent)))
+}
+
+/** Asks again all members that have not answered. */
+internal fun EntryStep.askMissingMembers(): EntryStep =
+    tables.collecting.fold(this) { step, id ->
+        val row = step.tables.homes[id] as? HomeRow.Collecting
+        val asks = row?.missing.orEmpty().map { it.name }
+        step.emitAll(asks.map { EntryEffect.ToEntry(it, EntryMessage.BucketAsk(row?.epoch ?: 0, id)) })
+    }
+
+private fun EntryStep.startCollecting(queued: QueuedAsk, epoch: Long, remains: BucketRemains): EntryStep {
+    val id = queued.ask.account
+    val known = tables.membership.epoch ?: return this
+    val others = (known.members + known.retired).filter { it != tables.identity.member }
+    val row = HomeRow.Collecting(epoch, others.toPersistentSet(), remains)
+    return log(LogPart.LIMITS, "collecting the bucket of $id from ${others.size} members in epoch $epoch")
+        .putHome(id, row.copy(asks = row.asks.add(queued)))
+        .emitAll(others.map { EntryEffect.ToEntry(it.name, EntryMessage.BucketAsk(epoch, id)) })
+}
--- a/core/src/main/kotlin/org/ragwortbank/core/entry/ConfigurationSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/entry/ConfigurationSystem.kt
@@ -28,8 +28,9 @@
         }
 
     private fun apply(step: EntryStep, configuration: Configuration): EntryStep {
+        val before = step.tables.configuration.version
         val applied = step
-            .log(LogPart.CONFIG, "version ${configuration.version} is in force, before ${step.tables.configuration.version}")
+            .log(LogPart.CONFIG, "version ${configuration.version} is in force, before it was $before")
             .update { it.copy(configuration = configuration) }
             .update { it.copy(poolMembers = membersOfPools(it)) }
         return notifyPeers(cutWithdrawn(applied))
--- /dev/null
+++ b/core/src/main/kotlin/org/ragwortbank/core/entry/CreditAskSystem.kt
@@ -0,0 +1,50 @@
+package org.ragwortbank.core.entry
+
+import kotlinx.collections.immutable.persistentSetOf
+import kotlinx.collections.immutable.toPersistentList
+import org.ragwortbank.core.message.EntryMessage
+import org.ragwortbank.core.model.AccountId
+import org.ragwortbank.core.model.InstanceName
+import org.ragwortbank.core.model.RequestId
+import org.ragwortbank.core.tick.Tick
+import org.ragwortbank.core.tick.TickSystem
+import org.ragwortbank.core.tick.Timestamp
+
+/**
+ * Asks the homes of accounts for the tokens of waiting requests.
+ *
+ * All requests of an account that wait at the same time share one question, so that the number of messages
+ * is bounded by the round trip and not by the request rate.
+ */
+class CreditAskSystem : TickSystem<EntryTables, EntryInput, EntryEffect> {
+    override fun run(tick: Tick<EntryInput>, step: EntryStep): EntryStep =
+        step.tables.askable
+            .fold(step) { s, account -> ask(s, account, tick.now) }
+            .update { it.copy(askable = persistentSetOf()) }
+
+    private fun ask(step: EntryStep, account: AccountId, now: Timestamp): EntryStep {
+        val row = step.tables.credits[account]
+        val home = homeOf(step.tables, account)
+        return when {
+            row == null || row.ask != null || home == null -> step
+            else -> askHome(step, account, row.waiting, home, now)
+        }
+    }
+
+    private fun askHome(
+        step: EntryStep,
+        account: AccountId,
+        waiting: List<RequestId>,
+        home: InstanceName,
+        now: Timestamp,
+    ): EntryStep {
+        val requests = waiting.mapNotNull { step.tables.requests[it] }
+        if (requests.isEmpty()) return step.update { it.copy(credits = it.credits.remove(account)) }
+        val number = step.tables.nextAsk
+        val ask = PendingAsk(number, home, requests.map { it.call.id }.toPersistentList(), now)
+        val needs = requests.map { it.reserve }.toPersistentList()
+        return step
+            .update { it.copy(credits = it.credits.put(account, CreditRow(ask = ask)), nextAsk = number + 1) }
+            .emit(EntryEffect.ToEntry(home, EntryMessage.CreditAsk(number, account, needs)))
+    }
+}
--- a/core/src/main/kotlin/org/ragwortbank/core/entry/EntryEffect.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/entry/EntryEffect.kt
@@ -16,17 +16,26 @@
 
 /** What an entry does to the outside; the node performs these in order. */
 sealed interface EntryEffect {
+    /** An effect on a caller. */
+    sealed interface OnCaller : EntryEffect {
+        /** The caller's request. */
+        val request: RequestId
+    }
+
+    /** A call of the platform. */
+    sealed interface OnPlatform : EntryEffect
+
     /** Begin the answer to [request]. */
-    data class BeginAnswer(val request: RequestId, val head: AnswerHead) : EntryEffect
+    data class BeginAnswer(override val request: RequestId, val head: AnswerHead) : OnCaller
 
     /** Send the next piece of the answer. */
-    data class ContinueAnswer(val request: RequestId, val data: ByteString) : EntryEffect
+    data class ContinueAnswer(override val request: RequestId, val data: ByteString) : OnCaller
 
     /** The answer is complete. */
-    data class EndAnswer(val request: RequestId) : EntryEffect
+    data class EndAnswer(override val request: RequestId) : OnCaller
 
     /** Tell the caller why there is no complete answer, also when part of it has been sent. */
-    data class Refuse(val request: RequestId, val refusal: Refusal) : EntryEffect
+    data class Refuse(override val request: RequestId, val refusal: Refusal) : OnCaller
 
     /** Send [command] to the sidecar on [to]. */
     data class ToSidecar(val to: InstanceName, val command: SidecarCommand) : EntryEffect
@@ -38,19 +47,19 @@
     data class LinkTo(val instances: PersistentSet<Instance>) : EntryEffect
 
     /** Replace the limit epoch by compare-and-swap against [expected]. */
-    data class ProposeEpoch(val expected: LimitEpoch?, val proposed: LimitEpoch) : EntryEffect
+    data class ProposeEpoch(val expected: LimitEpoch?, val proposed: LimitEpoch) : OnPlatform
 
     /** Record that [request] runs under [key], unless another request has. */
-    data class Claim(val request: RequestId, val account: AccountId, val key: IdempotencyKey) : EntryEffect
+    data class Claim(val request: RequestId, val account: AccountId, val key: IdempotencyKey) : OnPlatform
 
     /** Remove the record of [key], because [request] holds it and has not run. */
-    data class ReleaseClaim(val request: RequestId, val account: AccountId, val key: IdempotencyKey) : EntryEffect
+    data class ReleaseClaim(val request: RequestId, val account: AccountId, val key: IdempotencyKey) : OnPlatform
 
     /** Read the operators' tables now. */
-    data object ReadConfiguration : EntryEffect
+    data object ReadConfiguration : OnPlatform
 
     /** Read the limit epoch now. */
-    data object ReadEpoch : EntryEffect
+    data object ReadEpoch : OnPlatform
 
     /** Write [line] to the log. */
     data class Log(val line: LogLine) : EntryEffect
--- a/core/src/main/kotlin/org/ragwortbank/core/entry/EpochSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/entry/EpochSystem.kt
@@ -11,13 +11,15 @@
 class EpochSystem : TickSystem<EntryTables, EntryInput, EntryEffect> {
     override fun run(tick: Tick<EntryInput>, step: EntryStep): EntryStep {
         val read = tick.inputs.any { it is EntryInput.EpochRead }
-        if (!read) return step
         val present = step.tables.membership.epoch
-        val next = next(step.tables, present, tick.now) ?: return step
-        return step
+        val next = if (read) next(step.tables, present, tick.now) else null
+        return if (next == null) step else propose(step, present, next)
+    }
+
+    private fun propose(step: EntryStep, present: LimitEpoch?, next: LimitEpoch): EntryStep =
+        step
             .log(LogPart.MEMBERS, "proposes limit epoch ${next.number} with ${next.members.size} members")
             .emit(EntryEffect.ProposeEpoch(present, next))
-    }
 
     private fun next(tables: EntryTables, present: LimitEpoch?, now: Timestamp): LimitEpoch? {
         val self = tables.identity.member
--- a/core/src/main/kotlin/org/ragwortbank/core/entry/HandoverSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/entry/HandoverSystem.kt
@@ -1,6 +1,5 @@
 package org.ragwortbank.core.entry
 
-import kotlinx.collections.immutable.toPersistentSet
 import org.ragwortbank.core.limits.IssuedCredit
 import org.ragwortbank.core.limits.OwnedBucket
 import org.ragwortbank.core.limits.TokenBucket
@@ -24,8 +23,7 @@
         val answered = tick.inputs.fold(step) { s, input ->
             if (input is EntryInput.EntrySaid) handle(s, input, tick.now) else s
         }
-        val finished = answered.tables.collecting.fold(answered) { s, id -> finish(s, id, tick.now) }
-        return handOverWhenRetired(finished, tick.now)
+        return answered.tables.collecting.fold(answered) { s, id -> finish(s, id, tick.now) }
     }
 
     private fun handle(step: EntryStep, input: EntryInput.EntrySaid, now: Timestamp): EntryStep =
@@ -37,16 +35,7 @@
 
     private fun surrender(step: EntryStep, to: InstanceName, ask: EntryMessage.BucketAsk, now: Timestamp): EntryStep {
         val known = step.tables.membership.epoch?.number ?: 0
-        if (ask.epoch < known) return step
-        return give(step, to, ask.account, ask.epoch, now)
-    }
-
-    private fun give(step: EntryStep, to: InstanceName, id: AccountId, epoch: Long, now: Timestamp): EntryStep {
-        val remains = step.tables.remainsOf(id, now)
-        return step
-            .log(LogPart.LIMITS, "gave the bucket of $id to $to with level ${remains.level ?: "unknown"}")
-            .putHome(id, HomeRow.Surrendered)
-            .emit(EntryEffect.ToEntry(to, EntryMessage.BucketGiven(epoch, id, remains.level, remains.unspent)))
+        return if (ask.epoch < known) step else step.giveBucket(to, ask.account, ask.epoch, now)
     }
 
     private fun receive(
@@ -113,40 +102,4 @@
             is HomeRow.Owned -> grant(step, queued, row, account, now)
             else -> step.notHome(queued)
         }
-
-    /** Passes all buckets on once the epoch says that this entry no longer belongs to the homes. */
-    private fun handOverWhenRetired(step: EntryStep, now: Timestamp): EntryStep {
-        val tables = step.tables
-        val epoch = tables.membership.epoch
-        val retired = epoch != null && tables.identity.member in epoch.retired
-        if (!tables.stopping || !retired || tables.surrenderedAll) return step
-        val ids = tables.configuration.accounts.keys.filter { tables.remainsOf(it, now).level != null }
-        val given = ids.fold(step) { s, id ->
-            val home = homeOf(s.tables, id)
-            if (home == null) s else give(s, home, id, epoch.number, now)
-        }
-        return given.update { it.copy(surrenderedAll = true) }
-    }
-}
-
-/** Begins to ask all other members for the bucket that [queued] needs, or adds it to what is being asked for. */
-internal fun EntryStep.collect(queued: QueuedAsk): EntryStep {
-    val epoch = tables.membership.epoch
-    val id = queued.ask.account
-    val row = tables.homes[id]
-    return when {
-        epoch == null || homeOf(tables, id) != tables.identity.member.name -> notHome(queued)
-        row is HomeRow.Collecting && row.epoch == epoch.number -> putHome(id, row.copy(asks = row.asks.add(queued)))
-        else -> startCollecting(queued, epoch.number, (row as? HomeRow.Parked)?.remains ?: BucketRemains())
-    }
-}
-
-private fun EntryStep.startCollecting(queued: QueuedAsk, epoch: Long, remains: BucketRemains): EntryStep {
-    val id = queued.ask.account
-    val known = tables.membership.epoch ?: return this
-    val others = (known.members + known.retired).filter { it != tables.identity.member }
-    val row = HomeRow.Collecting(epoch, others.toPersistentSet(), remains)
-    return log(LogPart.LIMITS, "collecting the bucket of $id from ${others.size} members in epoch $epoch")
-        .putHome(id, row.copy(asks = row.asks.add(queued)))
-        .emitAll(others.map { EntryEffect.ToEntry(it.name, EntryMessage.BucketAsk(epoch, id)) })
 }
--- a/core/src/main/kotlin/org/ragwortbank/core/entry/HomeSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/entry/HomeSystem.kt
@@ -2,7 +2,6 @@
 
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.persistentSetOf
-import org.ragwortbank.core.limits.OwnedBucket
 import org.ragwortbank.core.limits.TokenBucket
 import org.ragwortbank.core.log.LogPart
 import org.ragwortbank.core.message.EntryMessage
@@ -25,13 +24,15 @@
         val fresh = step.tables.membership.witnessed(now, lifetime)
         return when {
             fresh || step.tables.homes.isEmpty() -> step
-            else ->
-                step
-                    .log(LogPart.LIMITS, "gave up ${step.tables.homes.size} buckets: not seen as a member for $lifetime")
-                    .update { it.copy(homes = persistentMapOf(), collecting = persistentSetOf(), surrenderedAll = true) }
+            else -> dropAll(step, "not seen as a member for $lifetime")
         }
     }
 
+    private fun dropAll(step: EntryStep, cause: String): EntryStep =
+        step
+            .log(LogPart.LIMITS, "gave up ${step.tables.homes.size} buckets: $cause")
+            .update { it.copy(homes = persistentMapOf(), collecting = persistentSetOf(), lostFounding = true) }
+
     private fun handle(step: EntryStep, input: EntryInput.EntrySaid, now: Timestamp): EntryStep =
         when (val message = input.message) {
             is EntryMessage.CreditAsk -> asked(step, QueuedAsk(input.from, message), now)
--- a/core/src/main/kotlin/org/ragwortbank/core/entry/HomeTable.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/entry/HomeTable.kt
@@ -41,7 +41,7 @@
 
 private fun EntryTables.foundersBucket(id: AccountId, now: Timestamp): HomeRow? {
     val account = configuration.accounts[id]
-    val founder = membership.epoch?.founder == identity.member && !surrenderedAll
+    val founder = membership.epoch?.founder == identity.member && !lostFounding && !surrenderedAll
     val witnessed = membership.witnessed(now, settings.witnessLifetime)
     return when {
         account == null || !founder || !witnessed -> null
--- /dev/null
+++ b/core/src/main/kotlin/org/ragwortbank/core/entry/MembershipUpdate.kt
@@ -0,0 +1,79 @@
+package org.ragwortbank.core.entry
+
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.toPersistentMap
+import org.ragwortbank.core.hash.RendezvousHash
+import org.ragwortbank.core.limits.LimitEpoch
+import org.ragwortbank.core.model.Instance
+import org.ragwortbank.core.model.InstanceName
+import org.ragwortbank.core.model.InstanceRole
+import org.ragwortbank.core.tick.Timestamp
+
+/** The tables after the instance list was read by a call made at [askedAt]. */
+internal fun EntryTables.withInstances(
+    instances: PersistentMap<InstanceName, Instance>,
+    askedAt: Timestamp,
+): EntryTables {
+    val own = instances[identity.member.name]
+    val listed = own != null && own.peerAddress == identity.peerAddress
+    val witness = if (listed && isMember()) askedAt else null
+    val seen = membership.copy(
+        instances = instances,
+        listedAt = askedAt,
+        witnessAt = latest(membership.witnessAt, witness),
+        absentSince = absent(instances, askedAt),
+    )
+    return copy(membership = seen, upstreams = upstreamRows(instances))
+}
+
+/** The tables after the limit epoch was read by a call made at [askedAt]; an older epoch changes nothing. */
+internal fun EntryTables.withEpoch(epoch: LimitEpoch?, askedAt: Timestamp): EntryTables {
+    val known = membership.epoch
+    val newest = if (known != null && (epoch == null || epoch.number < known.number)) known else epoch
+    val member = newest?.members.orEmpty().contains(identity.member)
+    val retired = newest?.retired.orEmpty().associateWith { membership.retiredSince[it] ?: askedAt }
+    return copy(
+        membership = membership.copy(
+            epoch = newest,
+            epochKnown = true,
+            witnessAt = if (member) latest(membership.witnessAt, askedAt) else null,
+            retiredSince = retired.toPersistentMap(),
+        ),
+    )
+}
+
+private fun EntryTables.isMember(): Boolean = membership.epoch?.members.orEmpty().contains(identity.member)
+
+private fun EntryTables.absent(
+    instances: PersistentMap<InstanceName, Instance>,
+    askedAt: Timestamp,
+): PersistentMap<InstanceName, Timestamp> {
+    val epoch = membership.epoch ?: return membership.absentSince
+    return (epoch.members + epoch.retired)
+        .map { it.name }
+        .filterNot { it in instances }
+        .associateWith { membership.absentSince[it] ?: askedAt }
+        .toPersistentMap()
+}
+
+private fun EntryTables.upstreamRows(
+    instances: PersistentMap<InstanceName, Instance>,
+): PersistentMap<InstanceName, Upstream> {
+    val sidecars = instances.values.filter { it.role == InstanceRole.SIDECAR }
+    val listed = sidecars.associate { it.name to upstreamRow(it) }
+    val finishing = upstreams.values
+        .filter { it.instance.name !in listed && it.outstanding > 0 }
+        .associate { it.instance.name to it.copy(instance = it.instance.copy(leaving = true)) }
+    return (listed + finishing).toPersistentMap()
+}
+
+private fun EntryTables.upstreamRow(instance: Instance): Upstream {
+    val known = upstreams[instance.name]
+    return when {
+        known == null -> Upstream(instance, RendezvousHash.seed(instance.name.value))
+        known.instance.peerAddress == instance.peerAddress -> known.copy(instance = instance)
+        else -> known.copy(instance = instance, connected = false, digest = null)
+    }
+}
+
+private fun latest(a: Timestamp?, b: Timestamp?): Timestamp? = listOfNotNull(a, b).maxOrNull()
--- /dev/null
+++ b/core/src/main/kotlin/org/ragwortbank/core/entry/RequestRetry.kt
@@ -0,0 +1,25 @@
+package org.ragwortbank.core.entry
+
+import org.ragwortbank.core.log.LogPart
+import org.ragwortbank.core.result.Execution
+import org.ragwortbank.core.result.Refusal
+
+/** Sends [request] to another upstream where that does no harm, and otherwise refuses it with [refusal]. */
+internal fun EntryStep.retryOrRefuse(request: Request, refusal: Refusal): EntryStep =
+    if (mayRetry(tables, request, refusal.execution)) retry(request, refusal) else refuse(request, refusal)
+
+private fun mayRetry(tables: EntryTables, request: Request, execution: Execution): Boolean {
+    val stage = request.stage
+    val cancelled = stage is Stage.Dispatched && stage.cancelled
+    val harmless = execution == Execution.NOT_RUN || request.idempotent
+    val withinBudget = request.attempts < tables.settings.maxAttempts
+    return harmless && withinBudget && !cancelled && !request.delivery.started
+}
+
+private fun EntryStep.retry(request: Request, refusal: Refusal): EntryStep {
+    val upstream = (request.stage as? Stage.Dispatched)?.upstream ?: return this
+    val again = request.copy(stage = Stage.Ready, tried = request.tried.add(upstream))
+    return log(LogPart.ROUTING, "request ${request.call.id} is retried, $upstream answered ${refusal.code.number}")
+        .leaveUpstream(request)
+        .update { it.put(again).copy(ready = it.ready.add(request.call.id)) }
+}
--- a/core/src/main/kotlin/org/ragwortbank/core/entry/SweepSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/entry/SweepSystem.kt
@@ -1,9 +1,7 @@
 package org.ragwortbank.core.entry
 
 import kotlinx.collections.immutable.plus
-import org.ragwortbank.core.message.EntryMessage
 import org.ragwortbank.core.message.SidecarCommand
-import org.ragwortbank.core.model.AccountId
 import org.ragwortbank.core.result.Execution
 import org.ragwortbank.core.result.Refusal
 import org.ragwortbank.core.result.ResultCode
@@ -21,7 +19,7 @@
 
     private fun sweep(step: EntryStep, now: Timestamp): EntryStep {
         val swept = step.tables.requests.values.fold(step) { s, request -> check(s, request, now) }
-        return askMissingMembers(swept).update { tables ->
+        return swept.askMissingMembers().update { tables ->
             val waiting = tables.credits.filterValues { it.ask == null }.keys
             tables.copy(sweptAt = now, askable = tables.askable + waiting)
         }
@@ -70,12 +68,4 @@
         val execution = if (request.delivery.started) Execution.RAN else Execution.UNKNOWN
         return step.cancelRun(request).refuse(request, Refusal(ResultCode.DEADLINE_EXCEEDED, execution))
     }
-
-    private fun askMissingMembers(step: EntryStep): EntryStep =
-        step.tables.collecting.fold(step) { s, id -> askMissing(s, id) }
-
-    private fun askMissing(step: EntryStep, id: AccountId): EntryStep {
-        val row = step.tables.homes[id] as? HomeRow.Collecting ?: return step
-        return step.emitAll(row.missing.map { EntryEffect.ToEntry(it.name, EntryMessage.BucketAsk(row.epoch, id)) })
-    }
 }
--- a/core/src/main/kotlin/org/ragwortbank/core/limits/OwnedBucket.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/limits/OwnedBucket.kt
@@ -2,7 +2,6 @@
 
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.persistentListOf
-import kotlinx.collections.immutable.toPersistentList
 import org.ragwortbank.core.model.Account
 import org.ragwortbank.core.tick.Timestamp
 import kotlin.time.Duration
@@ -16,12 +15,18 @@
     val bucket: TokenBucket,
     val issued: PersistentList<IssuedCredit> = persistentListOf(),
 ) {
-    /** The bucket filled up to [now] under the agreement of [account]. */
+    /**
+     * The bucket filled up to [now] under the agreement of [account].
+     *
+     * It fills piece by piece, because what was handed out lowers the cap up to the moment at which it expires.
+     */
     fun refill(account: Account, now: Timestamp): OwnedBucket {
-        val live = if (issued.any { it.expiresAt <= now }) issued.filter { it.expiresAt > now } else issued
-        val reserved = live.sumOf { it.tokens }
-        val filled = bucket.withAgreement(account).refill(now, reserved)
-        return OwnedBucket(filled, live.toPersistentList())
+        val expired = issued.filter { it.expiresAt <= now }.sortedBy { it.expiresAt }
+        val reserved = issued.sumOf { it.tokens }
+        val begin = Filling(bucket.withAgreement(account), reserved)
+        val end = expired.fold(begin) { filling, credit -> filling.expire(credit) }
+        val live = if (expired.isEmpty()) issued else issued.removeAll(expired)
+        return OwnedBucket(end.bucket.refill(now, end.reserved), live)
     }
 
     /** The bucket after [tokens] were handed to an entry for at most [lifetime]. */
@@ -36,4 +41,9 @@
 
     /** The bucket after [tokens] were taken that had not been reserved. */
     fun charge(tokens: Long): OwnedBucket = copy(bucket = bucket.take(tokens))
+
+    private data class Filling(val bucket: TokenBucket, val reserved: Long) {
+        fun expire(credit: IssuedCredit): Filling =
+            Filling(bucket.refill(credit.expiresAt, reserved), reserved - credit.tokens)
+    }
 }
--- a/core/src/main/kotlin/org/ragwortbank/core/sidecar/DigestSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/sidecar/DigestSystem.kt
@@ -5,6 +5,7 @@
 import org.ragwortbank.core.tick.Tick
 import org.ragwortbank.core.tick.TickSystem
 import org.ragwortbank.core.tick.Timestamp
+import kotlin.time.Duration
 
 /** Tells the entries the sidecar's state when it has changed, and now and then when it has not. */
 class DigestSystem : TickSystem<SidecarTables, SidecarInput, SidecarEffect> {
@@ -22,10 +23,10 @@
         )
 
     private fun isDue(tables: SidecarTables, digest: SidecarReport.Digest, now: Timestamp): Boolean {
-        val last = tables.reportedAt ?: return true
-        val known = tables.reported ?: return true
-        val age = now - last
+        val known = tables.reported
+        val age = tables.reportedAt?.let { now - it } ?: Duration.INFINITE
         return when {
+            known == null -> true
             digest.accepting != known.accepting -> true
             digest != known -> age >= tables.settings.digestInterval
             else -> age >= tables.settings.heartbeatInterval
--- a/core/src/main/kotlin/org/ragwortbank/core/sidecar/PlacementSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/sidecar/PlacementSystem.kt
@@ -42,7 +42,8 @@
         val failed = step
             .log(LogPart.PLACEMENT, "load of adapter $adapter failed: $failure, ${waiting.size} runs are refused")
             .put(adapter, AdapterRow(AdapterState.FAILED, now))
-        return waiting.fold(failed) { s, id -> s.refuseQueued(id, ResultCode.ADAPTER_LOAD_FAILED, "load failed: $failure") }
+        val detail = "load of $adapter failed: $failure"
+        return waiting.fold(failed) { s, id -> s.refuseQueued(id, ResultCode.ADAPTER_LOAD_FAILED, detail) }
     }
 
     private fun unloaded(step: SidecarStep, input: SidecarInput.UnloadEnded, now: Timestamp): SidecarStep =
--- a/core/src/main/kotlin/org/ragwortbank/core/sidecar/RunSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/sidecar/RunSystem.kt
@@ -2,10 +2,7 @@
 
 import kotlinx.collections.immutable.persistentListOf
 import org.ragwortbank.core.log.LogPart
-import org.ragwortbank.core.message.RunId
 import org.ragwortbank.core.message.SidecarReport
-import org.ragwortbank.core.result.Refusal
-import org.ragwortbank.core.result.ResultCode
 import org.ragwortbank.core.tick.Tick
 import org.ragwortbank.core.tick.TickSystem
 import org.ragwortbank.core.tick.Timestamp
@@ -43,26 +40,18 @@
     private fun broke(step: SidecarStep, run: Run, failure: RunFailure, now: Timestamp): SidecarStep {
         val id = run.command.run
         return when (failure) {
-            RunFailure.NotConnected -> step.upstreamLost().failRunning(id, notConnected(), now)
             RunFailure.AdapterMissing -> requeue(step, run, now)
-            is RunFailure.WrongAdapter -> step.failRunning(id, wrongAdapter(run, failure), now)
-            is RunFailure.Refused -> step.failRunning(id, refused(failure), now)
-            is RunFailure.Broken -> step.failRunning(id, ran(ResultCode.UPSTREAM_FAILED, failure.detail), now)
+            RunFailure.NotConnected -> step.upstreamLost().failRunning(id, refusalFor(run, failure), now)
+            is RunFailure.WrongAdapter,
+            is RunFailure.Refused,
+            is RunFailure.Broken,
+            -> step.failRunning(id, refusalFor(run, failure), now)
         }
     }
 
-    private fun notConnected(): Refusal =
-        Refusal.notRun(ResultCode.NO_UPSTREAM, "the sidecar can't connect to its upstream")
-
-    private fun wrongAdapter(run: Run, failure: RunFailure.WrongAdapter): Refusal =
-        ran(ResultCode.WRONG_ADAPTER, "expected '${run.command.adapter}', the engine answered as '${failure.found}'")
-
-    private fun refused(failure: RunFailure.Refused): Refusal =
-        ran(ResultCode.UPSTREAM_FAILED, "the upstream answered with status ${failure.status}")
-
     /** The engine has lost the adapter; the run has not begun and waits for the adapter to be loaded again. */
     private fun requeue(step: SidecarStep, run: Run, now: Timestamp): SidecarStep {
-        val id: RunId = run.command.run
+        val id = run.command.run
         val waiting = run.copy(running = false)
         return step
             .log(LogPart.PLACEMENT, "engine no longer holds ${run.command.adapter}, run $id waits for a load")
--- a/core/src/main/kotlin/org/ragwortbank/core/sidecar/RunTable.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/sidecar/RunTable.kt
@@ -4,7 +4,6 @@
 import org.ragwortbank.core.log.LogPart
 import org.ragwortbank.core.message.RunId
 import org.ragwortbank.core.message.SidecarReport
-import org.ragwortbank.core.result.Execution
 import org.ragwortbank.core.result.Refusal
 import org.ragwortbank.core.result.ResultCode
 import org.ragwortbank.core.tick.Timestamp
@@ -42,6 +41,3 @@
             tables.updateAdapter(run.command.adapter) { it.copy(running = it.running - 1, usedAt = now) }
         }
 }
-
-/** A refusal of work that the upstream may have begun. */
-internal fun ran(code: ResultCode, detail: String = code.meaning): Refusal = Refusal(code, Execution.RAN, detail)
--- /dev/null
+++ b/core/src/test/kotlin/org/ragwortbank/core/entry/AnswerSystemTest.kt
@@ -0,0 +1,90 @@
+package org.ragwortbank.core.entry
+
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.io.bytestring.encodeToByteString
+import org.ragwortbank.core.message.RunId
+import org.ragwortbank.core.message.SidecarReport
+import org.ragwortbank.core.model.AnswerHead
+import org.ragwortbank.core.model.InstanceName
+import org.ragwortbank.core.model.Usage
+import org.ragwortbank.core.result.Execution
+import org.ragwortbank.core.result.Refusal
+import org.ragwortbank.core.result.ResultCode
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+class AnswerSystemTest {
+    private val entry = EntryFixture()
+    private val head = AnswerHead(200, persistentListOf(), streamed = true)
+    private val piece = "x".encodeToByteString()
+
+    private fun dispatch(route: String = "advice"): RunId {
+        entry.arrive(entry.call(route))
+        return entry.dispatches().single().run
+    }
+
+    @Test
+    fun `given all pieces, then the answer is whole and the rest of the reservation goes back`() {
+        val run = dispatch()
+        val upstream = entry.dispatchTarget()
+        entry.say(upstream, SidecarReport.Started(run, head))
+        entry.say(upstream, SidecarReport.Chunk(run, 0, 1, piece))
+        entry.say(upstream, SidecarReport.Done(run, 1, Usage(1, 4)))
+        assertTrue(EntryEffect.EndAnswer(run.request) in entry.effects)
+        assertEquals(listOf(6L), entry.settlements())
+    }
+
+    @Test
+    fun `given a gap between pieces, then the caller is told that the answer is broken`() {
+        val run = dispatch()
+        val upstream = entry.dispatchTarget()
+        entry.say(upstream, SidecarReport.Started(run, head))
+        entry.say(upstream, SidecarReport.Chunk(run, 1, 1, piece))
+        assertEquals(ResultCode.ANSWER_BROKEN, entry.refusals().single().code)
+    }
+
+    @Test
+    fun `given a report of another upstream or attempt, then it is dropped`() {
+        val run = dispatch()
+        val other = EntryFixture.UPSTREAMS.map(::InstanceName).first { it != entry.dispatchTarget() }
+        entry.say(other, SidecarReport.Started(run, head))
+        assertTrue(entry.effects.none { it is EntryEffect.BeginAnswer })
+        entry.say(entry.tables.upstreams.keys.first(), SidecarReport.Started(run.copy(attempt = 2), head))
+        assertTrue(entry.effects.none { it is EntryEffect.BeginAnswer })
+    }
+
+    @Test
+    fun `given a lost link and an idempotent request, then it runs on another upstream`() {
+        dispatch()
+        val first = entry.dispatchTarget()
+        entry.tick(EntryInput.LinkClosed(first))
+        assertEquals(2, entry.dispatches().single().run.attempt)
+        assertTrue(entry.dispatchTarget() != first)
+    }
+
+    @Test
+    fun `given a lost link and a request that may run once, then its outcome is unknown and it is not repeated`() {
+        dispatch("booking")
+        entry.tick(EntryInput.LinkClosed(InstanceName("booking-1")))
+        assertEquals(Execution.UNKNOWN, entry.refusals().single().execution)
+        assertTrue(entry.dispatches().isEmpty())
+    }
+
+    @Test
+    fun `given a sidecar that did not start a request that may not be repeated, then another may be tried`() {
+        val run = dispatch("booking")
+        val refusal = Refusal.notRun(ResultCode.QUEUE_FULL)
+        entry.say(InstanceName("booking-1"), SidecarReport.Failed(run, refusal))
+        assertEquals(ResultCode.NO_UPSTREAM, entry.refusals().single().code)
+        assertEquals(Execution.NOT_RUN, entry.refusals().single().execution)
+    }
+
+    @Test
+    fun `given a caller that is gone, then the run is cancelled and the unused tokens go back`() {
+        val run = dispatch()
+        entry.tick(EntryInput.CallerGone(run.request))
+        assertEquals(listOf(10L), entry.settlements())
+        assertTrue(entry.effects.any { it is EntryEffect.ToSidecar })
+    }
+}
--- /dev/null
+++ b/core/src/test/kotlin/org/ragwortbank/core/entry/ClaimSystemTest.kt
@@ -0,0 +1,59 @@
+package org.ragwortbank.core.entry
+
+import org.ragwortbank.core.message.SidecarReport
+import org.ragwortbank.core.model.InstanceName
+import org.ragwortbank.core.result.Execution
+import org.ragwortbank.core.result.Refusal
+import org.ragwortbank.core.result.ResultCode
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class ClaimSystemTest {
+    private val entry = EntryFixture()
+    private val call = entry.call("booking", idempotencyKey = "k")
+
+    @Test
+    fun `given a request that may run once, then nothing is dispatched before its key is recorded`() {
+        entry.arrive(call)
+        assertTrue(entry.dispatches().isEmpty())
+        entry.tick(EntryInput.ClaimDecided(call.id, ClaimResult.GRANTED))
+        assertEquals(call.id, entry.dispatches().single().run.request)
+    }
+
+    @Test
+    fun `given a key that another request holds, then nothing is run and the caller is told that it may have run`() {
+        entry.arrive(call)
+        entry.tick(EntryInput.ClaimDecided(call.id, ClaimResult.TAKEN))
+        assertEquals(ResultCode.ALREADY_RAN, entry.refusals().single().code)
+        assertEquals(Execution.UNKNOWN, entry.refusals().single().execution)
+        assertTrue(entry.dispatches().isEmpty())
+    }
+
+    @Test
+    fun `given a recorded key and no run, then the key is released so that the caller may repeat`() {
+        entry.arrive(call)
+        entry.tick(EntryInput.ClaimDecided(call.id, ClaimResult.GRANTED))
+        val run = entry.dispatches().single().run
+        entry.say(InstanceName("booking-1"), SidecarReport.Failed(run, Refusal.notRun(ResultCode.DRAINING)))
+        assertTrue(entry.effects.any { it is EntryEffect.ReleaseClaim })
+    }
+
+    @Test
+    fun `given no answer from the key-value service, then nothing is run and the key is released`() {
+        entry.arrive(call)
+        entry.after(3.seconds)
+        assertEquals(ResultCode.CLAIM_UNAVAILABLE, entry.refusals().single().code)
+        assertTrue(entry.effects.any { it is EntryEffect.ReleaseClaim })
+    }
+
+    @Test
+    fun `given a late decision on a refused request, then nothing is run`() {
+        entry.arrive(call)
+        entry.after(3.seconds)
+        entry.after(10.milliseconds, EntryInput.ClaimDecided(call.id, ClaimResult.GRANTED))
+        assertTrue(entry.dispatches().isEmpty())
+    }
+}
--- /dev/null
+++ b/core/src/test/kotlin/org/ragwortbank/core/entry/EntryFixture.kt
@@ -0,0 +1,138 @@
+package org.ragwortbank.core.entry
+
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.persistentSetOf
+import kotlinx.collections.immutable.toPersistentList
+import kotlinx.io.bytestring.ByteString
+import org.ragwortbank.core.limits.LimitEpoch
+import org.ragwortbank.core.limits.LimitMember
+import org.ragwortbank.core.message.EntryMessage
+import org.ragwortbank.core.message.SidecarCommand
+import org.ragwortbank.core.message.SidecarReport
+import org.ragwortbank.core.model.AdapterRef
+import org.ragwortbank.core.model.Call
+import org.ragwortbank.core.model.Configuration
+import org.ragwortbank.core.model.FailureDomain
+import org.ragwortbank.core.model.GenerateApi
+import org.ragwortbank.core.model.IdempotencyKey
+import org.ragwortbank.core.model.Incarnation
+import org.ragwortbank.core.model.Instance
+import org.ragwortbank.core.model.InstanceName
+import org.ragwortbank.core.model.InstanceRole
+import org.ragwortbank.core.model.KeyHash
+import org.ragwortbank.core.model.RequestId
+import org.ragwortbank.core.model.RouteName
+import org.ragwortbank.core.model.UpstreamKind
+import org.ragwortbank.core.model.Work
+import org.ragwortbank.core.model.configuration
+import org.ragwortbank.core.result.Refusal
+import org.ragwortbank.core.tick.Tick
+import org.ragwortbank.core.tick.Timestamp
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** One entry with two upstreams, run tick by tick in virtual time; its messages to itself are delivered at once. */
+class EntryFixture(settings: EntrySettings = EntrySettings()) {
+    private val schedule = entrySchedule()
+    private val member = LimitMember(InstanceName("entry-1"), Incarnation("entry-1.a"))
+    private var sequence = 0L
+
+    var now = Timestamp(0)
+        private set
+
+    var tables = EntryTables(EntryIdentity(member, FailureDomain("a"), "entry-1:1"), settings)
+        private set
+
+    /** Effects of the last call of [tick] with those of the ticks that it caused. */
+    var effects: List<EntryEffect> = emptyList()
+        private set
+
+    init {
+        val sidecars = UPSTREAMS.map { instance(it, InstanceRole.SIDECAR) }
+        val instances = listOf(instance("entry-1", InstanceRole.ENTRY)) + sidecars
+        val accepting = SidecarReport.Digest(persistentSetOf(), queued = 0, running = 0, accepting = true)
+        tick(
+            EntryInput.EpochRead(LimitEpoch.first(member), now),
+            EntryInput.InstancesRead(instances.toPersistentList(), now),
+            EntryInput.ConfigurationRead(CONFIGURATION),
+        )
+        UPSTREAMS.forEach { name ->
+            tick(EntryInput.LinkOpened(InstanceName(name)), EntryInput.SidecarSaid(InstanceName(name), accepting))
+        }
+    }
+
+    /** Lets [duration] pass, still listed as a member, and runs one tick with [inputs]. */
+    fun after(duration: Duration, vararg inputs: EntryInput) {
+        now += duration
+        val listed = EntryInput.InstancesRead(tables.membership.instances.values.toPersistentList(), now)
+        tick(listed, *inputs)
+    }
+
+    fun tick(vararg inputs: EntryInput) {
+        effects = emptyList()
+        run(inputs.toList())
+    }
+
+    private fun run(inputs: List<EntryInput>) {
+        val step = schedule.run(Tick(now, inputs.toPersistentList()), tables)
+        tables = step.tables
+        effects = effects + step.effects
+        val own = step.effects.filterIsInstance<EntryEffect.ToEntry>().filter { it.to == member.name }
+        if (own.isNotEmpty()) run(own.map { EntryInput.EntrySaid(member.name, it.message) })
+    }
+
+    /** A call of [route] with the large account's key. */
+    fun call(
+        route: String = "advice",
+        maxTokens: Long = 10,
+        credential: KeyHash? = KEY,
+        idempotencyKey: String? = null,
+    ): Call {
+        sequence += 1
+        val id = RequestId(member.incarnation, sequence)
+        val work = if (route == "booking") PLAIN else generate(maxTokens)
+        return Call(id, RouteName(route), work, credential, idempotencyKey?.let(::IdempotencyKey))
+    }
+
+    fun arrive(call: Call) = tick(EntryInput.CallArrived(call))
+
+    fun dispatches(): List<SidecarCommand.Dispatch> =
+        effects.filterIsInstance<EntryEffect.ToSidecar>().map { it.command }.filterIsInstance<SidecarCommand.Dispatch>()
+
+    fun dispatchTarget(): InstanceName =
+        effects.filterIsInstance<EntryEffect.ToSidecar>().last { it.command is SidecarCommand.Dispatch }.to
+
+    fun refusals(): List<Refusal> = effects.filterIsInstance<EntryEffect.Refuse>().map { it.refusal }
+
+    fun say(from: InstanceName, report: SidecarReport) = tick(EntryInput.SidecarSaid(from, report))
+
+    fun settlements(): List<Long> =
+        effects.filterIsInstance<EntryEffect.ToEntry>().map { it.message }.filterIsInstance<EntryMessage.CreditSettle>()
+            .map { it.tokens }
+
+    private fun generate(maxTokens: Long): Work =
+        Work.Generate(GenerateApi.CHAT, stream = true, promptTokens = 1, maxTokens, usageWanted = false, ByteString())
+
+    private fun instance(name: String, role: InstanceRole): Instance =
+        Instance(InstanceName(name), role, "$name:1", "$name:2", FailureDomain("a"))
+
+    companion object {
+        val KEY = KeyHash("aa")
+        val SMALL_KEY = KeyHash("bb")
+        val UPSTREAMS = listOf("engine-1", "engine-2", "booking-1")
+        val STEP = 10.milliseconds
+        private val PLAIN = Work.Plain("POST", "/lessons", persistentListOf(), ByteString())
+
+        val CONFIGURATION: Configuration = configuration(version = 1) {
+            pool("engines", UpstreamKind.ENGINE, "engine-*")
+            pool("bookings", UpstreamKind.SERVICE, "booking-1")
+            account("large", rate = 1_000, burst = 100)
+            account("small", rate = 10, burst = 20)
+            route("advice", "engines", AdapterRef("advice", "3"), "large", "small")
+            route("private", "engines", AdapterRef("private", "1"), "large")
+            service("booking", "bookings", "large")
+            key(KEY, "large")
+            key(SMALL_KEY, "small")
+        }
+    }
+}
--- /dev/null
+++ b/core/src/test/kotlin/org/ragwortbank/core/sidecar/SidecarFixture.kt
@@ -0,0 +1,72 @@
+package org.ragwortbank.core.sidecar
+
+import kotlinx.collections.immutable.persistentSetOf
+import kotlinx.collections.immutable.toPersistentList
+import kotlinx.io.bytestring.ByteString
+import org.ragwortbank.core.message.RunId
+import org.ragwortbank.core.message.SidecarCommand
+import org.ragwortbank.core.message.SidecarReport
+import org.ragwortbank.core.model.AccountId
+import org.ragwortbank.core.model.AdapterRef
+import org.ragwortbank.core.model.GenerateApi
+import org.ragwortbank.core.model.Incarnation
+import org.ragwortbank.core.model.InstanceName
+import org.ragwortbank.core.model.RequestId
+import org.ragwortbank.core.model.RouteName
+import org.ragwortbank.core.model.Work
+import org.ragwortbank.core.result.Refusal
+import org.ragwortbank.core.tick.Tick
+import org.ragwortbank.core.tick.Timestamp
+import kotlin.time.Duration.Companion.milliseconds
+
+/** One sidecar with one link, run tick by tick in virtual time. */
+class SidecarFixture(settings: SidecarSettings = SidecarSettings(slots = 2, maxRunning = 2)) {
+    private val schedule = sidecarSchedule()
+    private var sequence = 0L
+    private var now = Timestamp(0)
+
+    var tables = SidecarTables(InstanceName("engine-1"), settings)
+        private set
+
+    var effects: List<SidecarEffect> = emptyList()
+        private set
+
+    init {
+        tick(SidecarInput.LinkOpened(LINK), SidecarInput.FencingGiven(7), SidecarInput.Probed(persistentSetOf()))
+    }
+
+    fun tick(vararg inputs: SidecarInput) {
+        now += 1.milliseconds
+        val step = schedule.run(Tick(now, inputs.toList().toPersistentList()), tables)
+        tables = step.tables
+        effects = step.effects
+    }
+
+    fun dispatch(adapter: String, account: String = "large", idempotent: Boolean = true): RunId {
+        sequence += 1
+        val run = RunId(RequestId(Incarnation("entry-1.a"), sequence), 1)
+        val work = Work.Generate(GenerateApi.CHAT, stream = true, 1, 10, usageWanted = false, ByteString())
+        val route = RouteName("route-$adapter")
+        val command = SidecarCommand.Dispatch(run, AccountId(account), route, ref(adapter), idempotent, work)
+        tick(SidecarInput.EntrySaid(LINK, command))
+        return run
+    }
+
+    fun loaded(adapter: String) = tick(SidecarInput.LoadEnded(ref(adapter), null))
+
+    fun started(): List<RunId> = effects.filterIsInstance<SidecarEffect.StartRun>().map { it.command.run }
+
+    fun loads(): List<String> = effects.filterIsInstance<SidecarEffect.Load>().map { it.adapter.adapter }
+
+    fun unloads(): List<String> = effects.filterIsInstance<SidecarEffect.Unload>().map { it.adapter.adapter }
+
+    fun refusals(): List<Refusal> =
+        effects.filterIsInstance<SidecarEffect.Report>().map { it.report }.filterIsInstance<SidecarReport.Failed>()
+            .map { it.refusal }
+
+    companion object {
+        val LINK = LinkId(1)
+
+        fun ref(adapter: String) = AdapterRef(adapter, "1")
+    }
+}
--- /dev/null
+++ b/core/src/test/kotlin/org/ragwortbank/core/sidecar/SidecarSystemsTest.kt
@@ -0,0 +1,112 @@
+package org.ragwortbank.core.sidecar
+
+import kotlinx.collections.immutable.persistentSetOf
+import org.ragwortbank.core.message.SidecarCommand
+import org.ragwortbank.core.result.Execution
+import org.ragwortbank.core.result.ResultCode
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+class SidecarSystemsTest {
+    private val sidecar = SidecarFixture()
+
+    @Test
+    fun `given a cold adapter, then it is loaded once and the run starts when it is resident`() {
+        val first = sidecar.dispatch("a")
+        assertEquals(listOf("a"), sidecar.loads())
+        val second = sidecar.dispatch("a")
+        assertEquals(emptyList(), sidecar.loads())
+        sidecar.loaded("a")
+        assertEquals(listOf(first, second), sidecar.started())
+    }
+
+    @Test
+    fun `given full slots, then the adapter that was idle for longest is dropped and no other`() {
+        listOf("a", "b").forEach { finish(it) }
+        sidecar.dispatch("c")
+        assertEquals(listOf("a"), sidecar.unloads())
+        sidecar.tick(SidecarInput.UnloadEnded(SidecarFixture.ref("a"), succeeded = true))
+        assertEquals(listOf("c"), sidecar.loads())
+    }
+
+    @Test
+    fun `given only serving adapters, then none is dropped until a run ends`() {
+        val run = begin("a")
+        begin("b")
+        sidecar.dispatch("c")
+        assertEquals(emptyList(), sidecar.unloads())
+        sidecar.tick(SidecarInput.RunCompleted(run, null))
+        assertEquals(listOf("a"), sidecar.unloads())
+    }
+
+    @Test
+    fun `given a failed load, then waiting runs are refused as not run`() {
+        sidecar.dispatch("a")
+        sidecar.tick(SidecarInput.LoadEnded(SidecarFixture.ref("a"), LoadFailure.REFUSED))
+        assertEquals(ResultCode.ADAPTER_LOAD_FAILED, sidecar.refusals().single().code)
+        assertEquals(Execution.NOT_RUN, sidecar.refusals().single().execution)
+    }
+
+    @Test
+    fun `given an engine that forgot the adapter, then the run waits for another load and is not lost`() {
+        val run = begin("a")
+        sidecar.tick(SidecarInput.RunBroke(run, RunFailure.AdapterMissing))
+        assertEquals(listOf("a"), sidecar.loads())
+        sidecar.loaded("a")
+        assertEquals(listOf(run), sidecar.started())
+    }
+
+    @Test
+    fun `given a cancelled run that waits, then it is truthfully not run`() {
+        val run = sidecar.dispatch("a")
+        sidecar.tick(SidecarInput.EntrySaid(SidecarFixture.LINK, SidecarCommand.Cancel(run)))
+        assertEquals(Execution.NOT_RUN, sidecar.refusals().single().execution)
+        sidecar.loaded("a")
+        assertEquals(emptyList(), sidecar.started())
+    }
+
+    @Test
+    fun `given a run that may not be repeated and has started, then it is not cancelled`() {
+        val run = sidecar.dispatch("a", idempotent = false)
+        sidecar.loaded("a")
+        sidecar.tick(SidecarInput.EntrySaid(SidecarFixture.LINK, SidecarCommand.Cancel(run)))
+        assertTrue(sidecar.effects.none { it is SidecarEffect.CancelRun })
+    }
+
+    @Test
+    fun `given a lost link, then waiting runs are dropped and never started`() {
+        sidecar.dispatch("a")
+        sidecar.tick(SidecarInput.LinkClosed(SidecarFixture.LINK))
+        sidecar.loaded("a")
+        assertEquals(emptyList(), sidecar.started())
+    }
+
+    @Test
+    fun `given an account with many waiting runs, then another account's run is next`() {
+        begin("a")
+        begin("a")
+        repeat(5) { sidecar.dispatch("a", account = "large") }
+        val small = sidecar.dispatch("a", account = "small")
+        sidecar.tick(SidecarInput.RunCompleted(sidecar.tables.runs.keys.first { it !in sidecar.tables.queue }, null))
+        assertEquals(listOf(small), sidecar.started())
+    }
+
+    @Test
+    fun `given an upstream that is down, then the sidecar probes it and takes stock when it answers`() {
+        val run = begin("a")
+        sidecar.tick(SidecarInput.RunBroke(run, RunFailure.NotConnected))
+        assertEquals(Execution.NOT_RUN, sidecar.refusals().single().execution)
+        assertTrue(SidecarEffect.Probe in sidecar.effects)
+        sidecar.tick(SidecarInput.Probed(persistentSetOf()))
+        assertEquals(emptySet(), sidecar.tables.adapters.keys)
+    }
+
+    private fun begin(adapter: String) =
+        sidecar.dispatch(adapter).also {
+            val state = sidecar.tables.adapters[SidecarFixture.ref(adapter)]?.state
+            if (state == AdapterState.LOADING) sidecar.loaded(adapter)
+        }
+
+    private fun finish(adapter: String) = sidecar.tick(SidecarInput.RunCompleted(begin(adapter), null))
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/ragwortbank/node/entry/EntryClaims.kt
@@ -0,0 +1,28 @@
+package org.ragwortbank.node.entry
+
+import kotlinx.coroutines.launch
+import org.ragwortbank.core.entry.ClaimResult
+import org.ragwortbank.core.entry.EntryInput
+import org.ragwortbank.core.model.AccountId
+import org.ragwortbank.core.model.IdempotencyKey
+import org.ragwortbank.core.model.RequestId
+import org.ragwortbank.node.NodeRuntime
+import org.ragwortbank.node.metrics.PlatformCall
+import org.ragwortbank.platform.claims.ClaimStore
+
+/** Records for an entry which idempotency keys its requests hold. */
+internal class EntryClaims(private val runtime: NodeRuntime, private val post: (EntryInput) -> Unit) {
+    private val claims = ClaimStore(runtime.store)
+
+    /** Records that [request] holds [key], unless another request does. */
+    fun claim(request: RequestId, account: AccountId, key: IdempotencyKey) = runtime.scope.launch {
+        val result = claims.claim(request, account, key)
+        runtime.metrics.called(PlatformCall.CLAIM, result != ClaimResult.UNAVAILABLE)
+        post(EntryInput.ClaimDecided(request, result))
+    }
+
+    /** Removes the record of [key] if [request] holds it. */
+    fun release(request: RequestId, account: AccountId, key: IdempotencyKey) = runtime.scope.launch {
+        claims.release(request, account, key)
+    }
+}
--- a/node/src/main/kotlin/org/ragwortbank/node/entry/EntryNode.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/entry/EntryNode.kt
@@ -67,6 +67,7 @@
 
     private lateinit var loop: TickLoop<EntryTables, EntryInput, EntryEffect>
     private lateinit var platform: EntryPlatform
+    private val claims = EntryClaims(runtime) { loop.post(it) }
     private val links = EntryLinks(runtime.scope, runtime.selector, name) { loop.post(it) }
 
     /** Messages of this entry to itself; they take the way of all inputs, so that the tick never waits for itself. */
@@ -74,23 +75,36 @@
         runtime.scope.launch { for (input in channel) loop.post(input) }
     }
 
-    private fun perform(effect: EntryEffect) =
+    private fun perform(effect: EntryEffect) {
+        when (effect) {
+            is EntryEffect.OnCaller -> answer(effect)
+            is EntryEffect.OnPlatform -> call(effect)
+            is EntryEffect.ToSidecar -> links.send(effect.to, effect.command.toWire())
+            is EntryEffect.ToEntry -> sendToEntry(effect)
+            is EntryEffect.LinkTo -> links.keep(effect.instances)
+            is EntryEffect.Log -> Logs.write(effect.line)
+            EntryEffect.Stopped -> ended()
+        }
+    }
+
+    private fun answer(effect: EntryEffect.OnCaller) {
         when (effect) {
             is EntryEffect.BeginAnswer -> calls.find(effect.request)?.begin(effect.head)
             is EntryEffect.ContinueAnswer -> calls.find(effect.request)?.continueWith(effect.data)
             is EntryEffect.EndAnswer -> endAnswer(effect)
             is EntryEffect.Refuse -> refuse(effect)
-            is EntryEffect.ToSidecar -> links.send(effect.to, effect.command.toWire())
-            is EntryEffect.ToEntry -> sendToEntry(effect)
-            is EntryEffect.LinkTo -> links.keep(effect.instances)
+        }
+    }
+
+    private fun call(effect: EntryEffect.OnPlatform) {
+        when (effect) {
             is EntryEffect.ProposeEpoch -> platform.propose(effect.expected, effect.proposed)
-            is EntryEffect.Claim -> platform.claim(effect.request, effect.account, effect.key)
-            is EntryEffect.ReleaseClaim -> platform.release(effect.request, effect.account, effect.key)
+            is EntryEffect.Claim -> claims.claim(effect.request, effect.account, effect.key)
+            is EntryEffect.ReleaseClaim -> claims.release(effect.request, effect.account, effect.key)
             EntryEffect.ReadConfiguration -> platform.readConfiguration()
             EntryEffect.ReadEpoch -> platform.readEpoch()
-            is EntryEffect.Log -> Logs.write(effect.line)
-            EntryEffect.Stopped -> ended()
         }
+    }
 
     private fun endAnswer(effect: EntryEffect.EndAnswer) {
         runtime.metrics.answered()
--- a/node/src/main/kotlin/org/ragwortbank/node/entry/EntryPlatform.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/entry/EntryPlatform.kt
@@ -1,21 +1,17 @@
 package org.ragwortbank.node.entry
 
 import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.channels.consumeEach
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
-import org.ragwortbank.core.entry.ClaimResult
 import org.ragwortbank.core.entry.EntryInput
 import org.ragwortbank.core.limits.LimitEpoch
-import org.ragwortbank.core.model.AccountId
-import org.ragwortbank.core.model.IdempotencyKey
-import org.ragwortbank.core.model.RequestId
 import org.ragwortbank.core.tick.Timestamp
 import org.ragwortbank.node.NodeRuntime
 import org.ragwortbank.node.log.Logs
 import org.ragwortbank.node.metrics.PlatformCall
 import org.ragwortbank.node.now
 import org.ragwortbank.node.settings.PlatformSettings
-import org.ragwortbank.platform.claims.ClaimStore
 import org.ragwortbank.platform.config.ConfigRead
 import org.ragwortbank.platform.config.ConfigStore
 import org.ragwortbank.platform.instances.HttpInstanceList
@@ -32,15 +28,14 @@
 ) {
     private val configs = ConfigStore(runtime.store)
     private val epochs = EpochStore(runtime.store)
-    private val claims = ClaimStore(runtime.store)
     private val instances = HttpInstanceList(runtime.client, settings.instancesAddress, settings.callTimeout)
     private val configWanted = Channel<Unit>(Channel.CONFLATED)
     private val epochWanted = Channel<Unit>(Channel.CONFLATED)
 
     /** Begins to read. */
     fun start() {
-        runtime.scope.launch { for (request in configWanted) readConfigurationNow() }
-        runtime.scope.launch { for (request in epochWanted) readEpochNow() }
+        runtime.scope.launch { configWanted.consumeEach { readConfigurationNow() } }
+        runtime.scope.launch { epochWanted.consumeEach { readEpochNow() } }
         runtime.every(settings.instancesInterval) { readInstances() }
         runtime.every(settings.epochInterval) { epochWanted.send(Unit) }
         runtime.every(settings.configInterval) { configWanted.send(Unit) }
@@ -63,18 +58,6 @@
         report(epochs.propose(expected, proposed), askedAt)
     }
 
-    /** Records an idempotency key. */
-    fun claim(request: RequestId, account: AccountId, key: IdempotencyKey) = runtime.scope.launch {
-        val result = claims.claim(request, account, key)
-        runtime.metrics.called(PlatformCall.CLAIM, result != ClaimResult.UNAVAILABLE)
-        post(EntryInput.ClaimDecided(request, result))
-    }
-
-    /** Removes the record of an idempotency key. */
-    fun release(request: RequestId, account: AccountId, key: IdempotencyKey) = runtime.scope.launch {
-        claims.release(request, account, key)
-    }
-
     private suspend fun readConfigurationNow() {
         val read = configs.read()
         runtime.metrics.called(PlatformCall.READ_CONFIG, read is ConfigRead.Found)
--- a/node/src/main/kotlin/org/ragwortbank/node/http/EntryHttpServer.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/http/EntryHttpServer.kt
@@ -18,9 +18,9 @@
 internal class EntryHttpServer(
     private val group: EventLoopGroup,
     private val settings: HttpSettings,
-    private val sink: CallSink,
+    sink: CallSink,
 ) {
-    private val decoder = CallDecoder(settings.defaultMaxTokens)
+    private val dispatcher = CallDispatcher(CallDecoder(settings.defaultMaxTokens), sink)
     private val connections = AtomicInteger()
 
     /** Listens on [address] and returns the address bound, which differs when the port was zero. */
@@ -52,7 +52,7 @@
             val config = HttpDecoderConfig()
                 .setMaxInitialLineLength(settings.maxHeaderBytes)
                 .setMaxHeaderSize(settings.maxHeaderBytes)
-            channel.pipeline().addLast(HttpServerCodec(config), CallHandler(settings, decoder, sink))
+            channel.pipeline().addLast(HttpServerCodec(config), CallHandler(settings, dispatcher))
         }
     }
 
--- a/node/src/main/kotlin/org/ragwortbank/node/http/GenerateBody.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/http/GenerateBody.kt
@@ -3,12 +3,9 @@
 import kotlinx.io.bytestring.ByteString
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
-import kotlinx.serialization.json.JsonArray
-import kotlinx.serialization.json.JsonElement
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.JsonPrimitive
 import kotlinx.serialization.json.booleanOrNull
-import kotlinx.serialization.json.contentOrNull
 import kotlinx.serialization.json.longOrNull
 import org.ragwortbank.core.model.GenerateApi
 import org.ragwortbank.core.model.Work
@@ -44,70 +41,48 @@
     private val api: GenerateApi,
     private val defaultMaxTokens: Long,
 ) {
+    private val prompt = PromptText.of(api)
+
     fun parse(): GenerateBody {
         val model = (json["model"] as? JsonPrimitive)?.takeIf { it.isString }?.content
         val output = outputBound()
-        val text = promptText()
+        val text = prompt.text(json)
         return when {
             model == null -> bad("model", "the name of a route")
-            text == null -> bad(promptField(), promptExpectation())
+            text == null -> bad(prompt.field, prompt.expected)
             output == null -> bad("max_tokens", "a whole number from 1 to $MAX_OUTPUT_TOKENS")
-            !isOneOf("n", 1) -> bad("n", "1")
-            !isOneOf("best_of", 1) -> bad("best_of", "1")
+            !isOne("n") -> bad("n", "1")
+            !isOne("best_of") -> bad("best_of", "1")
             !isBoolean("stream") -> bad("stream", "true or false")
             else -> GenerateBody.Good(model, work(text, output))
         }
     }
 
-    private fun work(text: String, output: Long): Work.Generate =
-        Work.Generate(
+    private fun work(text: String, output: Long): Work.Generate {
+        val options = json["stream_options"] as? JsonObject
+        return Work.Generate(
             api = api,
-            stream = booleanOf(json["stream"]) ?: false,
+            stream = json.boolean("stream") ?: false,
             promptTokens = text.encodeToByteArray().size / BYTES_PER_TOKEN + 1L,
             maxTokens = output,
-            usageWanted = booleanOf((json["stream_options"] as? JsonObject)?.get("include_usage")) ?: false,
+            usageWanted = options?.boolean("include_usage") ?: false,
             body = ByteString(body),
         )
+    }
 
     private fun outputBound(): Long? {
         val given = json["max_completion_tokens"] ?: json["max_tokens"] ?: return defaultMaxTokens
         return (given as? JsonPrimitive)?.longOrNull?.takeIf { it in 1..MAX_OUTPUT_TOKENS }
     }
 
-    private fun promptText(): String? =
-        when (api) {
-            GenerateApi.COMPLETIONS -> (json["prompt"] as? JsonPrimitive)?.takeIf { it.isString }?.contentOrNull
-            GenerateApi.CHAT -> (json["messages"] as? JsonArray)?.takeIf { it.isNotEmpty() }?.let(::messagesText)
-        }
-
-    private fun messagesText(messages: JsonArray): String? {
-        val contents = messages.map { (it as? JsonObject)?.get("content") }
-        return if (contents.any { it == null }) null else contents.joinToString("\n") { textOf(it) }
-    }
-
-    private fun textOf(content: JsonElement?): String =
-        if (content is JsonPrimitive) content.contentOrNull.orEmpty() else content.toString()
-
-    private fun promptField(): String =
-        when (api) {
-            GenerateApi.COMPLETIONS -> "prompt"
-            GenerateApi.CHAT -> "messages"
-        }
-
-    private fun promptExpectation(): String =
-        when (api) {
-            GenerateApi.COMPLETIONS -> "one string"
-            GenerateApi.CHAT -> "a list of messages with content"
-        }
-
-    private fun isOneOf(field: String, value: Long): Boolean {
+    private fun isOne(field: String): Boolean {
         val given = json[field] ?: return true
-        return (given as? JsonPrimitive)?.longOrNull == value
+        return (given as? JsonPrimitive)?.longOrNull == 1L
     }
 
-    private fun isBoolean(field: String): Boolean = json[field] == null || booleanOf(json[field]) != null
+    private fun isBoolean(field: String): Boolean = json[field] == null || json.boolean(field) != null
 
-    private fun booleanOf(element: JsonElement?): Boolean? = (element as? JsonPrimitive)?.booleanOrNull
+    private fun JsonObject.boolean(field: String): Boolean? = (get(field) as? JsonPrimitive)?.booleanOrNull
 
     private fun bad(field: String, expected: String): GenerateBody {
         val found = json[field]?.toString()?.take(MAX_QUOTE) ?: "nothing"
--- /dev/null
+++ b/node/src/main/kotlin/org/ragwortbank/node/http/ResponseHeads.kt
@@ -0,0 +1,61 @@
+package org.ragwortbank.node.http
+
+import io.netty.buffer.ByteBuf
+import io.netty.buffer.Unpooled
+import io.netty.handler.codec.http.DefaultFullHttpResponse
+import io.netty.handler.codec.http.DefaultHttpResponse
+import io.netty.handler.codec.http.FullHttpResponse
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaderValues
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpVersion
+import org.ragwortbank.core.model.AnswerHead
+import org.ragwortbank.core.result.Refusal
+import kotlin.time.Duration
+
+/** Header field that names the request in answers and logs. */
+private const val REQUEST_ID = "X-Request-Id"
+
+private const val MILLIS_PER_SECOND = 1_000
+
+/** Builds responses to the request [requestId], on a connection that stays open when [keepAlive]. */
+internal class ResponseHeads(private val requestId: String, private val keepAlive: Boolean) {
+    /** The head of an answer that follows in pieces. */
+    fun streamed(head: AnswerHead): HttpResponse {
+        val response = DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(head.status))
+        complete(response, head)
+        response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED)
+        response.headers().set(HttpHeaderNames.CACHE_CONTROL, HttpHeaderValues.NO_CACHE)
+        return response
+    }
+
+    /** A whole answer. */
+    fun whole(head: AnswerHead, body: ByteBuf): FullHttpResponse {
+        val status = HttpResponseStatus.valueOf(head.status)
+        val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body)
+        complete(response, head)
+        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes())
+        return response
+    }
+
+    /** An answer that tells of [refusal], with [text] as its body. */
+    fun refusal(refusal: Refusal, text: ByteArray): FullHttpResponse {
+        val status = HttpResponseStatus.valueOf(refusal.code.status)
+        val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.wrappedBuffer(text))
+        complete(response, null)
+        response.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON)
+        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, text.size)
+        refusal.retryAfter?.let { response.headers().set(HttpHeaderNames.RETRY_AFTER, wholeSeconds(it)) }
+        return response
+    }
+
+    private fun complete(response: HttpResponse, head: AnswerHead?) {
+        head?.headers?.forEach { response.headers().add(it.name, it.value) }
+        response.headers().set(REQUEST_ID, requestId)
+        if (!keepAlive) response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
+    }
+
+    private fun wholeSeconds(wait: Duration): Long =
+        ((wait.inWholeMilliseconds + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND).coerceAtLeast(1)
+}
--- a/node/src/main/kotlin/org/ragwortbank/node/link/PeerConnection.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/link/PeerConnection.kt
@@ -4,7 +4,6 @@
 import io.ktor.network.sockets.openReadChannel
 import io.ktor.network.sockets.openWriteChannel
 import io.ktor.utils.io.ByteWriteChannel
-import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.channels.ReceiveChannel
 import kotlinx.coroutines.coroutineScope
--- a/node/src/main/kotlin/org/ragwortbank/node/metrics/NodeMetrics.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/metrics/NodeMetrics.kt
@@ -17,12 +17,13 @@
         .name("ragwortbank_tick_seconds")
         .help("Time taken by a tick with its effects")
         .classicOnly()
-        .classicUpperBounds(*TICK_BOUNDS)
+        .classicExponentialUpperBounds(TICK_FIRST_BOUND, TICK_BOUND_FACTOR, TICK_BOUND_COUNT)
         .register(registry)
 
     private val inputs = counter("ragwortbank_tick_inputs_total", "Inputs handled by ticks")
 
-    private val refusals = counter("ragwortbank_refusals_total", "Requests that got no complete answer", "code", "execution")
+    private val refusals =
+        counter("ragwortbank_refusals_total", "Requests without a complete answer", "code", "execution")
 
     private val answers = counter("ragwortbank_answers_total", "Requests that got a complete answer")
 
@@ -64,11 +65,14 @@
         return out.toString(Charsets.UTF_8)
     }
 
+    @Suppress("SpreadOperator")
     private fun counter(name: String, help: String, vararg labels: String): Counter =
         Counter.builder().name(name).help(help).labelNames(*labels).register(registry)
 
     private companion object {
         const val NANOS_PER_SECOND = 1e9
-        val TICK_BOUNDS = doubleArrayOf(0.00001, 0.00003, 0.0001, 0.0003, 0.001, 0.003, 0.01, 0.03, 0.1, 1.0)
+        const val TICK_FIRST_BOUND = 0.00001
+        const val TICK_BOUND_FACTOR = 3.0
+        const val TICK_BOUND_COUNT = 10
     }
 }
--- a/node/src/main/kotlin/org/ragwortbank/node/settings/HttpSettings.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/settings/HttpSettings.kt
@@ -3,6 +3,10 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
+private const val DEFAULT_BODY_BYTES = 4 * 1_024 * 1_024
+private const val DEFAULT_HEADER_BYTES = 16 * 1_024
+private const val DEFAULT_UNSENT_BYTES = 8L * 1_024 * 1_024
+
 /**
  * Bounds of the HTTP front end.
  *
@@ -15,11 +19,11 @@
  * @property defaultMaxTokens output bound of requests that give none
  */
 data class HttpSettings(
-    val maxBodyBytes: Int = 4 * 1024 * 1024,
-    val maxHeaderBytes: Int = 16 * 1024,
+    val maxBodyBytes: Int = DEFAULT_BODY_BYTES,
+    val maxHeaderBytes: Int = DEFAULT_HEADER_BYTES,
     val receiveTimeout: Duration = 10.seconds,
     val idleTimeout: Duration = 60.seconds,
     val maxConnections: Int = 10_000,
-    val maxUnsentBytes: Long = 8L * 1024 * 1024,
+    val maxUnsentBytes: Long = DEFAULT_UNSENT_BYTES,
     val defaultMaxTokens: Long = 256,
 )
--- a/node/src/main/kotlin/org/ragwortbank/node/settings/PlatformSettings.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/settings/PlatformSettings.kt
@@ -5,6 +5,9 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
+private const val DEFAULT_KEY_VALUE_PORT = 2_379
+private const val DEFAULT_INSTANCES_PORT = 8_500
+
 /**
  * How the platform's services are reached.
  *
@@ -17,8 +20,8 @@
  * @property configInterval time between two reads of the operators' tables, besides the watch
  */
 data class PlatformSettings(
-    val keyValueAddress: Address = Address("127.0.0.1", 2379),
-    val instancesAddress: Address = Address("127.0.0.1", 8500),
+    val keyValueAddress: Address = Address("127.0.0.1", DEFAULT_KEY_VALUE_PORT),
+    val instancesAddress: Address = Address("127.0.0.1", DEFAULT_INSTANCES_PORT),
     val callTimeout: Duration = 1.seconds,
     val connectTimeout: Duration = 500.milliseconds,
     val instancesInterval: Duration = 500.milliseconds,
--- a/node/src/main/kotlin/org/ragwortbank/node/sidecar/RunRegistry.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/sidecar/RunRegistry.kt
@@ -5,18 +5,28 @@
 import org.ragwortbank.core.message.RunId
 import java.util.concurrent.atomic.AtomicReference
 
-/** Handles by which runs at the upstream can be broken off. */
+/** Handles by which runs at the upstream can be broken off; a run may end before its handle is known. */
 internal class RunRegistry {
-    private val handles = AtomicReference<PersistentMap<RunId, AutoCloseable>>(persistentMapOf())
+    private val handles = AtomicReference<PersistentMap<RunId, Handle>>(persistentMapOf())
 
-    /** Adds the handle of [id]. */
-    fun add(id: RunId, handle: AutoCloseable) {
+    /** Begins the run [id] by [begin] and keeps its handle until the run ends. */
+    fun start(id: RunId, begin: () -> AutoCloseable) {
+        val handle = Handle()
         handles.updateAndGet { it.put(id, handle) }
+        handle.closeable.set(begin())
     }
 
-    /** Removes the handle of [id] and returns it. */
-    fun remove(id: RunId): AutoCloseable? = handles.getAndUpdate { it.remove(id) }[id]
+    /** Breaks the run [id] off, if it has not ended. */
+    fun cancel(id: RunId) {
+        handles.get()[id]?.closeable?.get()?.close()
+    }
+
+    /** Forgets the run [id]. */
+    fun end(id: RunId) {
+        handles.updateAndGet { it.remove(id) }
+    }
 
-    /** The handle of [id]. */
-    fun find(id: RunId): AutoCloseable? = handles.get()[id]
+    private class Handle {
+        val closeable = AtomicReference<AutoCloseable?>(null)
+    }
 }
--- a/node/src/main/kotlin/org/ragwortbank/node/sidecar/SidecarNode.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/sidecar/SidecarNode.kt
@@ -10,7 +10,6 @@
 import org.ragwortbank.core.message.SidecarCommand
 import org.ragwortbank.core.model.AnswerHead
 import org.ragwortbank.core.model.InstanceName
-import org.ragwortbank.core.model.UpstreamKind
 import org.ragwortbank.core.model.Usage
 import org.ragwortbank.core.sidecar.AdapterState
 import org.ragwortbank.core.sidecar.LinkId
@@ -36,17 +35,14 @@
 import org.ragwortbank.node.wire.toCommand
 import org.ragwortbank.node.wire.toWire
 import org.ragwortbank.platform.fencing.FencingStore
-import org.ragwortbank.platform.upstream.EngineClient
 import org.ragwortbank.platform.upstream.RunListener
-import org.ragwortbank.platform.upstream.ServiceClient
-import org.ragwortbank.platform.upstream.UpstreamClient
 import java.util.concurrent.atomic.AtomicReference
 import kotlin.time.Duration.Companion.milliseconds
 
 /** A sidecar process: entries on one side, one upstream on the other. */
 class SidecarNode(private val settings: SidecarNodeSettings) {
     private val runtime = NodeRuntime(settings.name, settings.platform)
-    private val upstream = upstreamClient()
+    private val upstream = upstreamClient(settings, runtime.client)
     private val runs = RunRegistry()
     private val links = AtomicReference<PersistentMap<LinkId, PeerConnection>>(persistentMapOf())
     private val tables = SidecarTables(InstanceName(settings.name), settings.sidecar)
@@ -67,18 +63,6 @@
     /** Waits until the process has stopped. */
     fun awaitEnd() = runtime.awaitEnd()
 
-    private fun upstreamClient(): UpstreamClient {
-        val timeout = settings.platform.callTimeout
-        val address = settings.upstreamAddress
-        return when (settings.sidecar.kind) {
-            UpstreamKind.SERVICE -> ServiceClient(runtime.client, address, timeout)
-            UpstreamKind.ENGINE -> {
-                val loadTimeout = settings.sidecar.loadTimeout
-                EngineClient(runtime.client, address, settings.weightPrefix, loadTimeout, timeout)
-            }
-        }
-    }
-
     private fun takeFencing() = runtime.scope.launch {
         val store = FencingStore(runtime.store)
         var number: Long? = null
@@ -94,7 +78,7 @@
         when (effect) {
             is SidecarEffect.Report -> links.get()[effect.link]?.send(effect.report.toWire())
             is SidecarEffect.StartRun -> startRun(effect.command)
-            is SidecarEffect.CancelRun -> runs.find(effect.run)?.close()
+            is SidecarEffect.CancelRun -> runs.cancel(effect.run)
             is SidecarEffect.Load -> load(effect)
             is SidecarEffect.Unload -> unload(effect)
             SidecarEffect.Probe -> probe()
@@ -104,7 +88,7 @@
     }
 
     private fun startRun(command: SidecarCommand.Dispatch) =
-        runs.add(command.run, upstream.run(command, Listener(command.run)))
+        runs.start(command.run) { upstream.run(command, Listener(command.run)) }
 
     private fun load(effect: SidecarEffect.Load) = runtime.scope.launch {
         loop.post(SidecarInput.LoadEnded(effect.adapter, upstream.load(effect.adapter, effect.fencing)))
@@ -131,12 +115,12 @@
             loop.post(SidecarInput.RunContinued(run, tokens, data))
 
         override fun completed(usage: Usage?) {
-            runs.remove(run)
+            runs.end(run)
             loop.post(SidecarInput.RunCompleted(run, usage))
         }
 
         override fun broke(failure: RunFailure) {
-            runs.remove(run)
+            runs.end(run)
             loop.post(SidecarInput.RunBroke(run, failure))
         }
     }
--- a/node/src/main/kotlin/org/ragwortbank/node/wire/SidecarCodec.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/wire/SidecarCodec.kt
@@ -1,18 +1,11 @@
 package org.ragwortbank.node.wire
 
-import kotlinx.collections.immutable.toPersistentList
 import kotlinx.collections.immutable.toPersistentSet
 import kotlinx.io.bytestring.ByteString
-import org.ragwortbank.core.message.RunId
 import org.ragwortbank.core.message.SidecarCommand
 import org.ragwortbank.core.message.SidecarReport
 import org.ragwortbank.core.model.AccountId
-import org.ragwortbank.core.model.AdapterRef
 import org.ragwortbank.core.model.AnswerHead
-import org.ragwortbank.core.model.GenerateApi
-import org.ragwortbank.core.model.Header
-import org.ragwortbank.core.model.Incarnation
-import org.ragwortbank.core.model.RequestId
 import org.ragwortbank.core.model.RouteName
 import org.ragwortbank.core.model.Usage
 import org.ragwortbank.core.model.Work
@@ -93,42 +86,3 @@
     val execution = Execution.entries.firstOrNull { it.name == execution } ?: Execution.UNKNOWN
     return SidecarReport.Failed(run.toRunId(), Refusal(known, execution, detail, retryAfterMs?.milliseconds))
 }
-
-private fun RunId.toWire(): WireRun = WireRun(request.incarnation.value, request.sequence, attempt)
-
-private fun WireRun.toRunId(): RunId = RunId(RequestId(Incarnation(incarnation), sequence), attempt)
-
-private fun AdapterRef.toWire(): WireAdapter = WireAdapter(adapter, version)
-
-private fun WireAdapter.toAdapter(): AdapterRef = AdapterRef(name, version)
-
-private fun Header.toWire(): WireHeader = WireHeader(name, value)
-
-private fun List<WireHeader>.toHeaders() = map { Header(it.name, it.value) }.toPersistentList()
-
-private fun Usage.toWire(): WireUsage = WireUsage(promptTokens, outputTokens)
-
-private fun Work.Generate.toWire(): WireGenerate =
-    WireGenerate(
-        chat = api == GenerateApi.CHAT,
-        stream = stream,
-        promptTokens = promptTokens,
-        maxTokens = maxTokens,
-        usageWanted = usageWanted,
-        body = body.toByteArray(),
-    )
-
-private fun WireGenerate.toWork(): Work =
-    Work.Generate(
-        api = if (chat) GenerateApi.CHAT else GenerateApi.COMPLETIONS,
-        stream = stream,
-        promptTokens = promptTokens,
-        maxTokens = maxTokens,
-        usageWanted = usageWanted,
-        body = ByteString(body),
-    )
-
-private fun Work.Plain.toWire(): WirePlain =
-    WirePlain(method, path, headers.map { it.toWire() }, body.toByteArray())
-
-private fun WirePlain.toWork(): Work = Work.Plain(method, path, headers.toHeaders(), ByteString(body))
--- a/standins/src/main/kotlin/org/ragwortbank/standins/StandIns.kt
+++ b/standins/src/main/kotlin/org/ragwortbank/standins/StandIns.kt
@@ -70,4 +70,5 @@
 }
 
 /** Runs the stand-in that the arguments name. */
+@Suppress("SpreadOperator")
 fun main(args: Array<String>): Unit = exitProcess(CommandLine(StandIns()).execute(*args))
--- /dev/null
+++ b/standins/src/main/kotlin/org/ragwortbank/standins/demo/DemoCases.kt
@@ -0,0 +1,71 @@
+package org.ragwortbank.standins.demo
+
+import org.ragwortbank.core.model.Header
+import org.ragwortbank.platform.http.Address
+import org.ragwortbank.platform.http.HttpReply
+import org.ragwortbank.standins.fleet.Caller
+
+/** The cases of the demo; [withdraw] withdraws a key and returns when that is in force. */
+internal class DemoCases(
+    private val entries: List<Address>,
+    private val keys: DemoKeys,
+    private val withdraw: (String) -> Unit,
+) {
+    fun all(): List<DemoCase> = answers() + services() + refusals()
+
+    private fun answers(): List<DemoCase> = listOf(
+        DemoCase("chat, whole, adapter loaded on demand", OK, text = "ski-advice@3:23") {
+            chat(entries[0], keys.large, "ski-advice", stream = false)
+        },
+        DemoCase("chat, streamed, through the other entry", OK, text = "data: [DONE]") {
+            chat(entries[1], keys.large, "ski-advice", stream = true)
+        },
+        DemoCase("completion, another adapter", OK, text = "roster-summary@1:23") {
+            val body = """{"model":"roster-summary","prompt":"the week's lessons","max_tokens":64}"""
+            Caller.post(entries[0], "/v1/completions", keys.large, body)
+        },
+        DemoCase("models that the small club may reach", OK, text = "\"data\":[{\"id\":\"ski-advice\"}]") {
+            Caller.get(entries[1], "/v1/models", keys.small)
+        },
+    )
+
+    private fun services(): List<DemoCase> = listOf(
+        DemoCase("plain service call", OK, text = "/lessons?day=1") {
+            Caller.get(entries[0], "/services/bookings/lessons?day=1", keys.large)
+        },
+        DemoCase("booking that must run only once", OK, text = "/lessons") { book(entries[0]) },
+        DemoCase("the same booking again, through the other entry", CONFLICT, code = 4005) { book(entries[1]) },
+    )
+
+    private fun refusals(): List<DemoCase> = listOf(
+        DemoCase("no key", UNAUTHORIZED, code = 1002, text = "not run") { chat(entries[0], null, "ski-advice") },
+        DemoCase("withdrawn key", UNAUTHORIZED, code = 1003, text = "not run") {
+            withdraw(keys.withdrawn)
+            chat(entries[0], keys.withdrawn, "ski-advice")
+        },
+        DemoCase("unknown route", NOT_FOUND, code = 1004) { chat(entries[0], keys.large, "no-such-route") },
+        DemoCase("route of another account", FORBIDDEN, code = 1005) { chat(entries[0], keys.small, "roster-summary") },
+        DemoCase("account over its rate", TOO_MANY, code = 2001, text = "not run") {
+            repeat(2) { chat(entries[it], keys.small, "ski-advice") }
+            chat(entries[0], keys.small, "ski-advice")
+        },
+    )
+
+    private fun chat(entry: Address, key: String?, model: String, stream: Boolean = false): HttpReply {
+        val message = """{"role":"user","content":"a lesson?"}"""
+        val body = """{"model":"$model","messages":[$message],"max_tokens":64,"stream":$stream}"""
+        return Caller.post(entry, "/v1/chat/completions", key, body)
+    }
+
+    private fun book(entry: Address): HttpReply =
+        Caller.post(entry, "/services/bookings/lessons", keys.large, "{}", Header("Idempotency-Key", "demo-booking"))
+
+    private companion object {
+        const val OK = 200
+        const val UNAUTHORIZED = 401
+        const val FORBIDDEN = 403
+        const val NOT_FOUND = 404
+        const val CONFLICT = 409
+        const val TOO_MANY = 429
+    }
+}
--- /dev/null
+++ b/standins/src/main/kotlin/org/ragwortbank/standins/demo/DemoTable.kt
@@ -0,0 +1,10 @@
+package org.ragwortbank.standins.demo
+
+/** Prints one line per result. */
+internal fun List<DemoResult>.printTable() {
+    println("%-52s %-7s %-5s %s".format("request", "status", "code", "as expected"))
+    forEach { result ->
+        val verdict = if (result.good) "yes" else "NO"
+        println("%-52s %-7d %-5s %s".format(result.name, result.status, result.code, verdict))
+    }
+}
--- a/standins/src/main/kotlin/org/ragwortbank/standins/engine/EngineState.kt
+++ b/standins/src/main/kotlin/org/ragwortbank/standins/engine/EngineState.kt
@@ -16,6 +16,16 @@
     val seen: PersistentList<SeenRun> = persistentListOf(),
     val evictedWhileRunning: Int = 0,
 ) {
+    /** The state with [name] in one of [slots], if one is free. */
+    fun hold(name: String, slots: Int): EngineState =
+        if (loaded.size < slots) copy(loaded = loaded.add(name)) else this
+
+    /** The state without [name]. */
+    fun drop(name: String): EngineState {
+        val busy = if ((running[name] ?: 0) > 0) 1 else 0
+        return copy(loaded = loaded.remove(name), evictedWhileRunning = evictedWhileRunning + busy)
+    }
+
     /** The state with one more or one less run on [name]. */
     fun count(name: String, change: Int): EngineState =
         copy(running = running.put(name, (running[name] ?: 0) + change))
--- a/standins/src/main/kotlin/org/ragwortbank/standins/fleet/Fleet.kt
+++ b/standins/src/main/kotlin/org/ragwortbank/standins/fleet/Fleet.kt
@@ -13,11 +13,9 @@
 import kotlin.time.Duration.Companion.seconds
 
 /** Stand-ins, sidecars and entries as separate processes on the loopback interface. */
-class Fleet(private val launcher: Launcher, private val plan: FleetPlan) {
+class Fleet(launcher: Launcher, plan: FleetPlan) {
     private val platform = startAll(
-        Start("kv") { launcher.standIn("kv", "kv") },
-        Start("instances") { launcher.standIn("instances", "instances") },
-        Start("weights") { launcher.standIn("weights", "weights") },
+        listOf("kv", "instances", "weights").map { name -> Start { launcher.standIn(name, listOf(name)) } },
     )
 
     /** The key-value service. */
@@ -29,14 +27,16 @@
     /** The weight store. */
     val weights: Child = platform[2]
 
+    private val starts = FleetStarts(launcher, plan, kv, instances, weights)
+
     /** The upstreams: engines, then plain services. */
-    val upstreams: List<Child> = startAll(*(engineStarts() + serviceStarts()).toTypedArray())
+    val upstreams: List<Child> = startAll(starts.upstreams())
 
     /** The sidecars, in the order of [upstreams]. */
-    val sidecars: List<Child> = startAll(*upstreams.map(::sidecarStart).toTypedArray())
+    val sidecars: List<Child> = startAll(upstreams.map(starts::sidecar))
 
     /** The entries. */
-    val entries: List<Child> = startAll(*(1..plan.entries).map { entryStart("entry-$it") }.toTypedArray())
+    val entries: List<Child> = startAll((1..plan.entries).map { starts.entry("entry-$it") })
 
     /** Where the key-value service is reached. */
     val kvAddress: Address get() = kv.address("address")
@@ -53,11 +53,11 @@
     }
 
     /** Starts one more entry, which is not yet on the instance list. */
-    fun startEntry(name: String): Child = entryStart(name).action()
+    fun startEntry(name: String): Child = starts.entry(name).action()
 
     /** Starts another sidecar for the upstream of [sidecar]. */
     fun startSidecar(sidecar: Child): Child =
-        sidecarStart(upstreams[sidecars.indexOf(sidecar)]).action()
+        starts.sidecar(upstreams[sidecars.indexOf(sidecar)]).action()
 
     /** Puts [child] on the instance list. */
     fun list(child: Child, role: String, state: String = "live") {
@@ -94,56 +94,10 @@
         return living.filter { it.awaitExit(STOP_TIMEOUT) != 0 }
     }
 
-    private fun engineStarts(): List<Start> = (1..plan.engines).map { number ->
-        val name = "engine-$number"
-        Start(name) {
-            launcher.standIn(
-                name, "engine",
-                "--slots", plan.slots.toString(),
-                "--token-ms", plan.tokenMillis.toString(),
-                "--answer-tokens", plan.answerTokens.toString(),
-            )
-        }
-    }
-
-    private fun serviceStarts(): List<Start> =
-        (1..plan.services).map { number -> Start("booking-$number") { launcher.standIn("booking-$number", "service") } }
-
-    private fun sidecarStart(upstream: Child): Start {
-        val kind = if (upstream.name.startsWith("engine")) "engine" else "service"
-        val text = """
-            name = "${upstream.name}"
-            upstream_address = "${upstream.address("address")}"
-            weight_prefix = "http://${weights.address("address")}/adapters/"
-            ${platformSettings()}
-            [sidecar]
-            kind = "$kind"
-            slots = ${plan.slots}
-            ${plan.sidecarSettings}
-        """.trimIndent()
-        val path = launcher.write("sidecar-${upstream.name}.toml", text)
-        return Start(upstream.name) { launcher.product(upstream.name, "sidecar", "--config", path.toString()) }
-    }
-
-    private fun entryStart(name: String): Start {
-        val text = """
-            name = "$name"
-            ${platformSettings()}
-            ${plan.entrySettings}
-        """.trimIndent()
-        val path = launcher.write("$name.toml", text)
-        return Start(name) { launcher.product(name, "entry", "--config", path.toString()) }
-    }
-
-    private fun platformSettings(): String =
-        "[platform]\nkey_value_address = \"$kvAddress\"\ninstances_address = \"$instancesAddress\""
-
-    private fun startAll(vararg starts: Start): PersistentList<Child> = runBlocking(Dispatchers.IO) {
+    private fun startAll(starts: List<Start>): PersistentList<Child> = runBlocking(Dispatchers.IO) {
         persistentListOf<Child>().addAll(starts.map { async { it.action() } }.awaitAll())
     }
 
-    private class Start(val name: String, val action: () -> Child)
-
     private companion object {
         val STOP_TIMEOUT = 30.seconds
     }
--- a/standins/src/main/kotlin/org/ragwortbank/standins/fleet/Launcher.kt
+++ b/standins/src/main/kotlin/org/ragwortbank/standins/fleet/Launcher.kt
@@ -22,17 +22,17 @@
     }
 
     /** Starts a process of the product and waits until it is ready. */
-    fun product(name: String, vararg arguments: String): Child =
+    fun product(name: String, arguments: List<String>): Child =
         start(name, listOf("-jar", productJar.toString()) + arguments)
 
     /** Starts a stand-in and waits until it is ready. */
-    fun standIn(name: String, vararg arguments: String): Child {
+    fun standIn(name: String, arguments: List<String>): Child {
         val classPath = standInsJar.toString() + File.pathSeparator + productJar
         return start(name, listOf("-cp", classPath, STAND_INS_MAIN) + arguments)
     }
 
     /** Runs a command of the product to its end. */
-    fun command(vararg arguments: String): CommandResult {
+    fun command(arguments: List<String>): CommandResult {
         val process = ProcessBuilder(java() + listOf("-jar", productJar.toString()) + arguments)
             .redirectError(ProcessBuilder.Redirect.appendTo(log("commands")))
             .start()
@@ -61,7 +61,8 @@
 
     private fun log(name: String): File = directory.resolve("$name.log").toFile()
 
-    private fun java(): List<String> = listOf(javaBinary, "-Xms16m", "-Xmx96m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1")
+    private fun java(): List<String> =
+        listOf(javaBinary, "-Xms16m", "-Xmx96m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1")
 
     private companion object {
         const val STAND_INS_MAIN = "org.ragwortbank.standins.StandInsKt"
--- a/standins/src/main/kotlin/org/ragwortbank/standins/instances/InstancesStandIn.kt
+++ b/standins/src/main/kotlin/org/ragwortbank/standins/instances/InstancesStandIn.kt
@@ -23,12 +23,14 @@
     private fun handle(request: StandInRequest, responder: Responder) {
         val name = request.path.removePrefix("/instances").removePrefix("/")
         when (request.method) {
-            "PUT" -> change(responder) { it.put(name, Json.decodeFromString(InstanceDocument.serializer(), request.body)) }
+            "PUT" -> change(responder) { it.put(name, decode(request.body)) }
             "DELETE" -> change(responder) { it.remove(name) }
             else -> show(request, responder)
         }
     }
 
+    private fun decode(text: String): InstanceDocument = Json.decodeFromString(InstanceDocument.serializer(), text)
+
     private fun change(
         responder: Responder,
         edit: (PersistentMap<String, InstanceDocument>) -> PersistentMap<String, InstanceDocument>,
--- a/standins/src/main/kotlin/org/ragwortbank/standins/kv/KvStandIn.kt
+++ b/standins/src/main/kotlin/org/ragwortbank/standins/kv/KvStandIn.kt
@@ -50,9 +50,11 @@
         val outcome = perform(txn)
         tell(outcome.changed)
         val lost = fault.get() == KvFault.LOSE_ANSWERS && outcome.changed.isNotEmpty()
-        if (lost) responder.drop() else responder.send(OK, json.encodeToString(TxnResponse.serializer(), outcome.response))
+        if (lost) responder.drop() else responder.send(OK, encode(outcome.response))
     }
 
+    private fun encode(response: TxnResponse): String = json.encodeToString(TxnResponse.serializer(), response)
+
     @Synchronized
     private fun perform(txn: TxnRequest): KvOutcome {
         val outcome = data.get().apply(txn)
