Let requests ask again after a question to a home was not answered

Cause: after an entry was killed, the other one took its buckets over in 5.1 s (absent_after is 5 s) but went on refusing with 2003: the first question, asked before the takeover, stayed open for ever, because a grant that came too late was given back without closing the question. Ruled out: the takeover itself (the log shows the bucket owned) and the link (the home was the asker itself).

--- a/core/src/main/kotlin/org/ragwortbank/core/entry/CreditGrantSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/entry/CreditGrantSystem.kt
@@ -41,7 +41,8 @@
         val ask = step.tables.credits[grant.account]?.ask?.takeIf { it.number == grant.ask }
         val fresh = ask != null && now - ask.sentAt <= step.tables.settings.creditTimeout
         return when {
-            ask == null || !fresh -> giveBack(step, from, grant.account, grant.granted)
+            ask == null -> giveBack(step, from, grant.account, grant.granted)
+            !fresh -> giveBack(step.waitAgain(grant.account), from, grant.account, grant.granted)
             else -> spend(step.closeAsk(grant.account), from, grant, ask.requests)
         }
     }
--- a/core/src/main/kotlin/org/ragwortbank/core/entry/HandoverSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/entry/HandoverSystem.kt
@@ -99,7 +99,7 @@
 
     private fun grantQueued(step: EntryStep, queued: QueuedAsk, account: Account, now: Timestamp): EntryStep =
         when (val row = step.tables.homes[account.id]) {
-            is HomeRow.Owned -> grant(step, queued, row, account, now)
+            is HomeRow.Owned -> if (queued.isStale(step.tables, now)) step else grant(step, queued, row, account, now)
             else -> step.notHome(queued)
         }
 }
--- a/core/src/main/kotlin/org/ragwortbank/core/entry/HomeSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/entry/HomeSystem.kt
@@ -35,7 +35,7 @@
 
     private fun handle(step: EntryStep, input: EntryInput.EntrySaid, now: Timestamp): EntryStep =
         when (val message = input.message) {
-            is EntryMessage.CreditAsk -> asked(step, QueuedAsk(input.from, message), now)
+            is EntryMessage.CreditAsk -> asked(step, QueuedAsk(input.from, message, now), now)
             is EntryMessage.CreditSettle -> settled(step, message, now)
             else -> step
         }
--- a/core/src/main/kotlin/org/ragwortbank/core/entry/SweepSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/entry/SweepSystem.kt
@@ -19,12 +19,19 @@
 
     private fun sweep(step: EntryStep, now: Timestamp): EntryStep {
         val swept = step.tables.requests.values.fold(step) { s, request -> check(s, request, now) }
-        return swept.askMissingMembers().update { tables ->
+        return forgetOldAsks(swept, now).askMissingMembers().update { tables ->
             val waiting = tables.credits.filterValues { it.ask == null }.keys
             tables.copy(sweptAt = now, askable = tables.askable + waiting)
         }
     }
 
+    /** A question without an answer must not keep later requests from asking. */
+    private fun forgetOldAsks(step: EntryStep, now: Timestamp): EntryStep =
+        step.tables.credits
+            .filterValues { row -> row.ask != null && now - row.ask.sentAt > step.tables.settings.creditTimeout }
+            .keys
+            .fold(step) { s, account -> s.waitAgain(account) }
+
     private fun check(step: EntryStep, request: Request, now: Timestamp): EntryStep {
         val settings = step.tables.settings
         val age = now - request.receivedAt
--- a/core/src/test/kotlin/org/ragwortbank/core/entry/EntryFixture.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/entry/EntryFixture.kt
@@ -68,6 +68,18 @@
         tick(listed, *inputs)
     }
 
+    /** Lets [duration] pass without any word from the platform. */
+    fun pause(duration: Duration) {
+        now += duration
+        tick()
+    }
+
+    /** Makes another entry the home of all accounts; it never answers. */
+    fun ownNothing() {
+        val silent = LimitMember(InstanceName("entry-2"), Incarnation("entry-2.a"))
+        tick(EntryInput.EpochRead(LimitEpoch(2, silent, persistentListOf(silent)), now))
+    }
+
     fun tick(vararg inputs: EntryInput) {
         effects = emptyList()
         run(inputs.toList())
--- a/standins/src/main/kotlin/org/ragwortbank/standins/fleet/FleetPlan.kt
+++ b/standins/src/main/kotlin/org/ragwortbank/standins/fleet/FleetPlan.kt
@@ -3,6 +3,7 @@
 /**
  * What a fleet consists of.
  *
+ * @property serviceMillis time that a plain service takes for an answer
  * @property entrySettings TOML text added to each entry's settings
  * @property sidecarSettings TOML text added to each sidecar's `sidecar` table
  */
@@ -13,6 +14,7 @@
     val slots: Int = 4,
     val tokenMillis: Int = 5,
     val answerTokens: Int = 24,
+    val serviceMillis: Int = 5,
     val entrySettings: String = "",
     val sidecarSettings: String = "",
 )
--- a/standins/src/main/kotlin/org/ragwortbank/standins/fleet/FleetStarts.kt
+++ b/standins/src/main/kotlin/org/ragwortbank/standins/fleet/FleetStarts.kt
@@ -53,8 +53,9 @@
         Start { launcher.standIn("engine-$number", listOf("engine") + options) }
     }
 
-    private fun services(): List<Start> =
-        (1..plan.services).map { number -> Start { launcher.standIn("booking-$number", listOf("service")) } }
+    private fun services(): List<Start> = (1..plan.services).map { number ->
+        Start { launcher.standIn("booking-$number", listOf("service", "--answer-ms=${plan.serviceMillis}")) }
+    }
 
     private fun platformSettings(): String =
         "[platform]\nkey_value_address = \"${address(kv)}\"\ninstances_address = \"${address(instances)}\""
--- /dev/null
+++ b/standins/src/test/kotlin/org/ragwortbank/standins/fleet/BadInputTest.kt
@@ -0,0 +1,92 @@
+package org.ragwortbank.standins.fleet
+
+import org.junit.jupiter.api.AfterAll
+import org.ragwortbank.platform.http.Address
+import java.net.Socket
+import kotlin.test.Test
+import kotlin.test.assertContains
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+class BadInputTest {
+    private val entry = fleet.fleet.httpAddresses[0]
+
+    private fun post(body: String): String = TestFleet.text(Caller.post(entry, "/v1/chat/completions", fleet.key, body))
+
+    /** Sends [text] as it is and reads until the other side closes. */
+    private fun raw(address: Address, text: String): String =
+        Socket(address.host, address.port).use { socket ->
+            socket.soTimeout = 20_000
+            socket.getOutputStream().write(text.encodeToByteArray())
+            socket.getOutputStream().flush()
+            socket.getInputStream().readAllBytes().decodeToString()
+        }
+
+    private fun assertStillServes() = assertTrue(fleet.serves(fleet.fleet.entries[0]))
+
+    @Test
+    fun `given malformed JSON, then the error tells what was expected and that nothing ran`() {
+        val text = post("{\"model\":")
+        assertContains(text, "\"code\":1001")
+        assertContains(text, "not run")
+        assertContains(text, "expected an object")
+    }
+
+    @Test
+    fun `given wrong fields, then the error names the field, what was found and what was expected`() {
+        assertContains(post("""{"model":"ski-advice","messages":[]}"""), "messages: found [], expected a list")
+        assertContains(post("""{"model":"ski-advice","messages":[{"content":"x"}],"n":3}"""), "n: found 3, expected 1")
+    }
+
+    @Test
+    fun `given a body above the bound, then it is refused before it is read in full`() {
+        assertContains(post("x".repeat(20_000)), "\"code\":1006")
+        assertStillServes()
+    }
+
+    @Test
+    fun `given headers above the bound, then they are refused`() {
+        val text = raw(entry, "GET /v1/models HTTP/1.1\r\nHost: x\r\nX-Long: ${"y".repeat(20_000)}\r\n\r\n")
+        assertContains(text, "\"code\":1007")
+        assertStillServes()
+    }
+
+    @Test
+    fun `given bytes that are no HTTP, then they are answered with an error and the connection is closed`() {
+        assertContains(raw(entry, "\u0001\u0002garbage\r\n\r\n"), "\"code\":1001")
+        assertStillServes()
+    }
+
+    @Test
+    fun `given a sender that stops half-way, then the connection is closed after the configured time`() {
+        val text = raw(entry, "POST /v1/completions HTTP/1.1\r\nHost: x\r\nContent-Length: 50\r\n\r\n{\"model\"")
+        assertContains(text, "\"code\":1008")
+        assertStillServes()
+    }
+
+    @Test
+    fun `given strangers on the ports for other processes, then they are disconnected and counted`() {
+        val ports = listOf(fleet.fleet.entries[0], fleet.sidecar("engine-1")).map { it.address("peer") }
+        ports.forEach { assertEquals("", raw(it, "\u0000\u0000\u0000\u0004junk")) }
+        ports.forEach { assertEquals("", raw(it, "\u007f\u007f\u007f\u007f")) }
+        val metrics = TestFleet.text(Caller.get(fleet.fleet.entries[0].address("admin"), "/metrics"))
+        assertContains(metrics, "ragwortbank_bad_input_total{kind=\"stranger\"} 2")
+        assertStillServes()
+    }
+
+    @Test
+    fun `given two requests sent at once on one connection, then both are answered in order`() {
+        val request = "GET /v1/models HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer ${fleet.key}\r\n"
+        val text = raw(entry, "$request\r\n${request}Connection: close\r\n\r\n")
+        assertEquals(2, Regex("\"data\":\\[\\{\"id\":\"roster-summary\"").findAll(text).count())
+    }
+
+    private companion object {
+        const val SETTINGS = "[http]\nmax_body_bytes = 16384\nreceive_timeout = \"500ms\""
+        val fleet = TestFleet(FleetPlan(entries = 1, engines = 1, entrySettings = SETTINGS))
+
+        @AfterAll
+        @JvmStatic
+        fun stop() = fleet.close()
+    }
+}
