Limit granted tokens to 100 ms and measure refusals in virtual time

Cause: tokens count against the burst until the asker can no longer spend them, which was credit_timeout (500 ms). At 4,000 tokens/s that hid up to 2,000 of 8,000 tokens of burst, so refill was lost near the top. Change: grant_lifetime of 100 ms of its own; a grant that comes later goes back and the question is asked again until credit_timeout.

--- a/cli/src/main/kotlin/org/ragwortbank/cli/settings/EntryReader.kt
+++ b/cli/src/main/kotlin/org/ragwortbank/cli/settings/EntryReader.kt
@@ -66,6 +66,7 @@
     return EntrySettings(
         maxRequests = reader.int("max_requests", defaults.maxRequests, countRange),
         creditTimeout = reader.duration("credit_timeout", defaults.creditTimeout),
+        grantLifetime = reader.duration("grant_lifetime", defaults.grantLifetime),
         claimTimeout = reader.duration("claim_timeout", defaults.claimTimeout),
         startTimeout = reader.duration("start_timeout", defaults.startTimeout),
         requestTimeout = reader.duration("request_timeout", defaults.requestTimeout),
--- a/core/src/main/kotlin/org/ragwortbank/core/entry/CreditGrantSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/entry/CreditGrantSystem.kt
@@ -39,7 +39,7 @@
         now: Timestamp,
     ): EntryStep {
         val ask = step.tables.credits[grant.account]?.ask?.takeIf { it.number == grant.ask }
-        val fresh = ask != null && now - ask.sentAt <= step.tables.settings.creditTimeout
+        val fresh = ask != null && now - ask.sentAt <= step.tables.settings.grantLifetime
         return when {
             ask == null -> giveBack(step, from, grant.account, grant.granted)
             !fresh -> giveBack(step.waitAgain(grant.account), from, grant.account, grant.granted)
--- a/core/src/main/kotlin/org/ragwortbank/core/entry/EntrySettings.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/entry/EntrySettings.kt
@@ -9,6 +9,7 @@
  *
  * @property maxRequests requests held at once; more are refused
  * @property creditTimeout longest wait for the home of an account
+ * @property grantLifetime how long after the question granted tokens may be spent; later ones go back
  * @property claimTimeout longest wait for an idempotency key to be recorded
  * @property startTimeout longest wait for an upstream to begin its answer
  * @property requestTimeout longest time from arrival to the end of the answer
@@ -24,6 +25,7 @@
 data class EntrySettings(
     val maxRequests: Int = 4_000,
     val creditTimeout: Duration = 500.milliseconds,
+    val grantLifetime: Duration = 100.milliseconds,
     val claimTimeout: Duration = 2.seconds,
     val startTimeout: Duration = 20.seconds,
     val requestTimeout: Duration = 120.seconds,
--- a/core/src/main/kotlin/org/ragwortbank/core/entry/HomeSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/entry/HomeSystem.kt
@@ -71,7 +71,7 @@
 ): EntryStep {
     val filled = row.owned.refill(account, now)
     val fitting = fitting(filled.bucket, queued.ask.needs)
-    val issued = filled.issue(fitting.granted, now, step.tables.settings.creditTimeout)
+    val issued = filled.issue(fitting.granted, now, step.tables.settings.grantLifetime)
     val wait = fitting.firstRefused?.let { issued.bucket.timeUntil(it) }
     val answer = EntryMessage.CreditGrant(queued.ask.ask, account.id, fitting.granted, wait)
     return step
--- a/core/src/main/kotlin/org/ragwortbank/core/entry/QueuedAsk.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/entry/QueuedAsk.kt
@@ -11,5 +11,5 @@
     val at: Timestamp,
 ) {
     /** Whether the asker has given up and would send the tokens back. */
-    fun isStale(tables: EntryTables, now: Timestamp): Boolean = now - at > tables.settings.creditTimeout
+    fun isStale(tables: EntryTables, now: Timestamp): Boolean = now - at > tables.settings.grantLifetime
 }
--- a/core/src/main/kotlin/org/ragwortbank/core/entry/SweepSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/entry/SweepSystem.kt
@@ -28,7 +28,7 @@
     /** A question without an answer must not keep later requests from asking. */
     private fun forgetOldAsks(step: EntryStep, now: Timestamp): EntryStep =
         step.tables.credits
-            .filterValues { row -> row.ask != null && now - row.ask.sentAt > step.tables.settings.creditTimeout }
+            .filterValues { row -> row.ask != null && now - row.ask.sentAt > step.tables.settings.grantLifetime }
             .keys
             .fold(step) { s, account -> s.waitAgain(account) }
 
--- /dev/null
+++ b/experiments/src/main/kotlin/org/ragwortbank/experiments/LimitsCommand.kt
@@ -0,0 +1,88 @@
+package org.ragwortbank.experiments
+
+import org.ragwortbank.core.model.Account
+import org.ragwortbank.core.model.AccountId
+import org.ragwortbank.experiments.limits.LimitExperiment
+import org.ragwortbank.experiments.limits.LimitResult
+import org.ragwortbank.experiments.limits.LimitScenario
+import picocli.CommandLine.Command
+import picocli.CommandLine.Option
+import java.util.concurrent.Callable
+import java.util.stream.IntStream
+import kotlin.time.Duration.Companion.seconds
+
+/** Checks the limits under faults and compares refusals with other ways. */
+@Command(
+    name = "limits",
+    mixinStandardHelpOptions = true,
+    description = ["Checks the limits over a fleet of entries and counts refusals."],
+)
+class LimitsCommand : Callable<Int> {
+    @Option(names = ["--mode"], defaultValue = "FAULTY", description = ["HEALTHY, CRASHING or FAULTY."])
+    private var mode = LimitMode.FAULTY
+
+    @Option(names = ["--first"], defaultValue = "1", description = ["First seed."])
+    private var first = 1
+
+    @Option(names = ["--runs"], defaultValue = "20", description = ["Number of seeds."])
+    private var runs = 0
+
+    @Option(names = ["--entries"], defaultValue = "4", description = ["Entries at the beginning."])
+    private var entries = 0
+
+    @Option(names = ["--seconds"], defaultValue = "40", description = ["Virtual length of a run."])
+    private var seconds = 0
+
+    @Option(names = ["--faults"], defaultValue = "6", description = ["Faults in a run of mode FAULTY."])
+    private var faults = 0
+
+    @Option(names = ["--rate"], defaultValue = "4000", description = ["Tokens per second."])
+    private var rate = 0L
+
+    @Option(names = ["--burst"], defaultValue = "8000", description = ["Burst in tokens."])
+    private var burst = 0L
+
+    @Option(names = ["--skew"], defaultValue = "1.0", description = ["1 is an even balancer."])
+    private var skew = 1.0
+
+    override fun call(): Int {
+        val account = Account(AccountId("member"), rate, burst)
+        val scenario = LimitScenario(account, entries, skew = skew, length = seconds.seconds)
+        val experiment = LimitExperiment(scenario)
+        val results = IntStream.range(first, first + runs).parallel().mapToObj { run(experiment, it) }.toList()
+        report(results)
+        return if (results.all { it.held }) 0 else 1
+    }
+
+    private fun run(experiment: LimitExperiment, seed: Int): LimitResult =
+        when (mode) {
+            LimitMode.HEALTHY -> experiment.healthy(seed)
+            LimitMode.CRASHING -> experiment.crashing(seed)
+            LimitMode.FAULTY -> experiment.faulty(seed, faults)
+        }
+
+    private fun report(results: List<LimitResult>) {
+        val offered = results.sumOf { it.offered }
+        println("mode $mode, seeds $first to ${first + runs - 1}, $entries entries, $rate tokens/s, burst $burst")
+        println("bound held in ${results.count { it.held }} of ${results.size} runs")
+        results.filterNot { it.held }.forEach { println("  seed ${it.seed} broke the bound by ${-it.lowestLevel} tokens") }
+        println("requests offered          $offered")
+        println("refused, bucket empty     ${share(results.sumOf { it.refusedRate }, offered)}")
+        println("refused, other causes     ${share(results.sumOf { it.refusedHome }, offered)}")
+        println("refused by one bucket     ${share(results.sumOf { it.central }, offered)}")
+        println("refused by equal parts    ${share(results.sumOf { it.static }, offered)}")
+    }
+
+    private fun share(count: Int, of: Int): String = "%d (%.2f %%)".format(count, PERCENT * count / of)
+
+    private companion object {
+        const val PERCENT = 100.0
+    }
+}
+
+/** Which faults happen. */
+enum class LimitMode {
+    HEALTHY,
+    CRASHING,
+    FAULTY,
+}
--- /dev/null
+++ b/experiments/src/main/kotlin/org/ragwortbank/experiments/fleet/FleetEffects.kt
@@ -0,0 +1,73 @@
+package org.ragwortbank.experiments.fleet
+
+import kotlinx.collections.immutable.persistentListOf
+import org.ragwortbank.core.entry.EntryEffect
+import org.ragwortbank.core.entry.EntryInput
+import org.ragwortbank.core.message.SidecarCommand
+import org.ragwortbank.core.message.SidecarReport
+import org.ragwortbank.core.model.AnswerHead
+import org.ragwortbank.core.model.Usage
+import org.ragwortbank.core.model.Work
+
+/** Performs what processes decide, on the fake network and platform. */
+internal class FleetEffects(private val settings: FleetSettings) {
+    /** The tables after [process] has performed [effect]. */
+    fun perform(tables: FleetTables, process: FakeProcess, effect: EntryEffect): FleetTables =
+        when (effect) {
+            is EntryEffect.ToEntry -> send(tables, process, effect)
+            is EntryEffect.ToSidecar -> dispatch(tables, process, effect.command)
+            is EntryEffect.ProposeEpoch -> propose(tables, process, effect)
+            is EntryEffect.Refuse -> tables.record(FleetRecord.Refused(tables.now, effect.refusal.code))
+            EntryEffect.ReadEpoch -> readEpoch(tables, process)
+            EntryEffect.Stopped -> stopped(tables, process)
+            else -> tables
+        }
+
+    private fun send(tables: FleetTables, process: FakeProcess, effect: EntryEffect.ToEntry): FleetTables {
+        val own = effect.to == process.name
+        val known = process.tables.membership.instances[effect.to]?.peerAddress
+        val target = if (own) process.address else known
+        val parted = target == null || tables.partitions.any { it.parts(process.address, target, tables.now) }
+        val input = EntryInput.EntrySaid(process.name, effect.message)
+        return if (parted) tables else tables.plan(settings.latency, FleetEvent.Deliver(target.orEmpty(), input))
+    }
+
+    private fun dispatch(tables: FleetTables, process: FakeProcess, command: SidecarCommand): FleetTables {
+        val work = (command as? SidecarCommand.Dispatch)?.work as? Work.Generate ?: return tables
+        val reserved = work.promptTokens + work.maxTokens
+        val used = (reserved * settings.usedShare).toLong().coerceAtLeast(1)
+        val head = AnswerHead(OK, persistentListOf(), streamed = true)
+        val started = SidecarReport.Started(command.run, head)
+        val done = SidecarReport.Done(command.run, 0, Usage(1, used - 1))
+        return tables
+            .record(FleetRecord.Admitted(tables.now, reserved, process.address))
+            .plan(settings.latency, report(process, started))
+            .plan(settings.answerTime, report(process, done))
+    }
+
+    private fun report(process: FakeProcess, report: SidecarReport): FleetEvent =
+        FleetEvent.Deliver(process.address, EntryInput.SidecarSaid(FleetFixtures.upstream.name, report))
+
+    private fun propose(tables: FleetTables, process: FakeProcess, effect: EntryEffect.ProposeEpoch): FleetTables {
+        val platform = tables.platform
+        val wins = platform.storeWorks(tables.now) && platform.epoch == effect.expected
+        val next = if (wins) tables.copy(platform = platform.copy(epoch = effect.proposed)) else tables
+        return readEpoch(next, process)
+    }
+
+    private fun readEpoch(tables: FleetTables, process: FakeProcess): FleetTables {
+        val read = EntryInput.EpochRead(tables.platform.epoch, tables.now)
+        val answered = tables.platform.storeAnswers(tables.now)
+        val delivery = FleetEvent.Deliver(process.address, read)
+        return if (answered) tables.plan(settings.storeLatency, delivery) else tables
+    }
+
+    private fun stopped(tables: FleetTables, process: FakeProcess): FleetTables =
+        tables
+            .plan(settings.latency, FleetEvent.Crash(process.address))
+            .plan(settings.latency, FleetEvent.Unlisted(process.name))
+
+    private companion object {
+        const val OK = 200
+    }
+}
--- /dev/null
+++ b/experiments/src/main/kotlin/org/ragwortbank/experiments/fleet/FleetFixtures.kt
@@ -0,0 +1,82 @@
+package org.ragwortbank.experiments.fleet
+
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.persistentSetOf
+import kotlinx.io.bytestring.ByteString
+import org.ragwortbank.core.entry.EntryIdentity
+import org.ragwortbank.core.entry.EntryInput
+import org.ragwortbank.core.entry.EntrySettings
+import org.ragwortbank.core.entry.EntryTables
+import org.ragwortbank.core.limits.LimitMember
+import org.ragwortbank.core.message.SidecarReport
+import org.ragwortbank.core.model.Account
+import org.ragwortbank.core.model.AccountId
+import org.ragwortbank.core.model.AdapterRef
+import org.ragwortbank.core.model.Call
+import org.ragwortbank.core.model.Configuration
+import org.ragwortbank.core.model.FailureDomain
+import org.ragwortbank.core.model.GenerateApi
+import org.ragwortbank.core.model.Incarnation
+import org.ragwortbank.core.model.Instance
+import org.ragwortbank.core.model.InstanceName
+import org.ragwortbank.core.model.InstanceRole
+import org.ragwortbank.core.model.KeyHash
+import org.ragwortbank.core.model.RequestId
+import org.ragwortbank.core.model.RouteName
+import org.ragwortbank.core.model.UpstreamKind
+import org.ragwortbank.core.model.Work
+import org.ragwortbank.core.model.configuration
+import org.ragwortbank.core.tick.Timestamp
+
+/** What every run of the fake fleet has: one account, one route, one upstream that takes all work. */
+internal object FleetFixtures {
+    private val account = AccountId("member")
+    private val key = KeyHash("aa")
+    private val adapter = AdapterRef("advice", "1")
+
+    /** The upstream's instance. */
+    val upstream: Instance = instance(InstanceName("engine-1"), "engine-1:1", InstanceRole.SIDECAR)
+
+    /** An instance of an entry. */
+    fun entry(name: InstanceName, address: String): Instance = instance(name, address, InstanceRole.ENTRY)
+
+    /** The account under an agreement of [rate] tokens per second and a burst of [burst] tokens. */
+    fun account(rate: Long, burst: Long): Account = Account(account, rate, burst)
+
+    /** Tables with the agreement of [account]. */
+    fun configuration(account: Account): Configuration = configuration(version = 1) {
+        pool("engines", UpstreamKind.ENGINE, "engine-*")
+        account(account.id.value, account.rate, account.burst)
+        route("advice", "engines", adapter, account.id.value)
+        key(key, account.id.value)
+    }
+
+    /** A process that has just started. */
+    fun process(name: InstanceName, address: String, settings: EntrySettings): FakeProcess {
+        val member = LimitMember(name, Incarnation(address))
+        val identity = EntryIdentity(member, FailureDomain("a"), address)
+        return FakeProcess(name, address, EntryTables(identity, settings))
+    }
+
+    /** What a process hears first. */
+    fun firstInputs(tables: Configuration, now: Timestamp): PersistentList<EntryInput> {
+        val digest = SidecarReport.Digest(persistentSetOf(adapter), queued = 0, running = 0, accepting = true)
+        return persistentListOf(
+            EntryInput.ConfigurationRead(tables),
+            EntryInput.InstancesRead(persistentListOf(upstream), now),
+            EntryInput.LinkOpened(upstream.name),
+            EntryInput.SidecarSaid(upstream.name, digest),
+        )
+    }
+
+    /** A request to [process] that may take [tokens]. */
+    fun call(process: FakeProcess, tokens: Long): Call {
+        val id = RequestId(Incarnation(process.address), process.requests + 1)
+        val work = Work.Generate(GenerateApi.CHAT, stream = true, 1, tokens - 1, usageWanted = false, ByteString())
+        return Call(id, RouteName("advice"), work, key)
+    }
+
+    private fun instance(name: InstanceName, address: String, role: InstanceRole): Instance =
+        Instance(name, role, address, address, FailureDomain("a"))
+}
--- /dev/null
+++ b/experiments/src/main/kotlin/org/ragwortbank/experiments/fleet/FleetHistory.kt
@@ -0,0 +1,37 @@
+package org.ragwortbank.experiments.fleet
+
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.persistentListOf
+import org.ragwortbank.core.model.Account
+import org.ragwortbank.core.result.ResultCode
+import org.ragwortbank.core.tick.Timestamp
+
+/** Something that was seen from outside of the fleet. */
+sealed interface FleetRecord {
+    /** When it was seen. */
+    val at: Timestamp
+
+    /** A request was sent to an upstream for the first time. */
+    data class Admitted(override val at: Timestamp, val tokens: Long, val address: String) : FleetRecord
+
+    /** A request was refused. */
+    data class Refused(override val at: Timestamp, val code: ResultCode) : FleetRecord
+
+    /** An answer was delivered in full. */
+    data class Delivered(override val at: Timestamp, val tokens: Long) : FleetRecord
+
+    /** A request arrived. */
+    data class Offered(override val at: Timestamp, val tokens: Long) : FleetRecord
+
+    /** The operators changed the agreement. */
+    data class Agreed(override val at: Timestamp, val account: Account) : FleetRecord
+}
+
+/** All records of one run, in order. */
+data class FleetHistory(val records: PersistentList<FleetRecord> = persistentListOf()) {
+    /** The history with [record] at its end. */
+    fun add(record: FleetRecord): FleetHistory = FleetHistory(records.add(record))
+
+    /** The records of one kind. */
+    inline fun <reified T : FleetRecord> of(): List<T> = records.filterIsInstance<T>()
+}
--- /dev/null
+++ b/experiments/src/main/kotlin/org/ragwortbank/experiments/fleet/FleetTables.kt
@@ -0,0 +1,50 @@
+package org.ragwortbank.experiments.fleet
+
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.persistentMapOf
+import org.ragwortbank.core.tick.Step
+import org.ragwortbank.core.tick.Timestamp
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** A step of the fake fleet; its systems have no effects besides their tables. */
+typealias FleetStep = Step<FleetTables, Nothing>
+
+/**
+ * A fleet of entries in virtual time, as one immutable value.
+ *
+ * @property agenda events to come, by the millisecond at which they happen
+ */
+data class FleetTables(
+    val now: Timestamp = Timestamp(0),
+    val platform: FakePlatform,
+    val processes: PersistentMap<String, FakeProcess> = persistentMapOf(),
+    val partitions: PersistentList<Partition> = persistentListOf(),
+    val agenda: PersistentMap<Long, PersistentList<FleetEvent>> = persistentMapOf(),
+    val history: FleetHistory = FleetHistory(),
+) {
+    /** The tables with [event] to come after [delay]. */
+    fun plan(delay: Duration, event: FleetEvent): FleetTables {
+        val at = millisOf(now + delay)
+        return copy(agenda = agenda.put(at, (agenda[at] ?: persistentListOf()).add(event)))
+    }
+
+    /** The tables with [record] added to the history. */
+    fun record(record: FleetRecord): FleetTables = copy(history = history.add(record))
+
+    /** The tables with the process at [address] changed, if it runs. */
+    fun update(address: String, change: (FakeProcess) -> FakeProcess): FleetTables {
+        val process = processes[address] ?: return this
+        return copy(processes = processes.put(address, change(process)))
+    }
+
+    companion object {
+        /** Length of a tick. */
+        val TICK: Duration = 1.milliseconds
+
+        /** The millisecond of [time]. */
+        fun millisOf(time: Timestamp): Long = (time - Timestamp(0)).inWholeMilliseconds
+    }
+}
