Take buckets over at once from a process that has ended; close two gaps

Change: a process joins only while the instance list names its own address. 2. Change: who has answered under an epoch takes no part in lower ones. 3. A takeover waited 5 s for the instance list although the process had ended. Change: an entry that misses an answer tries the member's address; a refused connection proves that nothing listens there. A frozen process still accepts, a lost host answers nothing. Ruled out: grants themselves and the collection within one epoch (the traces show one owner up to the events named).

--- a/core/src/main/kotlin/org/ragwortbank/core/entry/BucketCollection.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/entry/BucketCollection.kt
@@ -13,12 +13,22 @@
     val id = queued.ask.account
     val row = tables.homes[id]
     return when {
-        epoch == null || homeOf(tables, id) != tables.identity.member.name -> notHome(queued)
+        epoch == null || !tables.mayCollectUnder(epoch.number) -> notHome(queued)
+        homeOf(tables, id) != tables.identity.member.name -> notHome(queued)
         row is HomeRow.Collecting && row.epoch == epoch.number -> putHome(id, row.copy(asks = row.asks.add(queued)))
         else -> startCollecting(queued, epoch.number, (row as? HomeRow.Parked)?.remains ?: BucketRemains())
     }
 }
 
+/**
+ * Whether this entry may become the owner of a bucket under epoch [number].
+ *
+ * It must be the newest epoch known, and no answer may have been given under a higher one: whoever was answered may
+ * own the bucket, and is not asked by a collector that does not know it.
+ */
+internal fun EntryTables.mayCollectUnder(number: Long): Boolean =
+    membership.epoch?.number == number && number >= promisedEpoch
+
 /** Gives the bucket of [id] to [to]; this entry grants nothing for it afterwards. */
 internal fun EntryStep.giveBucket(to: InstanceName, id: AccountId, epoch: Long, now: Timestamp): EntryStep {
     val remains = tables.remainsOf(id, now)
@@ -31,14 +41,23 @@
 internal fun EntryStep.askMissingMembers(): EntryStep =
     tables.collecting.fold(this) { step, id ->
         val row = step.tables.homes[id] as? HomeRow.Collecting
-        val asks = row?.missing.orEmpty().map { it.name }
-        step.emitAll(asks.map { EntryEffect.ToEntry(it, EntryMessage.BucketAsk(row?.epoch ?: 0, id)) })
+        val missing = row?.missing.orEmpty()
+        step
+            .emitAll(missing.map { EntryEffect.ToEntry(it.name, EntryMessage.BucketAsk(row?.epoch ?: 0, id)) })
+            .emitAll(missing.map { EntryEffect.ProbeMember(it) })
     }
 
+/** Finds out whether the homes that have not answered still run. */
+internal fun EntryStep.probeSilentHomes(): EntryStep {
+    val waiting = tables.credits.filterValues { it.ask == null }.keys
+    val homes = waiting.mapNotNull { homeMember(tables, it) }.filter { it != tables.identity.member }
+    return emitAll(homes.distinct().map { EntryEffect.ProbeMember(it) })
+}
+
 private fun EntryStep.startCollecting(queued: QueuedAsk, epoch: Long, remains: BucketRemains): EntryStep {
     val id = queued.ask.account
     val known = tables.membership.epoch ?: return this
-    val others = (known.members + known.retired).filter { it != tables.identity.member }
+    val others = known.all.filter { it != tables.identity.member }
     val row = HomeRow.Collecting(epoch, others.toPersistentSet(), remains)
     return log(LogPart.LIMITS, "collecting the bucket of $id from ${others.size} members in epoch $epoch")
         .putHome(id, row.copy(asks = row.asks.add(queued)))
--- a/core/src/main/kotlin/org/ragwortbank/core/entry/EntryEffect.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/entry/EntryEffect.kt
@@ -3,6 +3,7 @@
 import kotlinx.collections.immutable.PersistentSet
 import kotlinx.io.bytestring.ByteString
 import org.ragwortbank.core.limits.LimitEpoch
+import org.ragwortbank.core.limits.LimitMember
 import org.ragwortbank.core.log.LogLine
 import org.ragwortbank.core.message.EntryMessage
 import org.ragwortbank.core.message.SidecarCommand
@@ -46,6 +47,9 @@
     /** Keep links to exactly these instances. */
     data class LinkTo(val instances: PersistentSet<Instance>) : EntryEffect
 
+    /** Find out whether the process of [member] has ended. */
+    data class ProbeMember(val member: LimitMember) : EntryEffect
+
     /** Replace the limit epoch by compare-and-swap against [expected]. */
     data class ProposeEpoch(val expected: LimitEpoch?, val proposed: LimitEpoch) : OnPlatform
 
--- a/core/src/main/kotlin/org/ragwortbank/core/entry/EntryInput.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/entry/EntryInput.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.collections.immutable.PersistentList
 import org.ragwortbank.core.limits.LimitEpoch
+import org.ragwortbank.core.limits.LimitMember
 import org.ragwortbank.core.message.EntryMessage
 import org.ragwortbank.core.message.SidecarReport
 import org.ragwortbank.core.model.Call
@@ -40,6 +41,9 @@
     /** The limit epoch was read by a call made at [askedAt]; null when there is none yet. */
     data class EpochRead(val epoch: LimitEpoch?, val askedAt: Timestamp) : EntryInput
 
+    /** Nothing listens at the address of [member], so that its process has ended. */
+    data class MemberEnded(val member: LimitMember) : EntryInput
+
     /** The claim that [request] runs was decided. */
     data class ClaimDecided(val request: RequestId, val result: ClaimResult) : EntryInput
 
--- a/core/src/main/kotlin/org/ragwortbank/core/entry/EntryTables.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/entry/EntryTables.kt
@@ -26,6 +26,7 @@
  * @property askable accounts whose waiting requests have changed since the last question to the home
  * @property homes buckets that this entry owns, collects or has given away
  * @property collecting the accounts whose row in [homes] is collecting
+ * @property promisedEpoch highest epoch under which this entry has given up a bucket
  * @property lostFounding whether this entry has lost its right as founder to buckets that nobody has asked for
  * @property surrenderedAll whether this entry, on leaving, has passed all buckets on
  * @property nextAsk number of the next question to a home
@@ -45,6 +46,7 @@
     val askable: PersistentSet<AccountId> = persistentSetOf(),
     val homes: PersistentMap<AccountId, HomeRow> = persistentMapOf(),
     val collecting: PersistentSet<AccountId> = persistentSetOf(),
+    val promisedEpoch: Long = 0,
     val lostFounding: Boolean = false,
     val surrenderedAll: Boolean = false,
     val nextAsk: Long = 1,
--- a/core/src/main/kotlin/org/ragwortbank/core/entry/EpochSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/entry/EpochSystem.kt
@@ -25,6 +25,7 @@
         val self = tables.identity.member
         return when {
             tables.stopping -> present?.let { leave(tables, it, self) }
+            !tables.isListed() -> null
             present == null -> LimitEpoch.first(self)
             self !in present.members -> present.join(self)
             else -> removeCrashed(tables, present, now)
@@ -39,7 +40,7 @@
         }
 
     private fun removeCrashed(tables: EntryTables, present: LimitEpoch, now: Timestamp): LimitEpoch? {
-        val crashed = (present.members + present.retired).filter { tables.hasStopped(it, now) }
+        val crashed = present.all.filter { tables.hasStopped(it, now) }
         val cleaner = present.members.firstOrNull { it !in crashed }
         return when {
             crashed.isEmpty() || cleaner != tables.identity.member -> null
--- a/core/src/main/kotlin/org/ragwortbank/core/entry/HandoverSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/entry/HandoverSystem.kt
@@ -34,8 +34,11 @@
         }
 
     private fun surrender(step: EntryStep, to: InstanceName, ask: EntryMessage.BucketAsk, now: Timestamp): EntryStep {
-        val known = step.tables.membership.epoch?.number ?: 0
-        return if (ask.epoch < known) step else step.giveBucket(to, ask.account, ask.epoch, now)
+        val lowest = maxOf(step.tables.membership.epoch?.number ?: 0, step.tables.promisedEpoch)
+        return when {
+            ask.epoch < lowest -> step
+            else -> step.update { it.copy(promisedEpoch = ask.epoch) }.giveBucket(to, ask.account, ask.epoch, now)
+        }
     }
 
     private fun receive(
@@ -72,7 +75,7 @@
         val row = tables.homes[id] as? HomeRow.Collecting ?: return step
         val account = tables.configuration.accounts[id]
         return when {
-            account == null || tables.membership.epoch?.number != row.epoch -> abandon(step, id, row)
+            account == null || !tables.mayCollectUnder(row.epoch) -> abandon(step, id, row)
             !tables.membership.witnessed(now, tables.settings.witnessLifetime) -> step
             !row.missing.all { tables.hasStopped(it, now) } -> step
             else -> own(step, account, row, now)
--- a/core/src/main/kotlin/org/ragwortbank/core/entry/Membership.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/entry/Membership.kt
@@ -1,7 +1,9 @@
 package org.ragwortbank.core.entry
 
 import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.PersistentSet
 import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.persistentSetOf
 import org.ragwortbank.core.limits.LimitEpoch
 import org.ragwortbank.core.limits.LimitMember
 import org.ragwortbank.core.model.Instance
@@ -18,6 +20,7 @@
  * @property epochKnown whether the epoch has been read at all
  * @property witnessAt when this entry last asked and was then found to be a live member
  * @property absentSince members that are missing from the list, with the time since when
+ * @property ended members whose process has ended: nothing listens at their address any more
  * @property retiredSince retired members, with the time at which this entry first read so
  */
 data class Membership(
@@ -28,13 +31,14 @@
     val witnessAt: Timestamp? = null,
     val absentSince: PersistentMap<InstanceName, Timestamp> = persistentMapOf(),
     val retiredSince: PersistentMap<LimitMember, Timestamp> = persistentMapOf(),
+    val ended: PersistentSet<LimitMember> = persistentSetOf(),
 ) {
     /** Whether this entry may still grant credit at [now]. */
     fun witnessed(now: Timestamp, lifetime: Duration): Boolean = witnessAt != null && now - witnessAt <= lifetime
 
     /** Whether [member] has stopped granting for certain, given that it stops [after] its last sight of itself. */
     fun stoppedForCertain(member: LimitMember, now: Timestamp, after: Duration): Boolean =
-        absentLongerThan(member.name, after) || retiredLongerThan(member, now, after)
+        member in ended || absentLongerThan(member.name, after) || retiredLongerThan(member, now, after)
 
     /** Whether every read of the list over a time of [duration] lacked [name]. */
     fun absentLongerThan(name: InstanceName, duration: Duration): Boolean {
--- a/core/src/main/kotlin/org/ragwortbank/core/entry/MembershipSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/entry/MembershipSystem.kt
@@ -1,6 +1,7 @@
 package org.ragwortbank.core.entry
 
 import kotlinx.collections.immutable.toPersistentMap
+import org.ragwortbank.core.limits.LimitMember
 import org.ragwortbank.core.log.LogPart
 import org.ragwortbank.core.message.SidecarReport
 import org.ragwortbank.core.model.InstanceName
@@ -18,7 +19,8 @@
             is EntryInput.InstancesRead -> listed(step, input)
             is EntryInput.EpochRead -> step.update { it.withEpoch(input.epoch, input.askedAt) }
             is EntryInput.LinkOpened -> linked(step, input.instance, connected = true)
-            is EntryInput.LinkClosed -> linked(step, input.instance, connected = false)
+            is EntryInput.LinkClosed -> closed(step, input.instance)
+            is EntryInput.MemberEnded -> ended(step, input.member)
             is EntryInput.SidecarSaid -> reported(step, input.from, input.report)
             else -> step
         }
@@ -47,6 +49,24 @@
             tables.updateUpstream(instance) { it.copy(connected = connected, digest = null, sentSinceDigest = 0) }
         }
 
+    /** A closed link may mean that the process behind it has ended. */
+    private fun closed(step: EntryStep, instance: InstanceName): EntryStep {
+        val members = step.tables.membership.epoch?.all.orEmpty().filter { it.name == instance }
+        return linked(step, instance, connected = false).emitAll(members.map { EntryEffect.ProbeMember(it) })
+    }
+
+    private fun ended(step: EntryStep, member: LimitMember): EntryStep {
+        val membership = step.tables.membership
+        val known = membership.epoch?.all.orEmpty().contains(member) && member !in membership.ended
+        return when {
+            !known -> step
+            else ->
+                step
+                    .log(LogPart.MEMBERS, "the process of ${member.name} at ${member.address} has ended")
+                    .update { it.copy(membership = membership.copy(ended = membership.ended.add(member))) }
+        }
+    }
+
     private fun reported(step: EntryStep, from: InstanceName, report: SidecarReport): EntryStep =
         when (report) {
             is SidecarReport.Digest ->
--- a/core/src/main/kotlin/org/ragwortbank/core/entry/MembershipUpdate.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/entry/MembershipUpdate.kt
@@ -14,11 +14,9 @@
     instances: PersistentMap<InstanceName, Instance>,
     askedAt: Timestamp,
 ): EntryTables {
-    val own = instances[identity.member.name]
-    val listed = own != null && own.peerAddress == identity.peerAddress
-    val witness = if (listed && isMember()) askedAt else null
-    val seen = membership.copy(
-        instances = instances,
+    val read = copy(membership = membership.copy(instances = instances))
+    val witness = if (read.isListed() && isMember()) askedAt else null
+    val seen = read.membership.copy(
         listedAt = askedAt,
         witnessAt = latest(membership.witnessAt, witness),
         absentSince = absent(instances, askedAt),
@@ -28,8 +26,8 @@
 
 /** The tables after the limit epoch was read by a call made at [askedAt]; an older epoch changes nothing. */
 internal fun EntryTables.withEpoch(epoch: LimitEpoch?, askedAt: Timestamp): EntryTables {
-    val known = membership.epoch
-    val newest = if (known != null && (epoch == null || epoch.number < known.number)) known else epoch
+    val before = membership.epoch
+    val newest = if (before != null && (epoch == null || epoch.number < before.number)) before else epoch
     val member = newest?.members.orEmpty().contains(identity.member)
     val retired = newest?.retired.orEmpty().associateWith { membership.retiredSince[it] ?: askedAt }
     return copy(
@@ -38,10 +36,19 @@
             epochKnown = true,
             witnessAt = if (member) latest(membership.witnessAt, askedAt) else null,
             retiredSince = retired.toPersistentMap(),
+            ended = newest?.let { known -> membership.ended.removeAll { it !in known.all } } ?: membership.ended,
         ),
     )
 }
 
+/**
+ * Whether the instance list names this very process.
+ *
+ * A process that the platform has replaced under the same name must not claim its place back.
+ */
+internal fun EntryTables.isListed(): Boolean =
+    membership.instances[identity.member.name]?.peerAddress == identity.member.address
+
 private fun EntryTables.isMember(): Boolean = membership.epoch?.members.orEmpty().contains(identity.member)
 
 private fun EntryTables.absent(
@@ -49,7 +56,7 @@
     askedAt: Timestamp,
 ): PersistentMap<InstanceName, Timestamp> {
     val epoch = membership.epoch ?: return membership.absentSince
-    return (epoch.members + epoch.retired)
+    return epoch.all
         .map { it.name }
         .filterNot { it in instances }
         .associateWith { membership.absentSince[it] ?: askedAt }
--- a/core/src/main/kotlin/org/ragwortbank/core/entry/SweepSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/entry/SweepSystem.kt
@@ -19,7 +19,7 @@
 
     private fun sweep(step: EntryStep, now: Timestamp): EntryStep {
         val swept = step.tables.requests.values.fold(step) { s, request -> check(s, request, now) }
-        return forgetOldAsks(swept, now).askMissingMembers().update { tables ->
+        return forgetOldAsks(swept, now).askMissingMembers().probeSilentHomes().update { tables ->
             val waiting = tables.credits.filterValues { it.ask == null }.keys
             tables.copy(sweptAt = now, askable = tables.askable + waiting)
         }
--- a/core/src/main/kotlin/org/ragwortbank/core/limits/LimitEpoch.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/limits/LimitEpoch.kt
@@ -17,6 +17,9 @@
     val members: PersistentList<LimitMember>,
     val retired: PersistentList<LimitMember> = persistentListOf(),
 ) {
+    /** All that may own a bucket: members and retired members. */
+    val all: PersistentList<LimitMember> get() = members.addAll(retired)
+
     /** The next epoch, with [member] in place of any earlier process of the same name. */
     fun join(member: LimitMember): LimitEpoch {
         val replaced = members.filter { it.name == member.name }
--- a/core/src/test/kotlin/org/ragwortbank/core/entry/EntryFixture.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/entry/EntryFixture.kt
@@ -34,13 +34,13 @@
 /** One entry with two upstreams, run tick by tick in virtual time; its messages to itself are delivered at once. */
 class EntryFixture(settings: EntrySettings = EntrySettings()) {
     private val schedule = entrySchedule()
-    private val member = LimitMember(InstanceName("entry-1"), Incarnation("entry-1.a"))
+    private val member = LimitMember(InstanceName("entry-1"), Incarnation("entry-1.a"), "entry-1:1")
     private var sequence = 0L
 
     var now = Timestamp(0)
         private set
 
-    var tables = EntryTables(EntryIdentity(member, FailureDomain("a"), "entry-1:1"), settings)
+    var tables = EntryTables(EntryIdentity(member, FailureDomain("a")), settings)
         private set
 
     /** Effects of the last call of [tick] with those of the ticks that it caused. */
@@ -76,7 +76,7 @@
 
     /** Makes another entry the home of all accounts; it never answers. */
     fun ownNothing() {
-        val silent = LimitMember(InstanceName("entry-2"), Incarnation("entry-2.a"))
+        val silent = LimitMember(InstanceName("entry-2"), Incarnation("entry-2.a"), "entry-2:1")
         tick(EntryInput.EpochRead(LimitEpoch(2, silent, persistentListOf(silent)), now))
     }
 
--- /dev/null
+++ b/experiments/src/main/kotlin/org/ragwortbank/experiments/Experiments.kt
@@ -0,0 +1,12 @@
+package org.ragwortbank.experiments
+
+import picocli.CommandLine.Command
+
+/** Experiments in virtual time; never part of the product. */
+@Command(
+    name = "experiments",
+    mixinStandardHelpOptions = true,
+    description = ["Runs the product's decisions in virtual time and prints figures."],
+    subcommands = [LimitsCommand::class],
+)
+class Experiments
--- a/experiments/src/main/kotlin/org/ragwortbank/experiments/LimitsCommand.kt
+++ b/experiments/src/main/kotlin/org/ragwortbank/experiments/LimitsCommand.kt
@@ -1,14 +1,19 @@
 package org.ragwortbank.experiments
 
+import org.ragwortbank.core.entry.EntrySettings
 import org.ragwortbank.core.model.Account
 import org.ragwortbank.core.model.AccountId
+import org.ragwortbank.experiments.fleet.FleetRecord
+import org.ragwortbank.experiments.fleet.FleetSettings
 import org.ragwortbank.experiments.limits.LimitExperiment
+import org.ragwortbank.experiments.limits.LimitMode
 import org.ragwortbank.experiments.limits.LimitResult
 import org.ragwortbank.experiments.limits.LimitScenario
 import picocli.CommandLine.Command
 import picocli.CommandLine.Option
 import java.util.concurrent.Callable
 import java.util.stream.IntStream
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
 /** Checks the limits under faults and compares refusals with other ways. */
@@ -45,44 +50,53 @@
     @Option(names = ["--skew"], defaultValue = "1.0", description = ["1 is an even balancer."])
     private var skew = 1.0
 
+    @Option(names = ["--offered"], defaultValue = "0.9", description = ["Share of the rate that is offered."])
+    private var offered = 0.0
+
+    @Option(names = ["--witness"], defaultValue = "2s", description = ["How long a home grants without being seen."])
+    private lateinit var witness: String
+
+    @Option(names = ["--trace"], description = ["Prints what happens in the run with the first seed."])
+    private var trace = false
+
     override fun call(): Int {
         val account = Account(AccountId("member"), rate, burst)
-        val scenario = LimitScenario(account, entries, skew = skew, length = seconds.seconds)
-        val experiment = LimitExperiment(scenario)
-        val results = IntStream.range(first, first + runs).parallel().mapToObj { run(experiment, it) }.toList()
+        val scenario = LimitScenario(account, entries, offered, skew = skew, length = seconds.seconds)
+        val entry = EntrySettings(witnessLifetime = Duration.parse(witness), drainGrace = 1.seconds)
+        val experiment = LimitExperiment(scenario, FleetSettings(entry))
+        if (trace) return printTrace(experiment)
+        val seeds = IntStream.range(first, first + runs).parallel()
+        val results = seeds.mapToObj { experiment.run(mode, it, faults) }.toList()
         report(results)
         return if (results.all { it.held }) 0 else 1
     }
 
-    private fun run(experiment: LimitExperiment, seed: Int): LimitResult =
-        when (mode) {
-            LimitMode.HEALTHY -> experiment.healthy(seed)
-            LimitMode.CRASHING -> experiment.crashing(seed)
-            LimitMode.FAULTY -> experiment.faulty(seed, faults)
-        }
+    private fun printTrace(experiment: LimitExperiment): Int {
+        experiment.history(mode, first, faults).records
+            .filterNot { it is FleetRecord.Offered || it is FleetRecord.Admitted || it is FleetRecord.Delivered }
+            .forEach { println("${it.at.nanos / NANOS_PER_MILLI} $it") }
+        return 0
+    }
 
     private fun report(results: List<LimitResult>) {
-        val offered = results.sumOf { it.offered }
+        val requests = results.sumOf { it.offered }
         println("mode $mode, seeds $first to ${first + runs - 1}, $entries entries, $rate tokens/s, burst $burst")
         println("bound held in ${results.count { it.held }} of ${results.size} runs")
-        results.filterNot { it.held }.forEach { println("  seed ${it.seed} broke the bound by ${-it.lowestLevel} tokens") }
-        println("requests offered          $offered")
-        println("refused, bucket empty     ${share(results.sumOf { it.refusedRate }, offered)}")
-        println("refused, other causes     ${share(results.sumOf { it.refusedHome }, offered)}")
-        println("refused by one bucket     ${share(results.sumOf { it.central }, offered)}")
-        println("refused by equal parts    ${share(results.sumOf { it.static }, offered)}")
+        results.filterNot { it.held }.forEach(::printBroken)
+        println("requests offered          $requests")
+        println("refused, bucket empty     ${share(results.sumOf { it.refusedRate }, requests)}")
+        println("refused, other causes     ${share(results.sumOf { it.refusedHome }, requests)}")
+        println("refused by one bucket     ${share(results.sumOf { it.central }, requests)}")
+        println("refused by equal parts    ${share(results.sumOf { it.static }, requests)}")
     }
 
+    private fun printBroken(result: LimitResult) =
+        println("  seed ${result.seed} broke the bound by ${-result.lowestLevel} tokens")
+
     private fun share(count: Int, of: Int): String = "%d (%.2f %%)".format(count, PERCENT * count / of)
 
     private companion object {
         const val PERCENT = 100.0
+        const val NANOS_PER_MILLI = 1_000_000
     }
 }
-
-/** Which faults happen. */
-enum class LimitMode {
-    HEALTHY,
-    CRASHING,
-    FAULTY,
-}
--- a/experiments/src/main/kotlin/org/ragwortbank/experiments/fleet/FakePlatform.kt
+++ b/experiments/src/main/kotlin/org/ragwortbank/experiments/fleet/FakePlatform.kt
@@ -17,6 +17,17 @@
     val storeLosesUntil: Timestamp = Timestamp(0),
     val listDownUntil: Timestamp = Timestamp(0),
 ) {
+    /** The platform after [event], which happens at [now]. */
+    fun after(event: FleetEvent, now: Timestamp): FakePlatform =
+        when (event) {
+            is FleetEvent.StoreDown -> copy(storeDownUntil = now + event.duration)
+            is FleetEvent.StoreLosesAnswers -> copy(storeLosesUntil = now + event.duration)
+            is FleetEvent.ListDown -> copy(listDownUntil = now + event.duration)
+            is FleetEvent.Listed -> copy(listed = listed.put(event.instance.name, event.instance))
+            is FleetEvent.Unlisted -> copy(listed = listed.remove(event.name))
+            else -> this
+        }
+
     /** Whether the key-value service takes calls at [now]. */
     fun storeWorks(now: Timestamp): Boolean = now >= storeDownUntil
 
--- a/experiments/src/main/kotlin/org/ragwortbank/experiments/fleet/FleetEffects.kt
+++ b/experiments/src/main/kotlin/org/ragwortbank/experiments/fleet/FleetEffects.kt
@@ -3,6 +3,9 @@
 import kotlinx.collections.immutable.persistentListOf
 import org.ragwortbank.core.entry.EntryEffect
 import org.ragwortbank.core.entry.EntryInput
+import org.ragwortbank.core.limits.LimitMember
+import org.ragwortbank.core.log.LogLine
+import org.ragwortbank.core.log.LogPart
 import org.ragwortbank.core.message.SidecarCommand
 import org.ragwortbank.core.message.SidecarReport
 import org.ragwortbank.core.model.AnswerHead
@@ -18,11 +21,26 @@
             is EntryEffect.ToSidecar -> dispatch(tables, process, effect.command)
             is EntryEffect.ProposeEpoch -> propose(tables, process, effect)
             is EntryEffect.Refuse -> tables.record(FleetRecord.Refused(tables.now, effect.refusal.code))
+            is EntryEffect.Log -> log(tables, process, effect.line)
+            is EntryEffect.ProbeMember -> probe(tables, process, effect.member)
             EntryEffect.ReadEpoch -> readEpoch(tables, process)
             EntryEffect.Stopped -> stopped(tables, process)
             else -> tables
         }
 
+    private fun probe(tables: FleetTables, process: FakeProcess, member: LimitMember): FleetTables {
+        val parted = tables.partitions.any { it.parts(process.address, member.address, tables.now) }
+        val refused = member.address !in tables.processes && member.address !in tables.lostHosts && !parted
+        val ended = FleetEvent.Deliver(process.address, EntryInput.MemberEnded(member))
+        return if (refused) tables.plan(settings.latency * 2, ended) else tables
+    }
+
+    /** Lines about single requests are left out; the history has those as records. */
+    private fun log(tables: FleetTables, process: FakeProcess, line: LogLine): FleetTables {
+        val kept = line.part == LogPart.MEMBERS || (line.part == LogPart.LIMITS && "request" !in line.message)
+        return if (kept) tables.record(FleetRecord.Logged(tables.now, process.address, line)) else tables
+    }
+
     private fun send(tables: FleetTables, process: FakeProcess, effect: EntryEffect.ToEntry): FleetTables {
         val own = effect.to == process.name
         val known = process.tables.membership.instances[effect.to]?.peerAddress
@@ -64,7 +82,7 @@
 
     private fun stopped(tables: FleetTables, process: FakeProcess): FleetTables =
         tables
-            .plan(settings.latency, FleetEvent.Crash(process.address))
+            .plan(settings.latency, FleetEvent.Exit(process.address))
             .plan(settings.latency, FleetEvent.Unlisted(process.name))
 
     private companion object {
--- a/experiments/src/main/kotlin/org/ragwortbank/experiments/fleet/FleetEvent.kt
+++ b/experiments/src/main/kotlin/org/ragwortbank/experiments/fleet/FleetEvent.kt
@@ -17,8 +17,11 @@
     /** A process starts under [name] at [address]. */
     data class Start(val name: InstanceName, val address: String) : FleetEvent
 
-    /** The process at [address] ends without notice. */
-    data class Crash(val address: String) : FleetEvent
+    /** All processes of [name] end without notice, with their host when [hostLost]. */
+    data class Crash(val name: InstanceName, val hostLost: Boolean = false) : FleetEvent
+
+    /** The process at [address] exits. */
+    data class Exit(val address: String) : FleetEvent
 
     /** The process at [address] does nothing for [duration]; what it has just decided on is done afterwards. */
     data class Freeze(val address: String, val duration: Duration) : FleetEvent
--- a/experiments/src/main/kotlin/org/ragwortbank/experiments/fleet/FleetFixtures.kt
+++ b/experiments/src/main/kotlin/org/ragwortbank/experiments/fleet/FleetFixtures.kt
@@ -54,8 +54,8 @@
 
     /** A process that has just started. */
     fun process(name: InstanceName, address: String, settings: EntrySettings): FakeProcess {
-        val member = LimitMember(name, Incarnation(address))
-        val identity = EntryIdentity(member, FailureDomain("a"), address)
+        val member = LimitMember(name, Incarnation(address), address)
+        val identity = EntryIdentity(member, FailureDomain("a"))
         return FakeProcess(name, address, EntryTables(identity, settings))
     }
 
--- a/experiments/src/main/kotlin/org/ragwortbank/experiments/fleet/FleetHistory.kt
+++ b/experiments/src/main/kotlin/org/ragwortbank/experiments/fleet/FleetHistory.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.persistentListOf
+import org.ragwortbank.core.log.LogLine
 import org.ragwortbank.core.model.Account
 import org.ragwortbank.core.result.ResultCode
 import org.ragwortbank.core.tick.Timestamp
@@ -23,6 +24,12 @@
     /** A request arrived. */
     data class Offered(override val at: Timestamp, val tokens: Long) : FleetRecord
 
+    /** The process at [address] wrote a line to its log. */
+    data class Logged(override val at: Timestamp, val address: String, val line: LogLine) : FleetRecord
+
+    /** The key-value service does not answer until [until]. */
+    data class StoreSilent(override val at: Timestamp, val until: Timestamp) : FleetRecord
+
     /** The operators changed the agreement. */
     data class Agreed(override val at: Timestamp, val account: Account) : FleetRecord
 }
--- a/experiments/src/main/kotlin/org/ragwortbank/experiments/fleet/FleetTables.kt
+++ b/experiments/src/main/kotlin/org/ragwortbank/experiments/fleet/FleetTables.kt
@@ -2,8 +2,10 @@
 
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.PersistentSet
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.persistentSetOf
 import org.ragwortbank.core.tick.Step
 import org.ragwortbank.core.tick.Timestamp
 import kotlin.time.Duration
@@ -15,12 +17,14 @@
 /**
  * A fleet of entries in virtual time, as one immutable value.
  *
+ * @property lostHosts addresses on hosts that are lost, so that nothing answers there
  * @property agenda events to come, by the millisecond at which they happen
  */
 data class FleetTables(
     val now: Timestamp = Timestamp(0),
     val platform: FakePlatform,
     val processes: PersistentMap<String, FakeProcess> = persistentMapOf(),
+    val lostHosts: PersistentSet<String> = persistentSetOf(),
     val partitions: PersistentList<Partition> = persistentListOf(),
     val agenda: PersistentMap<Long, PersistentList<FleetEvent>> = persistentMapOf(),
     val history: FleetHistory = FleetHistory(),
--- a/experiments/src/main/kotlin/org/ragwortbank/experiments/limits/LimitExperiment.kt
+++ b/experiments/src/main/kotlin/org/ragwortbank/experiments/limits/LimitExperiment.kt
@@ -1,7 +1,9 @@
 package org.ragwortbank.experiments.limits
 
+import org.ragwortbank.experiments.fleet.FleetHistory
 import org.ragwortbank.experiments.fleet.FleetRun
 import org.ragwortbank.experiments.fleet.FleetSettings
+import org.ragwortbank.experiments.fleet.PlannedEvent
 import kotlin.random.Random
 
 /** Runs of the fake fleet for the limits, each determined by its seed. */
@@ -9,19 +11,23 @@
     private val scenario: LimitScenario,
     private val settings: FleetSettings = FleetSettings(),
 ) {
-    /** A run without failures. */
-    fun healthy(seed: Int): LimitResult = run(seed) { emptyList() }
-
-    /** A run in which an entry crashes each minute. */
-    fun crashing(seed: Int): LimitResult = run(seed) { it.crashEachMinute() }
-
-    /** A run with [count] random faults. */
-    fun faulty(seed: Int, count: Int): LimitResult = run(seed) { it.faults(count) }
-
-    private fun run(seed: Int, faults: (FaultPlan) -> List<org.ragwortbank.experiments.fleet.PlannedEvent>): LimitResult {
+    /** The history of a run with [seed] in [mode], with [count] faults where they are random. */
+    fun history(mode: LimitMode, seed: Int, count: Int): FleetHistory {
         val random = Random(seed)
-        val events = scenario.starts() + scenario.arrivals(random) + faults(FaultPlan(scenario, random))
-        val history = FleetRun(settings).run(scenario.account, events, scenario.length)
-        return LimitResult.of(seed, history, scenario.entries)
+        val load = scenario.starts() + scenario.arrivals(random)
+        val events = load + faults(mode, FaultPlan(scenario, random), count)
+        return FleetRun(settings).run(scenario.account, events, scenario.length)
     }
+
+    /** The result of that run. */
+    fun run(mode: LimitMode, seed: Int, count: Int): LimitResult =
+        LimitResult.of(seed, history(mode, seed, count), scenario.entries)
+
+    private fun faults(mode: LimitMode, plan: FaultPlan, count: Int): List<PlannedEvent> =
+        when (mode) {
+            LimitMode.HEALTHY -> emptyList()
+            LimitMode.CRASHING -> plan.crashEachMinute(hostLost = false)
+            LimitMode.LOSING_HOSTS -> plan.crashEachMinute(hostLost = true)
+            LimitMode.FAULTY -> plan.faults(count)
+        }
 }
--- a/experiments/src/main/kotlin/org/ragwortbank/experiments/limits/LimitScenario.kt
+++ b/experiments/src/main/kotlin/org/ragwortbank/experiments/limits/LimitScenario.kt
@@ -45,7 +45,8 @@
 
     private fun pick(random: Random): Double = Math.pow(random.nextDouble(), skew)
 
-    private fun tokens(random: Random): Long = random.nextLong(meanTokens / QUARTERS, meanTokens * MOST_QUARTERS / QUARTERS)
+    private fun tokens(random: Random): Long =
+        random.nextLong(meanTokens / QUARTERS, meanTokens * MOST_QUARTERS / QUARTERS)
 
     companion object {
         private const val STAGGER_MILLIS = 37
--- /dev/null
+++ b/experiments/src/test/kotlin/org/ragwortbank/experiments/limits/LimitExperimentTest.kt
@@ -0,0 +1,58 @@
+package org.ragwortbank.experiments.limits
+
+import org.ragwortbank.core.entry.EntrySettings
+import org.ragwortbank.core.model.Account
+import org.ragwortbank.core.model.AccountId
+import org.ragwortbank.experiments.fleet.FleetSettings
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.hours
+import kotlin.time.Duration.Companion.seconds
+
+class LimitExperimentTest {
+    private val account = Account(AccountId("member"), rate = 4_000, burst = 8_000)
+    private val scenario = LimitScenario(account, length = 40.seconds)
+    private val experiment = LimitExperiment(scenario)
+
+    private fun broken(experiment: LimitExperiment, seeds: Iterable<Int>): List<Int> =
+        seeds.filterNot { experiment.run(LimitMode.FAULTY, it, FAULTS).held }
+
+    @Test
+    fun `given random faults, then no window holds more than rate and burst`() {
+        assertEquals(emptyList(), broken(experiment, 1..16))
+    }
+
+    @Test
+    fun `given random faults and an account that sends several times its rate, then the bound holds all the same`() {
+        assertEquals(emptyList(), broken(LimitExperiment(scenario.copy(offered = 2.5)), (1..8) + 400))
+    }
+
+    @Test
+    fun `given a home that answered under a newer epoch than its own, then it does not collect the bucket back`() {
+        assertEquals(emptyList(), broken(experiment, listOf(81)))
+    }
+
+    @Test
+    fun `given an agreement lowered before the key-value service goes silent, then the older one counts`() {
+        assertEquals(emptyList(), broken(experiment, listOf(144, 383)))
+    }
+
+    @Test
+    fun `given a replaced process that still runs, then it does not fight for its place and buckets stay in reach`() {
+        val result = LimitExperiment(scenario.copy(length = 240.seconds)).run(LimitMode.CRASHING, seed = 3, count = 0)
+        assertTrue(result.held)
+        assertTrue(result.refusedHome * 50 < result.offered, "${result.refusedHome} of ${result.offered} refused")
+    }
+
+    @Test
+    fun `given homes that never doubt their ownership, then the checker sees the bound broken`() {
+        val trusting = FleetSettings(entry = EntrySettings(witnessLifetime = 1.hours, drainGrace = 1.seconds))
+        val overload = LimitExperiment(scenario.copy(offered = 2.5), trusting)
+        assertEquals(listOf(400), broken(overload, listOf(400)))
+    }
+
+    private companion object {
+        const val FAULTS = 6
+    }
+}
--- a/node/src/main/kotlin/org/ragwortbank/node/entry/EntryNode.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/entry/EntryNode.kt
@@ -47,8 +47,8 @@
     /** Starts the process and returns the addresses that it listens on. */
     fun start(): Ready = runBlocking {
         val peer = PeerServer(runtime.scope, runtime.selector, Peers()).start(settings.peerAddress)
-        val member = LimitMember(name, runtime.incarnation)
-        val identity = EntryIdentity(member, FailureDomain(settings.domain), peer.toString())
+        val member = LimitMember(name, runtime.incarnation, peer.toString())
+        val identity = EntryIdentity(member, FailureDomain(settings.domain))
         val tables = EntryTables(identity, settings.entry)
         loop = TickLoop(entrySchedule(), tables, MAX_WAIT, runtime.metrics, ::perform)
         platform = EntryPlatform(runtime, settings.platform, loop::post)
@@ -68,6 +68,7 @@
     private lateinit var loop: TickLoop<EntryTables, EntryInput, EntryEffect>
     private lateinit var platform: EntryPlatform
     private val claims = EntryClaims(runtime) { loop.post(it) }
+    private val probe = MemberProbe(runtime.scope, runtime.selector) { loop.post(EntryInput.MemberEnded(it)) }
     private val links = EntryLinks(runtime.scope, runtime.selector, name) { loop.post(it) }
 
     /** Messages of this entry to itself; they take the way of all inputs, so that the tick never waits for itself. */
@@ -81,6 +82,7 @@
             is EntryEffect.OnPlatform -> call(effect)
             is EntryEffect.ToSidecar -> links.send(effect.to, effect.command.toWire())
             is EntryEffect.ToEntry -> sendToEntry(effect)
+            is EntryEffect.ProbeMember -> probe.probe(effect.member)
             is EntryEffect.LinkTo -> links.keep(effect.instances)
             is EntryEffect.Log -> Logs.write(effect.line)
             EntryEffect.Stopped -> ended()
--- /dev/null
+++ b/node/src/main/kotlin/org/ragwortbank/node/entry/MemberProbe.kt
@@ -0,0 +1,45 @@
+package org.ragwortbank.node.entry
+
+import io.ktor.network.selector.SelectorManager
+import io.ktor.network.sockets.aSocket
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.io.IOException
+import org.ragwortbank.core.limits.LimitMember
+import org.ragwortbank.platform.http.Address
+import java.net.ConnectException
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Finds out whether the process of a member has ended.
+ *
+ * A process listens at its address as long as it runs, so a refused connection is proof that it has ended. A frozen
+ * process still accepts connections, and a host out of reach answers nothing; both prove nothing.
+ */
+internal class MemberProbe(
+    private val scope: CoroutineScope,
+    private val selector: SelectorManager,
+    private val onEnded: (LimitMember) -> Unit,
+) {
+    /** Tries the address of [member] once and reports when the connection is refused. */
+    fun probe(member: LimitMember) = scope.launch {
+        val address = Address.parse(member.address)
+        if (address != null && isRefused(address)) onEnded(member)
+    }
+
+    private suspend fun isRefused(address: Address): Boolean =
+        try {
+            withTimeoutOrNull(TIMEOUT) { aSocket(selector).tcp().connect(address.host, address.port) }?.close()
+            false
+        } catch (e: ConnectException) {
+            e.message.orEmpty().contains(REFUSED, ignoreCase = true)
+        } catch (_: IOException) {
+            false
+        }
+
+    private companion object {
+        const val REFUSED = "refused"
+        val TIMEOUT = 1.seconds
+    }
+}
