--- a/cli/src/main/kotlin/org/ragwortbank/cli/command/Ragwortbank.kt
+++ b/cli/src/main/kotlin/org/ragwortbank/cli/command/Ragwortbank.kt
@@ -12,6 +12,7 @@
         EntryCommand::class,
         SidecarCommandLine::class,
         CheckCommand::class,
+        SettingsCommand::class,
         PlanCommand::class,
         ApplyCommand::class,
         RoutesCommand::class,
--- /dev/null
+++ b/cli/src/main/kotlin/org/ragwortbank/cli/command/SettingsCommand.kt
@@ -0,0 +1,43 @@
+package org.ragwortbank.cli.command
+
+import org.ragwortbank.cli.settings.SettingsFile
+import org.ragwortbank.cli.toml.TomlSetting
+import picocli.CommandLine.Command
+import picocli.CommandLine.Parameters
+import java.util.concurrent.Callable
+
+/** Lists the settings of a process. */
+@Command(
+    name = "settings",
+    description = ["Lists all settings of a process with their defaults."],
+    mixinStandardHelpOptions = true,
+)
+class SettingsCommand : Callable<Int> {
+    @Parameters(paramLabel = "PROCESS", description = ["entry or sidecar."])
+    private lateinit var process: String
+
+    override fun call(): Int =
+        when (process) {
+            "entry" -> show(SettingsFile.entrySettings())
+            "sidecar" -> show(SettingsFile.sidecarSettings())
+            else -> fail(ExitCode.USAGE, "found '$process', expected entry or sidecar")
+        }
+
+    private fun show(settings: List<TomlSetting>): Int {
+        println(settingsTable(settings))
+        return ExitCode.OK.number
+    }
+}
+
+/** The settings as a Markdown table. */
+internal fun settingsTable(settings: List<TomlSetting>): String {
+    val rows = settings.map { "| `${it.path}` | ${defaultText(it)} | ${it.expected} |" }
+    return (listOf("| setting | default | what it must be |", "| --- | --- | --- |") + rows).joinToString("\n")
+}
+
+private fun defaultText(setting: TomlSetting): String =
+    when (val default = setting.default) {
+        null -> "must be given"
+        "" -> "none"
+        else -> "`$default`"
+    }
--- a/cli/src/main/kotlin/org/ragwortbank/cli/settings/EntryReader.kt
+++ b/cli/src/main/kotlin/org/ragwortbank/cli/settings/EntryReader.kt
@@ -11,6 +11,7 @@
 import org.ragwortbank.node.log.LogFormat
 import org.ragwortbank.node.settings.EntryNodeSettings
 import org.ragwortbank.node.settings.HttpSettings
+import kotlin.time.Duration.Companion.seconds
 
 private const val MAX_COUNT = 1_000_000
 private const val MIN_BYTES = 1_024
@@ -22,6 +23,9 @@
 private val tokensRange = 1L..MAX_TOKENS
 private val attemptsRange = 1..MAX_ATTEMPTS
 
+/** Longest time by which two readers of the instance list may differ. */
+private val LIST_LAG = 2.seconds
+
 internal fun readEntry(reader: TomlReader): EntryNodeSettings {
     val defaults = EntryNodeSettings(name = "")
     return EntryNodeSettings(
@@ -62,6 +66,16 @@
 }
 
 private fun readEntryBounds(reader: TomlReader): EntrySettings {
+    val settings = readEntryValues(reader)
+    val lowest = settings.witnessLifetime + settings.grantLifetime + LIST_LAG
+    if (settings.absentAfter < lowest) {
+        val expected = "at least $lowest: witness_lifetime, grant_lifetime and $LIST_LAG for the instance list"
+        reader.note("absent_after", settings.absentAfter.toString(), expected)
+    }
+    return settings
+}
+
+private fun readEntryValues(reader: TomlReader): EntrySettings {
     val defaults = EntrySettings()
     return EntrySettings(
         maxRequests = reader.int("max_requests", defaults.maxRequests, countRange),
--- a/cli/src/main/kotlin/org/ragwortbank/cli/settings/SettingsFile.kt
+++ b/cli/src/main/kotlin/org/ragwortbank/cli/settings/SettingsFile.kt
@@ -1,9 +1,11 @@
 package org.ragwortbank.cli.settings
 
+import net.peanuuutz.tomlkt.TomlTable
 import org.ragwortbank.cli.toml.Checked
 import org.ragwortbank.cli.toml.TomlContent
 import org.ragwortbank.cli.toml.TomlFile
 import org.ragwortbank.cli.toml.TomlReader
+import org.ragwortbank.cli.toml.TomlSetting
 import org.ragwortbank.node.settings.EntryNodeSettings
 import org.ragwortbank.node.settings.SidecarNodeSettings
 import java.nio.file.Path
@@ -16,6 +18,18 @@
     /** The settings of a sidecar. */
     fun sidecar(path: Path): Checked<SidecarNodeSettings> = read(path, ::readSidecar)
 
+    /** All settings of an entry. */
+    fun entrySettings(): List<TomlSetting> = describe(::readEntry)
+
+    /** All settings of a sidecar. */
+    fun sidecarSettings(): List<TomlSetting> = describe(::readSidecar)
+
+    private fun describe(block: (TomlReader) -> Any): List<TomlSetting> {
+        val reader = TomlReader("", TomlTable(emptyMap<String, Any>()))
+        block(reader)
+        return reader.settings
+    }
+
     private fun <T> read(path: Path, block: (TomlReader) -> T): Checked<T> =
         when (val content = TomlFile.read(path)) {
             is TomlContent.Bad -> Checked.Bad(listOf(content.problem.toString()))
--- a/cli/src/main/kotlin/org/ragwortbank/cli/toml/TomlReader.kt
+++ b/cli/src/main/kotlin/org/ragwortbank/cli/toml/TomlReader.kt
@@ -22,6 +22,11 @@
     private var known: PersistentSet<String> = persistentSetOf()
     private var noted: PersistentList<TomlProblem> = persistentListOf()
 
+    private var read: PersistentList<TomlSetting> = persistentListOf()
+
+    /** The settings that were asked for, in order. */
+    val settings: List<TomlSetting> get() = read.distinct()
+
     /** Names in this table. */
     val names: Set<String> get() = table.keys
 
@@ -32,6 +37,7 @@
     fun <T> value(name: String, default: T?, expected: String, parse: (TomlElement) -> T?): T? {
         val element = element(name)
         val parsed = element?.let(parse)
+        read = read.add(TomlSetting(prefix + name, default?.toString(), expected))
         if (element != null && parsed == null) note(name, "'${show(element)}'", expected)
         if (element == null && default == null) note(name, "nothing", expected)
         return parsed ?: default
@@ -44,6 +50,7 @@
         if (child != null && child !is TomlTable) note(name, "'${show(child)}'", "a table")
         val result = block(inner)
         noted = noted.addAll(inner.finish())
+        read = read.addAll(inner.settings)
         return result
     }
 
@@ -64,7 +71,8 @@
         note(name, "an unknown setting", expected)
     }
 
-    private fun note(name: String, found: String, expected: String) {
+    /** Notes a mistake in [name]. */
+    fun note(name: String, found: String, expected: String) {
         noted = noted.add(TomlProblem(file, prefix + name, found, expected))
     }
 
--- a/cli/src/main/kotlin/org/ragwortbank/cli/toml/TomlValues.kt
+++ b/cli/src/main/kotlin/org/ragwortbank/cli/toml/TomlValues.kt
@@ -12,7 +12,7 @@
 
 /** The text of [name]; null when it is not given. */
 internal fun TomlReader.optionalString(name: String): String? =
-    if (has(name)) value(name, null, "a text") { text(it) } else null
+    value(name, "", "a text") { text(it) }?.ifEmpty { null }
 
 /** True or false; null when it is not given. */
 internal fun TomlReader.optionalBoolean(name: String): Boolean? =
--- /dev/null
+++ b/cli/src/test/kotlin/org/ragwortbank/cli/DocumentsTest.kt
@@ -0,0 +1,35 @@
+package org.ragwortbank.cli
+
+import org.ragwortbank.cli.command.ExitCode
+import org.ragwortbank.cli.command.settingsTable
+import org.ragwortbank.cli.settings.SettingsFile
+import org.ragwortbank.core.result.ResultCode
+import java.nio.file.Path
+import kotlin.io.path.readText
+import kotlin.io.path.writeText
+import kotlin.test.Test
+import kotlin.test.assertContains
+
+class DocumentsTest {
+    @Test
+    fun `docs-ERRORS lists every result code and exit code as the program has them`() {
+        val codes = ResultCode.entries.map { code ->
+            "| ${code.number} | `${code.name.lowercase()}` | ${code.status} | ${code.meaning} |"
+        }
+        val exits = ExitCode.entries.map { "| ${it.number} | ${it.meaning} |" }
+        assertDocumented("ERRORS.md", listOf(codes.joinToString("\n"), exits.joinToString("\n")))
+    }
+
+    @Test
+    fun `docs-SETTINGS lists every setting with the program's default`() {
+        val tables = listOf(SettingsFile.entrySettings(), SettingsFile.sidecarSettings()).map(::settingsTable)
+        assertDocumented("SETTINGS.md", tables)
+    }
+
+    /** Leaves the expected text in the target folder, from where it can be copied. */
+    private fun assertDocumented(document: String, expected: List<String>) {
+        Path.of("target", "expected-$document").writeText(expected.joinToString("\n\n"))
+        val text = Path.of("..", "docs", document).readText()
+        expected.forEach { assertContains(text, it) }
+    }
+}
--- a/standins/src/main/kotlin/org/ragwortbank/standins/demo/DemoCases.kt
+++ b/standins/src/main/kotlin/org/ragwortbank/standins/demo/DemoCases.kt
@@ -24,7 +24,7 @@
             val body = """{"model":"roster-summary","prompt":"the week's lessons","max_tokens":64}"""
             Caller.post(entries[0], "/v1/completions", keys.large, body)
         },
-        DemoCase("models that the small club may reach", OK, text = "\"data\":[{\"id\":\"ski-advice\"}]") {
+        DemoCase("models that the small club may reach", OK, text = "[{\"id\":\"ski-advice\",\"object\":\"model\"}]") {
             Caller.get(entries[1], "/v1/models", keys.small)
         },
     )
