Add the load comparison and the cost of ticks as measurements

./load compares streamed requests of 16 tokens through one entry and one sidecar with the same requests to the stand-in engine.

--- a/experiments/src/main/kotlin/org/ragwortbank/experiments/Experiments.kt
+++ b/experiments/src/main/kotlin/org/ragwortbank/experiments/Experiments.kt
@@ -7,6 +7,6 @@
     name = "experiments",
     mixinStandardHelpOptions = true,
     description = ["Runs the product's decisions in virtual time and prints figures."],
-    subcommands = [LimitsCommand::class],
+    subcommands = [LimitsCommand::class, CostCommand::class],
 )
 class Experiments
--- a/standins/src/main/kotlin/org/ragwortbank/standins/fleet/FleetPlan.kt
+++ b/standins/src/main/kotlin/org/ragwortbank/standins/fleet/FleetPlan.kt
@@ -4,6 +4,7 @@
  * What a fleet consists of.
  *
  * @property serviceMillis time that a plain service takes for an answer
+ * @property quiet whether processes log warnings only and are compiled fully
  * @property entrySettings TOML text added to each entry's settings
  * @property sidecarSettings TOML text added to each sidecar's `sidecar` table
  */
@@ -15,6 +16,7 @@
     val tokenMillis: Int = 5,
     val answerTokens: Int = 24,
     val serviceMillis: Int = 5,
+    val quiet: Boolean = false,
     val entrySettings: String = "",
     val sidecarSettings: String = "",
 )
--- a/standins/src/main/kotlin/org/ragwortbank/standins/fleet/FleetStarts.kt
+++ b/standins/src/main/kotlin/org/ragwortbank/standins/fleet/FleetStarts.kt
@@ -28,6 +28,7 @@
             kind = "$kind"
             slots = ${plan.slots}
             ${plan.sidecarSettings}
+            ${logSettings()}
         """.trimIndent()
         val path = launcher.write("sidecar-${upstream.name}.toml", text)
         return Start { launcher.product(upstream.name, listOf("sidecar", "--config=$path")) }
@@ -39,6 +40,7 @@
             name = "$name"
             ${platformSettings()}
             ${plan.entrySettings}
+            ${logSettings()}
         """.trimIndent()
         val path = launcher.write("$name.toml", text)
         return Start { launcher.product(name, listOf("entry", "--config=$path")) }
@@ -60,5 +62,7 @@
     private fun platformSettings(): String =
         "[platform]\nkey_value_address = \"${address(kv)}\"\ninstances_address = \"${address(instances)}\""
 
+    private fun logSettings(): String = if (plan.quiet) "[log]\nlevel = \"warn\"" else ""
+
     private fun address(child: Child): Address = child.address("address")
 }
--- a/standins/src/main/kotlin/org/ragwortbank/standins/fleet/Launcher.kt
+++ b/standins/src/main/kotlin/org/ragwortbank/standins/fleet/Launcher.kt
@@ -11,11 +11,13 @@
  * @param productJar the product's one binary
  * @param standInsJar the stand-ins, which run with the product's libraries
  * @param directory where settings and logs are written
+ * @param fast whether processes are compiled fully, which delays their start
  */
 class Launcher(
     private val productJar: Path,
     private val standInsJar: Path,
     val directory: Path,
+    private val fast: Boolean = false,
 ) {
     init {
         directory.createDirectories()
@@ -62,9 +64,10 @@
     private fun log(name: String): File = directory.resolve("$name.log").toFile()
 
     private fun java(): List<String> =
-        listOf(javaBinary, "-Xms16m", "-Xmx96m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1")
+        listOf(javaBinary, "-Xms16m", "-Xmx96m", "-XX:+UseSerialGC") + if (fast) listOf() else FIRST_TIER
 
     private companion object {
+        val FIRST_TIER = listOf("-XX:TieredStopAtLevel=1")
         const val STAND_INS_MAIN = "org.ragwortbank.standins.StandInsKt"
         val javaBinary: String = Path.of(System.getProperty("java.home"), "bin", "java").toString()
     }
