--- a/experiments/src/main/kotlin/org/ragwortbank/experiments/cost/CostFixture.kt
+++ b/experiments/src/main/kotlin/org/ragwortbank/experiments/cost/CostFixture.kt
@@ -43,9 +43,11 @@
 
     /** The operators' tables of that size. */
     fun configuration(): Configuration = configuration(version = 1) {
-        (0 until POOLS).forEach { pool("pool-$it", UpstreamKind.ENGINE, "engine-$it-*") }
+        for (pool in 0 until POOLS) pool("pool-$pool", UpstreamKind.ENGINE, "engine-$pool-*")
         account("member", rate = RATE, burst = RATE)
-        (0 until routes).forEach { route("route-$it", "pool-${it % POOLS}", AdapterRef("adapter-$it", "1"), "member") }
+        for (row in 0 until routes) {
+            route("route-$row", "pool-${row % POOLS}", AdapterRef("adapter-$row", "1"), "member")
+        }
         key(KEY, "member")
     }
 
--- a/node/src/main/kotlin/org/ragwortbank/node/link/PeerDialer.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/link/PeerDialer.kt
@@ -2,7 +2,6 @@
 
 import io.ktor.network.selector.SelectorManager
 import io.ktor.network.sockets.aSocket
-import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.delay
@@ -39,15 +38,14 @@
     }
 
     private suspend fun attempt() {
-        val cause = try {
-            connectAndServe()
-        } catch (e: CancellationException) {
-            lost()
-            throw e
+        var cause = "the link failed"
+        try {
+            cause = connectAndServe()
         } catch (e: IOException) {
-            e.message ?: "connection lost"
+            cause = e.message ?: "connection lost"
+        } finally {
+            if (lost()) Logs.links.info("link to {} closed: {}", address, cause)
         }
-        if (lost()) Logs.links.info("link to {} closed: {}", address, cause)
     }
 
     private suspend fun connectAndServe(): String {
--- a/node/src/main/kotlin/org/ragwortbank/node/link/PeerServer.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/link/PeerServer.kt
@@ -5,7 +5,6 @@
 import io.ktor.network.sockets.ServerSocket
 import io.ktor.network.sockets.Socket
 import io.ktor.network.sockets.aSocket
-import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.launch
@@ -40,14 +39,14 @@
 
     private suspend fun serve(socket: Socket) {
         val link = IncomingLink(lastLink.incrementAndGet(), PeerConnection(socket), handler)
-        val cause = try {
-            link.connection.serve(link::receive)
-        } catch (e: CancellationException) {
-            throw e
+        var cause = "the link failed"
+        try {
+            cause = link.connection.serve(link::receive)
         } catch (e: IOException) {
-            e.message ?: "connection lost"
+            cause = e.message ?: "connection lost"
+        } finally {
+            link.closed(cause)
         }
-        link.closed(cause)
     }
 
     private class IncomingLink(
--- a/node/src/main/kotlin/org/ragwortbank/node/wire/Frames.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/wire/Frames.kt
@@ -7,7 +7,6 @@
 import io.ktor.utils.io.writeByteArray
 import io.ktor.utils.io.writeInt
 import kotlinx.serialization.ExperimentalSerializationApi
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.cbor.Cbor
 
 /** Version of the protocol between processes; a process refuses links of another version. */
@@ -23,14 +22,19 @@
 @OptIn(ExperimentalSerializationApi::class)
 internal fun encodeFrame(message: WireMessage): ByteArray = cbor.encodeToByteArray(WireMessage.serializer(), message)
 
-/** The message whose CBOR form [bytes] are; null when they are malformed. */
+/**
+ * The message whose CBOR form [bytes] are; null when they are malformed.
+ *
+ * The decoder reports damaged bytes by exceptions of many kinds, and follows nested tags by recursion.
+ */
 @OptIn(ExperimentalSerializationApi::class)
+@Suppress("TooGenericExceptionCaught")
 internal fun decodeFrame(bytes: ByteArray): WireMessage? =
     try {
         cbor.decodeFromByteArray(WireMessage.serializer(), bytes)
-    } catch (_: SerializationException) {
+    } catch (_: RuntimeException) {
         null
-    } catch (_: IllegalArgumentException) {
+    } catch (_: StackOverflowError) {
         null
     }
 
--- /dev/null
+++ b/node/src/test/kotlin/org/ragwortbank/node/wire/FramesTest.kt
@@ -0,0 +1,98 @@
+package org.ragwortbank.node.wire
+
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.toPersistentSet
+import kotlinx.io.bytestring.encodeToByteString
+import net.jqwik.api.ForAll
+import net.jqwik.api.Property
+import org.ragwortbank.core.limits.GrantStamp
+import org.ragwortbank.core.message.EntryMessage
+import org.ragwortbank.core.message.RunId
+import org.ragwortbank.core.message.SidecarCommand
+import org.ragwortbank.core.message.SidecarReport
+import org.ragwortbank.core.model.AccountId
+import org.ragwortbank.core.model.AdapterRef
+import org.ragwortbank.core.model.AnswerHead
+import org.ragwortbank.core.model.GenerateApi
+import org.ragwortbank.core.model.Header
+import org.ragwortbank.core.model.Incarnation
+import org.ragwortbank.core.model.RequestId
+import org.ragwortbank.core.model.RouteName
+import org.ragwortbank.core.model.Usage
+import org.ragwortbank.core.model.Work
+import org.ragwortbank.core.result.Refusal
+import org.ragwortbank.core.result.ResultCode
+import org.ragwortbank.core.tick.Timestamp
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNull
+import kotlin.time.Duration.Companion.milliseconds
+
+class FramesTest {
+    private val run = RunId(RequestId(Incarnation("entry-1.0123456789"), 123_456), 1)
+    private val account = AccountId("blue-hollow")
+    private val stamp = GrantStamp(Incarnation("entry-2.0123456789"), Timestamp(1_234_567_890_123))
+    private val head = AnswerHead(200, persistentListOf(Header("Content-Type", "text/event-stream")), streamed = true)
+
+    private fun reread(message: WireMessage): WireMessage = requireNotNull(decodeFrame(encodeFrame(message)))
+
+    @Test
+    fun `commands come back as they were`() {
+        val body = "{}".encodeToByteString()
+        val generate = Work.Generate(GenerateApi.CHAT, true, 3, 64, usageWanted = true, body)
+        val plain = Work.Plain("POST", "/lessons", persistentListOf(Header("A", "b")), body)
+        val adapter = AdapterRef("advice", "3")
+        val commands = listOf(
+            SidecarCommand.Dispatch(run, account, RouteName("advice"), adapter, idempotent = true, generate),
+            SidecarCommand.Dispatch(run, account, RouteName("booking"), null, idempotent = false, plain),
+            SidecarCommand.Cancel(run),
+        )
+        assertEquals(commands, commands.map { reread(it.toWire()).toCommand() })
+    }
+
+    @Test
+    fun `reports come back as they were`() {
+        val resident = (1..32).map { AdapterRef("adapter-$it", "1") }.toPersistentSet()
+        val reports = listOf(
+            SidecarReport.Started(run, head),
+            SidecarReport.Chunk(run, 7, 1, "piece".encodeToByteString()),
+            SidecarReport.Done(run, 8, Usage(3, 8)),
+            SidecarReport.Failed(run, Refusal.notRun(ResultCode.QUEUE_FULL, retryAfter = 20.milliseconds)),
+            SidecarReport.Digest(resident, queued = 2, running = 3, accepting = true),
+        )
+        assertEquals(reports, reports.map { reread(it.toWire()).toReport() })
+    }
+
+    @Test
+    fun `messages between entries come back as they were`() {
+        val messages = listOf(
+            EntryMessage.CreditAsk(5, account, persistentListOf(100, 200)),
+            EntryMessage.CreditGrant(5, account, 300, stamp, 20.milliseconds),
+            EntryMessage.NotHome(5, account),
+            EntryMessage.CreditSettle(account, 40, stamp),
+            EntryMessage.BucketAsk(2, account),
+            EntryMessage.BucketGiven(2, account, null, 0),
+            EntryMessage.ConfigNotice(9),
+        )
+        assertEquals(messages, messages.map { reread(it.toWire()).toEntryMessage() })
+    }
+
+    @Test
+    fun `a frame of another direction is not taken for one's own`() {
+        val cancel = SidecarCommand.Cancel(run).toWire()
+        assertNull(cancel.toReport())
+        assertNull(cancel.toEntryMessage())
+    }
+
+    @Property(seed = "20261204", tries = 500)
+    fun `bytes that are no frame are refused without an exception`(@ForAll bytes: ByteArray) {
+        decodeFrame(bytes)
+    }
+
+    @Property(seed = "20261204", tries = 500)
+    fun `damaged frames are refused or read without an exception`(@ForAll at: Int, @ForAll value: Byte) {
+        val frame = encodeFrame(EntryMessage.CreditGrant(5, account, 300, stamp, 20.milliseconds).toWire())
+        frame[at.mod(frame.size)] = value
+        decodeFrame(frame)?.toEntryMessage()
+    }
+}
--- a/standins/src/main/kotlin/org/ragwortbank/standins/load/CpuTime.kt
+++ b/standins/src/main/kotlin/org/ragwortbank/standins/load/CpuTime.kt
@@ -5,9 +5,8 @@
 import kotlin.time.Duration
 import kotlin.time.toKotlinDuration
 
-/** Processor time that [children] have used so far, together. */
-internal fun cpuTime(children: List<Child>): Duration =
-    children.fold(Duration.ZERO) { sum, child ->
-        val used = ProcessHandle.of(child.pid).getOrNull()?.info()?.totalCpuDuration()?.getOrNull()
-        sum + (used?.toKotlinDuration() ?: Duration.ZERO)
-    }
+/** Processor time that [child] has used so far. */
+internal fun cpuTime(child: Child): Duration {
+    val used = ProcessHandle.of(child.pid).getOrNull()?.info()?.totalCpuDuration()?.getOrNull()
+    return used?.toKotlinDuration() ?: Duration.ZERO
+}
--- a/standins/src/main/kotlin/org/ragwortbank/standins/load/Load.kt
+++ b/standins/src/main/kotlin/org/ragwortbank/standins/load/Load.kt
@@ -1,7 +1,7 @@
 package org.ragwortbank.standins.load
 
+import org.ragwortbank.platform.http.Address
 import org.ragwortbank.standins.fleet.Caller
-import org.ragwortbank.standins.fleet.Child
 import org.ragwortbank.standins.fleet.Fleet
 import org.ragwortbank.standins.fleet.FleetPlan
 import org.ragwortbank.standins.fleet.Launcher
@@ -18,17 +18,16 @@
     private val entry = fleet.entries.single()
     private val sidecar = fleet.sidecars.first()
     private val engine = fleet.upstreams.first()
+    private val processes = listOf(entry, sidecar)
 
     fun run() {
         val key = setUp()
-        measure("warm-up", entry, "ski-advice", key, callers = CALLERS, rate = 0)
-        measure("warm-up", engine, "ski-advice@3", key, callers = CALLERS, rate = 0)
-        listOf(100, 500, 1_000).forEach { rate ->
-            measure("direct $rate", engine, "ski-advice@3", key, CALLERS, rate)
-            measure("through $rate", entry, "ski-advice", key, CALLERS, rate)
+        val direct = Way("direct", engine.address("address"), "ski-advice@3")
+        val through = Way("through", entry.address("http"), "ski-advice")
+        (WARM_UP + RATES).forEach { rate ->
+            measure(direct, key, rate)
+            measure(through, key, rate)
         }
-        measure("direct", engine, "ski-advice@3", key, CALLERS, rate = 0)
-        measure("through", entry, "ski-advice", key, CALLERS, rate = 0)
         idle()
         fleet.stop()
     }
@@ -43,27 +42,36 @@
         return key
     }
 
-    private fun measure(label: String, target: Child, model: String, key: String, callers: Int, rate: Int) {
-        val before = listOf(entry, sidecar).map { cpuTime(listOf(it)) }
-        val address = target.address(if (target == entry) "http" else "address")
-        val result = LoadRun(address, LoadRun.completion(model, key, TOKENS), callers, rate, LENGTH).run()
-        val used = listOf(entry, sidecar).mapIndexed { i, child -> cpuTime(listOf(child)) - before[i] }
-        println(result.line(label) + "  cpu entry ${each(used[0], result)} sidecar ${each(used[1], result)}")
+    private fun measure(way: Way, key: String, rate: Int) {
+        val before = processes.map(::cpuTime)
+        val call = LoadRun.completion(way.model, key, TOKENS)
+        val result = LoadRun(way.address, call, CALLERS, rate, LENGTH).run()
+        val (ofEntry, ofSidecar) = usedSince(before)
+        val label = if (rate == 0) way.name else "${way.name} $rate"
+        println(result.line(label) + "  cpu entry ${each(ofEntry, result)} sidecar ${each(ofSidecar, result)}")
     }
 
+    private fun usedSince(before: List<Duration>): List<Duration> =
+        processes.map(::cpuTime).zip(before) { now, then -> now - then }
+
     private fun each(used: Duration, result: LoadResult): String =
         "%.0f us".format(used.inWholeMicroseconds.toDouble() / result.answered.coerceAtLeast(1))
 
     private fun idle() {
-        val before = listOf(entry, sidecar).map { cpuTime(listOf(it)) }
+        val before = processes.map(::cpuTime)
         Thread.sleep(LENGTH.inWholeMilliseconds)
-        val used = listOf(entry, sidecar).mapIndexed { i, child -> cpuTime(listOf(child)) - before[i] }
-        println("idle: entry ${percent(used[0])} of a core, sidecar ${percent(used[1])} of a core")
+        val (ofEntry, ofSidecar) = usedSince(before)
+        println("idle: entry ${percent(ofEntry)} of a core, sidecar ${percent(ofSidecar)} of a core")
     }
 
     private fun percent(used: Duration): String = "%.2f %%".format(used / LENGTH * PERCENT)
 
+    private data class Way(val name: String, val address: Address, val model: String)
+
     private companion object {
+        /** Requests per second; zero is as many as can be had, which also warms the processes up. */
+        val WARM_UP = listOf(0)
+        val RATES = listOf(100, 500, 1_000, 0)
         const val TOKENS = 16
         const val CALLERS = 32
         const val SETTLE_MILLIS = 3_000L
