Share one way to run a process; accept links only once the tick exists

An entry accepted links of other processes before its tick loop existed; it now binds first, which its identity needs, and accepts after the loop has started.

--- a/cli/src/main/kotlin/org/ragwortbank/cli/command/SidecarCommandLine.kt
+++ b/cli/src/main/kotlin/org/ragwortbank/cli/command/SidecarCommandLine.kt
@@ -1,9 +1,6 @@
 package org.ragwortbank.cli.command
 
 import org.ragwortbank.cli.settings.SettingsFile
-import org.ragwortbank.cli.toml.Checked
-import org.ragwortbank.node.log.LogSetup
-import org.ragwortbank.node.settings.SidecarNodeSettings
 import org.ragwortbank.node.sidecar.SidecarNode
 import picocli.CommandLine.Command
 import picocli.CommandLine.Option
@@ -21,18 +18,5 @@
     private lateinit var config: Path
 
     override fun call(): Int =
-        when (val settings = SettingsFile.sidecar(config)) {
-            is Checked.Bad -> reportProblems(settings.problems)
-            is Checked.Good -> run(settings.value)
-        }
-
-    private fun run(settings: SidecarNodeSettings): Int {
-        LogSetup.configure(settings.logLevel, settings.logFormat)
-        val node = SidecarNode(settings)
-        println(node.start())
-        stopOnSignal(node::stop)
-        node.awaitEnd()
-        LogSetup.flush()
-        return ExitCode.OK.number
-    }
+        runProcess(SettingsFile.sidecar(config), { it.logLevel }, { it.logFormat }, ::SidecarNode)
 }
--- a/node/src/main/kotlin/org/ragwortbank/node/entry/EntryNode.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/entry/EntryNode.kt
@@ -19,6 +19,7 @@
 import org.ragwortbank.core.result.Refusal
 import org.ragwortbank.core.result.ResultCode
 import org.ragwortbank.core.tick.Timestamp
+import org.ragwortbank.node.NodeProcess
 import org.ragwortbank.node.NodeRuntime
 import org.ragwortbank.node.Ready
 import org.ragwortbank.node.admin.AdminPages
@@ -43,16 +44,16 @@
 import kotlin.time.Duration.Companion.milliseconds
 
 /** An entry process: callers on one side, sidecars and other entries on the other. */
-class EntryNode(private val settings: EntryNodeSettings) {
+class EntryNode(private val settings: EntryNodeSettings) : NodeProcess {
     private val runtime = NodeRuntime(settings.name, settings.platform)
     private val name = InstanceName(settings.name)
     private val sequence = AtomicLong()
     private val calls = CallRegistry()
     private val answers = EntryAnswers(calls, runtime.metrics)
 
-    /** Starts the process and returns the addresses that it listens on. */
-    fun start(): Ready = runBlocking {
-        val peer = PeerServer(runtime.scope, runtime.selector, Peers()).start(settings.peerAddress)
+    override fun start(): Ready = runBlocking {
+        val server = PeerServer(runtime.scope, runtime.selector, Peers())
+        val peer = server.bind(settings.peerAddress)
         val member = LimitMember(name, runtime.incarnation, peer.toString())
         val identity = EntryIdentity(member, FailureDomain(settings.domain))
         val tables = EntryTables(identity, settings.entry)
@@ -60,16 +61,15 @@
         platform = EntryPlatform(runtime, settings.platform, loop::post)
         loop.start()
         platform.start()
+        server.start()
         val admin = AdminServer(runtime.group, Pages()).start(settings.adminAddress)
         val http = EntryHttpServer(runtime.group, settings.http, Sink()).start(settings.httpAddress)
         Ready(settings.name, http, peer, admin)
     }
 
-    /** Stops gracefully: no request is cut off. */
-    fun stop() = loop.post(EntryInput.StopAsked)
+    override fun stop() = loop.post(EntryInput.StopAsked)
 
-    /** Waits until the process has stopped. */
-    fun awaitEnd() = runtime.awaitEnd()
+    override fun awaitEnd() = runtime.awaitEnd()
 
     private lateinit var loop: TickLoop<EntryTables, EntryInput, EntryEffect>
     private lateinit var platform: EntryPlatform
--- a/node/src/main/kotlin/org/ragwortbank/node/link/PeerServer.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/link/PeerServer.kt
@@ -5,6 +5,7 @@
 import io.ktor.network.sockets.ServerSocket
 import io.ktor.network.sockets.Socket
 import io.ktor.network.sockets.aSocket
+import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.launch
@@ -23,13 +24,18 @@
 ) {
     private val lastLink = AtomicLong()
 
+    private val bound = CompletableDeferred<ServerSocket>()
+
     /** Listens on [address] and returns the address bound, which differs when the port was zero. */
-    suspend fun start(address: Address): Address {
+    suspend fun bind(address: Address): Address {
         val server = aSocket(selector).tcp().bind(address.host, address.port)
-        scope.launch { accept(server) }
+        bound.complete(server)
         return Address(address.host, (server.localAddress as InetSocketAddress).port)
     }
 
+    /** Serves connections from now on; those made since [bind] are waiting. */
+    fun start() = scope.launch { accept(bound.await()) }
+
     private suspend fun accept(server: ServerSocket) {
         while (true) {
             val socket = server.accept()
--- a/node/src/main/kotlin/org/ragwortbank/node/sidecar/SidecarNode.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/sidecar/SidecarNode.kt
@@ -18,6 +18,7 @@
 import org.ragwortbank.core.sidecar.SidecarInput
 import org.ragwortbank.core.sidecar.SidecarTables
 import org.ragwortbank.core.sidecar.sidecarSchedule
+import org.ragwortbank.node.NodeProcess
 import org.ragwortbank.node.NodeRuntime
 import org.ragwortbank.node.Ready
 import org.ragwortbank.node.admin.AdminPages
@@ -40,7 +41,7 @@
 import kotlin.time.Duration.Companion.milliseconds
 
 /** A sidecar process: entries on one side, one upstream on the other. */
-class SidecarNode(private val settings: SidecarNodeSettings) {
+class SidecarNode(private val settings: SidecarNodeSettings) : NodeProcess {
     private val runtime = NodeRuntime(settings.name, settings.platform)
     private val upstream = upstreamClient(settings, runtime.client)
     private val runs = RunRegistry()
@@ -48,20 +49,19 @@
     private val tables = SidecarTables(InstanceName(settings.name), settings.sidecar)
     private val loop = TickLoop(sidecarSchedule(), tables, MAX_WAIT, runtime.metrics) { effect, _ -> perform(effect) }
 
-    /** Starts the process and returns the addresses that it listens on. */
-    fun start(): Ready = runBlocking {
+    override fun start(): Ready = runBlocking {
         loop.start()
         takeFencing()
-        val peer = PeerServer(runtime.scope, runtime.selector, Entries()).start(settings.peerAddress)
+        val server = PeerServer(runtime.scope, runtime.selector, Entries())
+        val peer = server.bind(settings.peerAddress)
+        server.start()
         val admin = AdminServer(runtime.group, Pages()).start(settings.adminAddress)
         Ready(settings.name, null, peer, admin)
     }
 
-    /** Stops gracefully: no run is cut off. */
-    fun stop() = loop.post(SidecarInput.StopAsked)
+    override fun stop() = loop.post(SidecarInput.StopAsked)
 
-    /** Waits until the process has stopped. */
-    fun awaitEnd() = runtime.awaitEnd()
+    override fun awaitEnd() = runtime.awaitEnd()
 
     private fun takeFencing() = runtime.scope.launch {
         val store = FencingStore(runtime.store)
