Keep an account that was idle from taking all turns on its return

Cause: the fair order compared tokens served since the process started, so an account that had been idle came first until it had caught up. Ruled out: the order of arrival within an account. Change: start-time fair queueing; a rank never falls behind that of the run started last (FairShare).

--- a/core/src/main/kotlin/org/ragwortbank/core/sidecar/FairOrder.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/sidecar/FairOrder.kt
@@ -1,22 +1,21 @@
 package org.ragwortbank.core.sidecar
 
-/** Takes the accounts in turn, the one that has been served the fewest tokens first, each in order of arrival. */
+/** Takes the accounts in turn by the tokens that they have been served, each in order of arrival. */
 class FairOrder : QueueOrder {
     override fun order(candidates: List<Run>, tables: SidecarTables): List<Run> {
         val byAccount = candidates.groupBy { it.command.account }
         if (byAccount.size <= 1) return candidates
         return byAccount
-            .flatMap { (account, runs) -> ranked(runs, tables.servedTokens[account] ?: 0) }
+            .flatMap { (account, runs) -> ranked(runs, tables.fairShare.rankOf(account)) }
             .sortedBy { it.rank }
             .map { it.run }
     }
 
-    private fun ranked(runs: List<Run>, served: Long): List<Ranked> =
-        runs
-            .runningFold(Ranked(null, served)) { last, run -> Ranked(run, last.rank + tokensOf(run)) }
-            .zipWithNext { before, next -> Ranked(next.run, before.rank) }
-
-    private data class Ranked(val nullableRun: Run?, val rank: Long) {
-        val run: Run get() = requireNotNull(nullableRun)
+    /** Each run of one account starts where the one before it ends. */
+    private fun ranked(runs: List<Run>, first: Long): List<Ranked> {
+        val ranks = runs.runningFold(first) { rank, run -> rank + tokensOf(run) }
+        return runs.zip(ranks) { run, rank -> Ranked(run, rank) }
     }
+
+    private data class Ranked(val run: Run, val rank: Long)
 }
--- a/core/src/main/kotlin/org/ragwortbank/core/sidecar/QueueOrder.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/sidecar/QueueOrder.kt
@@ -2,6 +2,6 @@
 
 /** Decides which waiting run comes next. */
 fun interface QueueOrder {
-    /** The runs of [candidates] in the order in which they should start, given the tokens served per account. */
+    /** The runs of [candidates] in the order in which they should start. */
     fun order(candidates: List<Run>, tables: SidecarTables): List<Run>
 }
--- a/core/src/main/kotlin/org/ragwortbank/core/sidecar/SidecarTables.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/sidecar/SidecarTables.kt
@@ -8,7 +8,6 @@
 import kotlinx.collections.immutable.persistentSetOf
 import org.ragwortbank.core.message.RunId
 import org.ragwortbank.core.message.SidecarReport
-import org.ragwortbank.core.model.AccountId
 import org.ragwortbank.core.model.AdapterRef
 import org.ragwortbank.core.model.InstanceName
 import org.ragwortbank.core.tick.Step
@@ -22,7 +21,7 @@
  *
  * @property queue runs that wait, in order of arrival
  * @property runningCount runs that the upstream is running
- * @property servedTokens tokens started per account, for a fair order
+ * @property fairShare how far each account has been served
  * @property fencing number that orders to the engine carry; null until the key-value service has given one
  * @property upstreamUp whether the upstream answered when it was last tried
  * @property probing whether an attempt to reach the upstream is under way
@@ -35,7 +34,7 @@
     val runs: PersistentMap<RunId, Run> = persistentMapOf(),
     val queue: PersistentList<RunId> = persistentListOf(),
     val runningCount: Int = 0,
-    val servedTokens: PersistentMap<AccountId, Long> = persistentMapOf(),
+    val fairShare: FairShare = FairShare(),
     val adapters: PersistentMap<AdapterRef, AdapterRow> = persistentMapOf(),
     val fencing: Long? = null,
     val upstreamUp: Boolean = false,
--- a/core/src/main/kotlin/org/ragwortbank/core/sidecar/StartSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/sidecar/StartSystem.kt
@@ -27,13 +27,11 @@
     private fun started(tables: SidecarTables, run: Run, now: Timestamp): SidecarTables {
         val id = run.command.run
         val account = run.command.account
-        val floor = if (tables.servedTokens.isEmpty()) 0 else tables.servedTokens.values.min()
-        val served = tables.servedTokens[account] ?: floor
         val counted = tables.copy(
             runs = tables.runs.put(id, run.copy(running = true)),
             queue = tables.queue.remove(id),
             runningCount = tables.runningCount + 1,
-            servedTokens = tables.servedTokens.put(account, served + tokensOf(run)),
+            fairShare = tables.fairShare.start(account, tokensOf(run)),
         )
         return counted.updateAdapter(run.command.adapter) { it.copy(running = it.running + 1, usedAt = now) }
     }
--- a/core/src/test/kotlin/org/ragwortbank/core/sidecar/SidecarSystemsTest.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/sidecar/SidecarSystemsTest.kt
@@ -92,6 +92,21 @@
         assertEquals(listOf(small), sidecar.started())
     }
 
+    @Test
+    fun `given an account that was idle while another was served, then it does not take all turns on its return`() {
+        finish("a", account = "small")
+        repeat(20) { finish("a") }
+        repeat(2) { begin("a") }
+        repeat(4) { sidecar.dispatch("a", account = "large") }
+        repeat(4) { sidecar.dispatch("a", account = "small") }
+        val turns = (1..4).flatMap {
+            val running = sidecar.tables.runs.values.first { it.running }
+            sidecar.tick(SidecarInput.RunCompleted(running.command.run, null))
+            sidecar.started().map { sidecar.tables.runs.getValue(it).command.account.value }
+        }
+        assertEquals(listOf("large", "large", "small", "small"), turns.sorted())
+    }
+
     @Test
     fun `given an upstream that is down, then the sidecar probes it and takes stock when it answers`() {
         val run = begin("a")
@@ -102,11 +117,12 @@
         assertEquals(emptySet(), sidecar.tables.adapters.keys)
     }
 
-    private fun begin(adapter: String) =
-        sidecar.dispatch(adapter).also {
+    private fun begin(adapter: String, account: String = "large") =
+        sidecar.dispatch(adapter, account).also {
             val state = sidecar.tables.adapters[SidecarFixture.ref(adapter)]?.state
             if (state == AdapterState.LOADING) sidecar.loaded(adapter)
         }
 
-    private fun finish(adapter: String) = sidecar.tick(SidecarInput.RunCompleted(begin(adapter), null))
+    private fun finish(adapter: String, account: String = "large") =
+        sidecar.tick(SidecarInput.RunCompleted(begin(adapter, account), null))
 }
