--- a/standins/src/test/kotlin/org/ragwortbank/standins/fleet/FailureTest.kt
+++ b/standins/src/test/kotlin/org/ragwortbank/standins/fleet/FailureTest.kt
@@ -1,9 +1,5 @@
 package org.ragwortbank.standins.fleet
 
-import kotlinx.coroutines.DelicateCoroutinesApi
-import kotlinx.coroutines.Dispatchers
-import kotlinx.coroutines.GlobalScope
-import kotlinx.coroutines.async
 import org.junit.jupiter.api.AfterEach
 import kotlin.test.Test
 import kotlin.test.assertContains
@@ -18,9 +14,8 @@
     fun stop() = fleet.close()
 
     @Test
-    @OptIn(DelicateCoroutinesApi::class)
     fun `given a sidecar killed while it runs a booking, then the booking runs once and repeats do not run it`() {
-        val first = GlobalScope.async(Dispatchers.IO) { TestFleet.text(fleet.book(entries[0], "b-1")) }
+        val first = fleet.inBackground { TestFleet.text(fleet.book(entries[0], "b-1")) }
         assertTrue(Patience.until { fleet.bookings("b-1") == 1 }, "the booking did not start")
         fleet.sidecar("booking-1").kill()
         assertContains(TestFleet.awaitAnswers(listOf(first)).single(), "\"execution\":\"unknown\"")
--- a/standins/src/test/kotlin/org/ragwortbank/standins/fleet/TestFleet.kt
+++ b/standins/src/test/kotlin/org/ragwortbank/standins/fleet/TestFleet.kt
@@ -48,9 +48,12 @@
         return ready?.status == 200 && models != null && "ski-advice" in models.text
     }
 
-    /** Sends a streamed request in the background. */
+    /** Does [action] on another thread. */
     @OptIn(kotlinx.coroutines.DelicateCoroutinesApi::class)
-    fun stream(entry: Address): Deferred<String> = GlobalScope.async(Dispatchers.IO) {
+    fun inBackground(action: () -> String): Deferred<String> = GlobalScope.async(Dispatchers.IO) { action() }
+
+    /** Sends a streamed request in the background. */
+    fun stream(entry: Address): Deferred<String> = inBackground {
         val body = """{"model":"ski-advice","prompt":"a lesson?","max_tokens":$STREAM_TOKENS,"stream":true}"""
         text(Caller.post(entry, "/v1/completions", key, body))
     }
