Refuse keys for accounts that stand in no table

Cause: keys give took any name and the key then failed with 2004 for every request. Change: the check of the tables covers keys. Before: exit 0 for keys give nobody; after: a problem that names the row, in a test.

--- a/cli/src/main/kotlin/org/ragwortbank/cli/command/PlanCommand.kt
+++ b/cli/src/main/kotlin/org/ragwortbank/cli/command/PlanCommand.kt
@@ -45,7 +45,7 @@
         if (json) {
             println(Json.encodeToString(Plan.serializer(), Plan(present.version, lines)))
         } else {
-            println("stored version ${present.version}, ${lines.size} changes")
+            println("stored version ${present.version}, changes: ${lines.size}")
             lines.forEach(::println)
         }
         return ExitCode.OK.number
--- a/core/src/main/kotlin/org/ragwortbank/core/config/ConfigurationCheck.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/config/ConfigurationCheck.kt
@@ -17,7 +17,8 @@
     val accounts = configuration.accounts.values.flatMap(::checkAccount)
     val pools = configuration.pools.values.flatMap(::checkPool)
     val routes = configuration.routes.values.flatMap { checkRoute(configuration, it) }
-    return (accounts + pools + routes).toPersistentList()
+    val keys = configuration.keys.values.mapNotNull { accountProblem(configuration, "keys.${it.hash}", it.account) }
+    return (accounts + pools + routes + keys).toPersistentList()
 }
 
 private fun checkAccount(account: Account): List<ConfigProblem> {
@@ -43,13 +44,13 @@
     val path = "routes.${route.name}"
     val pool = configuration.pools[route.pool]
     val missing = problemIf(pool == null, "$path.pool", "'${route.pool}'", "the name of a pool in the pools table")
-    val accounts = route.accounts.mapNotNull { accountProblem(configuration, path, it) }
+    val accounts = route.accounts.mapNotNull { accountProblem(configuration, "$path.accounts", it) }
     return listOfNotNull(nameProblem(path, route.name.value), missing, reachProblem(path, route)) +
         accounts + listOfNotNull(pool?.let { adapterProblem(path, route, it) })
 }
 
 private fun accountProblem(configuration: Configuration, path: String, id: AccountId): ConfigProblem? =
-    problemIf(id !in configuration.accounts, "$path.accounts", "'$id'", "an account of the pools file")
+    problemIf(id !in configuration.accounts, path, "'$id'", "an account of the pools file")
 
 private fun reachProblem(path: String, route: Route): ConfigProblem? {
     val unreachable = !route.open && route.accounts.isEmpty()
--- a/core/src/test/kotlin/org/ragwortbank/core/config/ConfigurationCheckTest.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/config/ConfigurationCheckTest.kt
@@ -1,6 +1,9 @@
 package org.ragwortbank.core.config
 
+import org.ragwortbank.core.model.AccountId
 import org.ragwortbank.core.model.AdapterRef
+import org.ragwortbank.core.model.KeyGrant
+import org.ragwortbank.core.model.KeyHash
 import org.ragwortbank.core.model.PoolName
 import org.ragwortbank.core.model.RouteName
 import org.ragwortbank.core.model.UpstreamKind
@@ -29,6 +32,13 @@
         assertEquals(listOf("routes.advice.pool", "routes.advice.accounts"), paths)
     }
 
+    @Test
+    fun `given a key for an account that is in no table, then it is refused`() {
+        val grant = KeyGrant(KeyHash("aa"), AccountId("nobody"))
+        val problem = checkConfiguration(sound.with(TableChange.GiveKey(grant))).single()
+        assertEquals("keys.aa: found 'nobody', expected an account of the pools file", problem.toString())
+    }
+
     @Test
     fun `given declared tables, then the changes between make them true`() {
         val declared = configuration(version = 0) {
