Refuse cold work at once while there is no fencing number; remove dead code

Cause: a sidecar that starts while the key-value service is down gives no orders, and runs for cold adapters waited 20 s for nothing. Change: after fencing_timeout (1 s) they are refused as not run (3007), so that the entry tries another upstream; what is resident is served (FencingSystem).

--- a/cli/src/main/kotlin/org/ragwortbank/cli/settings/SidecarReader.kt
+++ b/cli/src/main/kotlin/org/ragwortbank/cli/settings/SidecarReader.kt
@@ -45,6 +45,7 @@
         maxLoads = reader.int("max_loads", defaults.maxLoads, loadsRange),
         loadTimeout = reader.duration("load_timeout", defaults.loadTimeout),
         loadBackoff = reader.duration("load_backoff", defaults.loadBackoff),
+        fencingTimeout = reader.duration("fencing_timeout", defaults.fencingTimeout),
         digestInterval = reader.duration("digest_interval", defaults.digestInterval),
         heartbeatInterval = reader.duration("heartbeat_interval", defaults.heartbeatInterval),
         probeInterval = reader.duration("probe_interval", defaults.probeInterval),
--- a/core/src/main/kotlin/org/ragwortbank/core/entry/Membership.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/entry/Membership.kt
@@ -17,7 +17,6 @@
  * @property instances the instance list as last read
  * @property listedAt when the call was made that read [instances]
  * @property epoch the highest limit epoch read
- * @property epochKnown whether the epoch has been read at all
  * @property witnessAt when this entry asked for the list that last named it; null since a list that did not
  * @property absentSince members that are missing from the list, with the time since when
  * @property ended members whose process has ended: nothing listens at their address any more
@@ -27,7 +26,6 @@
     val instances: PersistentMap<InstanceName, Instance> = persistentMapOf(),
     val listedAt: Timestamp? = null,
     val epoch: LimitEpoch? = null,
-    val epochKnown: Boolean = false,
     val witnessAt: Timestamp? = null,
     val absentSince: PersistentMap<InstanceName, Timestamp> = persistentMapOf(),
     val retiredSince: PersistentMap<LimitMember, Timestamp> = persistentMapOf(),
--- a/core/src/main/kotlin/org/ragwortbank/core/entry/MembershipUpdate.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/entry/MembershipUpdate.kt
@@ -32,7 +32,6 @@
     return copy(
         membership = membership.copy(
             epoch = newest,
-            epochKnown = true,
             witnessAt = membership.witnessAt.takeIf { member },
             retiredSince = retired.toPersistentMap(),
             ended = newest?.let { known -> membership.ended.removeAll { it !in known.all } } ?: membership.ended,
--- a/core/src/main/kotlin/org/ragwortbank/core/result/ResultCode.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/result/ResultCode.kt
@@ -37,7 +37,5 @@
     ALREADY_RAN(number = 4005, status = 409, "A request with this idempotency key has already been accepted."),
     CLAIM_UNAVAILABLE(number = 4006, status = 503, "The idempotency key could not be recorded, so nothing was run."),
     WRONG_ADAPTER(number = 4007, status = 502, "The engine answered with another adapter than the route names."),
-    UPSTREAM_REFUSED(number = 4008, status = 502, "The upstream refused the request."),
     KEY_WITHDRAWN(number = 4009, status = 401, "The key was withdrawn while the answer was being sent."),
-    CRASHES_UPSTREAMS(number = 4010, status = 422, "This request has crashed upstreams and is refused for a time."),
 }
--- a/core/src/main/kotlin/org/ragwortbank/core/sidecar/PlacementSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/sidecar/PlacementSystem.kt
@@ -15,7 +15,6 @@
             when (input) {
                 is SidecarInput.LoadEnded -> loaded(s, input, tick.now)
                 is SidecarInput.UnloadEnded -> unloaded(s, input, tick.now)
-                is SidecarInput.FencingGiven -> s.update { it.copy(fencing = input.number) }
                 else -> s
             }
         }
--- a/core/src/main/kotlin/org/ragwortbank/core/sidecar/SidecarSchedule.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/sidecar/SidecarSchedule.kt
@@ -13,6 +13,7 @@
             IntakeSystem(),
             RunSystem(),
             ProbeSystem(),
+            FencingSystem(),
             PlacementSystem(order),
             StartSystem(order),
             DigestSystem(),
--- a/core/src/main/kotlin/org/ragwortbank/core/sidecar/SidecarSettings.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/sidecar/SidecarSettings.kt
@@ -14,6 +14,7 @@
  * @property maxLoads adapter loads ordered at once
  * @property loadTimeout longest time from a load order to its answer
  * @property loadBackoff time during which an adapter is not loaded again after a failed load
+ * @property fencingTimeout longest wait of a run for a load while there is no fencing number
  * @property digestInterval shortest time between two reports to the entries
  * @property heartbeatInterval longest time between two reports
  * @property probeInterval time between attempts to reach an upstream that is down
@@ -28,6 +29,7 @@
     val maxLoads: Int = 2,
     val loadTimeout: Duration = 30.seconds,
     val loadBackoff: Duration = 2.seconds,
+    val fencingTimeout: Duration = 1.seconds,
     val digestInterval: Duration = 20.milliseconds,
     val heartbeatInterval: Duration = 1.seconds,
     val probeInterval: Duration = 500.milliseconds,
--- a/core/src/test/kotlin/org/ragwortbank/core/sidecar/SidecarFixture.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/sidecar/SidecarFixture.kt
@@ -1,5 +1,6 @@
 package org.ragwortbank.core.sidecar
 
+import kotlinx.collections.immutable.PersistentSet
 import kotlinx.collections.immutable.persistentSetOf
 import kotlinx.collections.immutable.toPersistentList
 import kotlinx.io.bytestring.ByteString
@@ -17,10 +18,15 @@
 import org.ragwortbank.core.result.Refusal
 import org.ragwortbank.core.tick.Tick
 import org.ragwortbank.core.tick.Timestamp
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
 /** One sidecar with one link, run tick by tick in virtual time. */
-class SidecarFixture(settings: SidecarSettings = SidecarSettings(slots = 2, maxRunning = 2)) {
+class SidecarFixture(
+    settings: SidecarSettings = SidecarSettings(slots = 2, maxRunning = 2),
+    fencing: Long? = 7,
+    resident: PersistentSet<AdapterRef> = persistentSetOf(),
+) {
     private val schedule = sidecarSchedule()
     private var sequence = 0L
     private var now = Timestamp(0)
@@ -32,7 +38,13 @@
         private set
 
     init {
-        tick(SidecarInput.LinkOpened(LINK), SidecarInput.FencingGiven(7), SidecarInput.Probed(persistentSetOf()))
+        tick(SidecarInput.LinkOpened(LINK), SidecarInput.Probed(resident))
+        fencing?.let { tick(SidecarInput.FencingGiven(it)) }
+    }
+
+    fun pause(duration: Duration) {
+        now += duration
+        tick()
     }
 
     fun tick(vararg inputs: SidecarInput) {
--- a/core/src/test/kotlin/org/ragwortbank/core/sidecar/SidecarSystemsTest.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/sidecar/SidecarSystemsTest.kt
@@ -7,6 +7,7 @@
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.seconds
 
 class SidecarSystemsTest {
     private val sidecar = SidecarFixture()
@@ -107,6 +108,18 @@
         assertEquals(listOf("large", "large", "small", "small"), turns.sorted())
     }
 
+    @Test
+    fun `given no fencing number, then what is resident is served and the rest is truthfully not run`() {
+        val unfenced = SidecarFixture(fencing = null, resident = persistentSetOf(SidecarFixture.ref("warm")))
+        val warm = unfenced.dispatch("warm")
+        assertEquals(listOf(warm), unfenced.started())
+        unfenced.dispatch("cold")
+        assertEquals(emptyList(), unfenced.loads())
+        unfenced.pause(2.seconds)
+        assertEquals(ResultCode.NO_FENCING, unfenced.refusals().single().code)
+        assertEquals(Execution.NOT_RUN, unfenced.refusals().single().execution)
+    }
+
     @Test
     fun `given an upstream that is down, then the sidecar probes it and takes stock when it answers`() {
         val run = begin("a")
--- a/experiments/src/main/kotlin/org/ragwortbank/experiments/LimitsCommand.kt
+++ b/experiments/src/main/kotlin/org/ragwortbank/experiments/LimitsCommand.kt
@@ -73,7 +73,7 @@
 
     private fun printTrace(experiment: LimitExperiment): Int {
         experiment.history(mode, first, faults).records
-            .filterNot { it is FleetRecord.Offered || it is FleetRecord.Delivered }
+            .filterNot { it is FleetRecord.Offered }
             .forEach { println("${it.at.nanos / NANOS_PER_MILLI} $it") }
         return 0
     }
--- a/experiments/src/main/kotlin/org/ragwortbank/experiments/fleet/FleetHistory.kt
+++ b/experiments/src/main/kotlin/org/ragwortbank/experiments/fleet/FleetHistory.kt
@@ -18,9 +18,6 @@
     /** A request was refused. */
     data class Refused(override val at: Timestamp, val code: ResultCode) : FleetRecord
 
-    /** An answer was delivered in full. */
-    data class Delivered(override val at: Timestamp, val tokens: Long) : FleetRecord
-
     /** A request arrived. */
     data class Offered(override val at: Timestamp, val tokens: Long) : FleetRecord
 
