--- a/core/src/main/kotlin/org/ragwortbank/core/entry/BucketCollection.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/entry/BucketCollection.kt
@@ -1,6 +1,8 @@
 package org.ragwortbank.core.entry
 
+import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.toPersistentSet
+import org.ragwortbank.core.limits.LimitEpoch
 import org.ragwortbank.core.log.LogPart
 import org.ragwortbank.core.message.EntryMessage
 import org.ragwortbank.core.model.AccountId
@@ -16,7 +18,7 @@
         epoch == null || !tables.mayCollectUnder(epoch.number) -> notHome(queued)
         homeOf(tables, id) != tables.identity.member.name -> notHome(queued)
         row is HomeRow.Collecting && row.epoch == epoch.number -> putHome(id, row.copy(asks = row.asks.add(queued)))
-        else -> startCollecting(queued, epoch.number, (row as? HomeRow.Parked)?.remains ?: BucketRemains())
+        else -> startCollecting(queued, epoch, (row as? HomeRow.Parked)?.remains ?: BucketRemains())
     }
 }
 
@@ -54,12 +56,12 @@
     return emitAll(homes.distinct().map { EntryEffect.ProbeMember(it) })
 }
 
-private fun EntryStep.startCollecting(queued: QueuedAsk, epoch: Long, remains: BucketRemains): EntryStep {
+private fun EntryStep.startCollecting(queued: QueuedAsk, epoch: LimitEpoch, remains: BucketRemains): EntryStep {
     val id = queued.ask.account
-    val known = tables.membership.epoch ?: return this
-    val others = known.all.filter { it != tables.identity.member }
-    val row = HomeRow.Collecting(epoch, others.toPersistentSet(), remains)
-    return log(LogPart.LIMITS, "collecting the bucket of $id from ${others.size} members in epoch $epoch")
-        .putHome(id, row.copy(asks = row.asks.add(queued)))
-        .emitAll(others.map { EntryEffect.ToEntry(it.name, EntryMessage.BucketAsk(epoch, id)) })
+    val number = epoch.number
+    val others = epoch.all.filter { it != tables.identity.member }
+    val row = HomeRow.Collecting(number, others.toPersistentSet(), remains, persistentListOf(queued))
+    return log(LogPart.LIMITS, "collecting the bucket of $id from ${others.size} members in epoch $number")
+        .putHome(id, row)
+        .emitAll(others.map { EntryEffect.ToEntry(it.name, EntryMessage.BucketAsk(number, id)) })
 }
--- a/node/src/main/kotlin/org/ragwortbank/node/entry/EntryNode.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/entry/EntryNode.kt
@@ -37,7 +37,6 @@
 import org.ragwortbank.node.now
 import org.ragwortbank.node.settings.EntryNodeSettings
 import org.ragwortbank.node.wire.WireMessage
-import org.ragwortbank.node.wire.toCommand
 import org.ragwortbank.node.wire.toEntryMessage
 import org.ragwortbank.node.wire.toWire
 import java.util.concurrent.atomic.AtomicLong
@@ -161,7 +160,7 @@
             val known = message.toEntryMessage()
             if (known == null) runtime.metrics.badInput(BadInput.FRAME)
             if (known != null) loop.post(EntryInput.EntrySaid(InstanceName(peer), known))
-            return known != null && message.toCommand() == null
+            return known != null
         }
 
         override fun onClosed(link: Long, peer: String) = Unit
