--- a/cli/src/main/kotlin/org/ragwortbank/cli/command/ApplyCommand.kt
+++ b/cli/src/main/kotlin/org/ragwortbank/cli/command/ApplyCommand.kt
@@ -4,9 +4,9 @@
 import kotlinx.serialization.json.Json
 import org.ragwortbank.cli.tables.TablesFile
 import org.ragwortbank.cli.toml.Checked
+import org.ragwortbank.clients.config.ConfigWrite
 import org.ragwortbank.core.config.changesBetween
 import org.ragwortbank.core.model.Configuration
-import org.ragwortbank.platform.config.ConfigWrite
 import picocli.CommandLine.Command
 import picocli.CommandLine.Mixin
 import picocli.CommandLine.Option
--- a/cli/src/main/kotlin/org/ragwortbank/cli/command/KeysCommand.kt
+++ b/cli/src/main/kotlin/org/ragwortbank/cli/command/KeysCommand.kt
@@ -3,14 +3,14 @@
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.Json
+import org.ragwortbank.clients.config.ConfigStore
+import org.ragwortbank.clients.config.ConfigWrite
+import org.ragwortbank.clients.http.Address
 import org.ragwortbank.core.config.TableChange
 import org.ragwortbank.core.model.AccountId
 import org.ragwortbank.core.model.KeyGrant
 import org.ragwortbank.core.model.KeyHash
 import org.ragwortbank.node.http.hashKey
-import org.ragwortbank.platform.config.ConfigStore
-import org.ragwortbank.platform.config.ConfigWrite
-import org.ragwortbank.platform.http.Address
 import picocli.CommandLine.Command
 import picocli.CommandLine.Mixin
 import picocli.CommandLine.Option
--- a/cli/src/main/kotlin/org/ragwortbank/cli/command/Platform.kt
+++ b/cli/src/main/kotlin/org/ragwortbank/cli/command/Platform.kt
@@ -3,10 +3,10 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
 import kotlinx.coroutines.runBlocking
-import org.ragwortbank.platform.config.ConfigStore
-import org.ragwortbank.platform.http.Address
-import org.ragwortbank.platform.http.HttpClient
-import org.ragwortbank.platform.kv.EtcdKeyValueStore
+import org.ragwortbank.clients.config.ConfigStore
+import org.ragwortbank.clients.http.Address
+import org.ragwortbank.clients.http.HttpClient
+import org.ragwortbank.clients.kv.EtcdKeyValueStore
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration.Companion.seconds
 
--- a/cli/src/main/kotlin/org/ragwortbank/cli/command/PlatformOptions.kt
+++ b/cli/src/main/kotlin/org/ragwortbank/cli/command/PlatformOptions.kt
@@ -1,6 +1,6 @@
 package org.ragwortbank.cli.command
 
-import org.ragwortbank.platform.http.Address
+import org.ragwortbank.clients.http.Address
 import picocli.CommandLine.ITypeConverter
 import picocli.CommandLine.Option
 import picocli.CommandLine.TypeConversionException
--- a/cli/src/main/kotlin/org/ragwortbank/cli/command/TableRow.kt
+++ b/cli/src/main/kotlin/org/ragwortbank/cli/command/TableRow.kt
@@ -2,9 +2,9 @@
 
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.Json
+import org.ragwortbank.clients.config.ConfigRead
+import org.ragwortbank.clients.http.Address
 import org.ragwortbank.core.model.Configuration
-import org.ragwortbank.platform.config.ConfigRead
-import org.ragwortbank.platform.http.Address
 
 /** A row as it is shown. */
 @Serializable
--- a/cli/src/main/kotlin/org/ragwortbank/cli/command/Writes.kt
+++ b/cli/src/main/kotlin/org/ragwortbank/cli/command/Writes.kt
@@ -4,11 +4,11 @@
 import kotlinx.coroutines.flow.asFlow
 import kotlinx.coroutines.flow.firstOrNull
 import kotlinx.coroutines.flow.map
+import org.ragwortbank.clients.config.ConfigRead
+import org.ragwortbank.clients.config.ConfigStore
+import org.ragwortbank.clients.config.ConfigWrite
 import org.ragwortbank.core.config.TableChange
 import org.ragwortbank.core.model.Configuration
-import org.ragwortbank.platform.config.ConfigRead
-import org.ragwortbank.platform.config.ConfigStore
-import org.ragwortbank.platform.config.ConfigWrite
 import java.util.UUID
 
 private const val MAX_ATTEMPTS = 8
--- a/cli/src/main/kotlin/org/ragwortbank/cli/settings/SidecarReader.kt
+++ b/cli/src/main/kotlin/org/ragwortbank/cli/settings/SidecarReader.kt
@@ -7,10 +7,10 @@
 import org.ragwortbank.cli.toml.int
 import org.ragwortbank.cli.toml.optionalString
 import org.ragwortbank.cli.toml.string
+import org.ragwortbank.clients.http.Address
 import org.ragwortbank.core.model.UpstreamKind
 import org.ragwortbank.core.sidecar.SidecarSettings
 import org.ragwortbank.node.settings.SidecarNodeSettings
-import org.ragwortbank.platform.http.Address
 
 private const val MAX_SLOTS = 10_000
 private const val MAX_LOADS = 64
--- a/cli/src/main/kotlin/org/ragwortbank/cli/toml/TomlValues.kt
+++ b/cli/src/main/kotlin/org/ragwortbank/cli/toml/TomlValues.kt
@@ -1,7 +1,7 @@
 package org.ragwortbank.cli.toml
 
 import net.peanuuutz.tomlkt.TomlArray
-import org.ragwortbank.platform.http.Address
+import org.ragwortbank.clients.http.Address
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.days
 import kotlin.time.Duration.Companion.milliseconds
--- a/platform/src/main/kotlin/org/ragwortbank/platform/claims/ClaimStore.kt
+++ b/clients/src/main/kotlin/org/ragwortbank/clients/claims/ClaimStore.kt
@@ -1,13 +1,13 @@
-package org.ragwortbank.platform.claims
+package org.ragwortbank.clients.claims
 
+import org.ragwortbank.clients.kv.KeyValueStore
+import org.ragwortbank.clients.kv.KvCondition
+import org.ragwortbank.clients.kv.KvPut
+import org.ragwortbank.clients.kv.KvResult
 import org.ragwortbank.core.entry.ClaimResult
 import org.ragwortbank.core.model.AccountId
 import org.ragwortbank.core.model.IdempotencyKey
 import org.ragwortbank.core.model.RequestId
-import org.ragwortbank.platform.kv.KeyValueStore
-import org.ragwortbank.platform.kv.KvCondition
-import org.ragwortbank.platform.kv.KvPut
-import org.ragwortbank.platform.kv.KvResult
 import java.security.MessageDigest
 import java.util.HexFormat
 
--- a/platform/src/main/kotlin/org/ragwortbank/platform/config/ChunkReader.kt
+++ b/clients/src/main/kotlin/org/ragwortbank/clients/config/ChunkReader.kt
@@ -1,4 +1,4 @@
-package org.ragwortbank.platform.config
+package org.ragwortbank.clients.config
 
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
@@ -6,10 +6,10 @@
 import kotlinx.serialization.KSerializer
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
+import org.ragwortbank.clients.kv.KeyValueStore
+import org.ragwortbank.clients.kv.KvEntry
+import org.ragwortbank.clients.kv.KvResult
 import org.ragwortbank.core.model.Configuration
-import org.ragwortbank.platform.kv.KeyValueStore
-import org.ragwortbank.platform.kv.KvEntry
-import org.ragwortbank.platform.kv.KvResult
 import java.util.concurrent.atomic.AtomicReference
 
 /** Reads the chunks that a root names, and fetches only those that it has not read before. */
--- a/platform/src/main/kotlin/org/ragwortbank/platform/config/ConfigRead.kt
+++ b/clients/src/main/kotlin/org/ragwortbank/clients/config/ConfigRead.kt
@@ -1,4 +1,4 @@
-package org.ragwortbank.platform.config
+package org.ragwortbank.clients.config
 
 import org.ragwortbank.core.model.Configuration
 
--- a/platform/src/main/kotlin/org/ragwortbank/platform/config/ConfigStore.kt
+++ b/clients/src/main/kotlin/org/ragwortbank/clients/config/ConfigStore.kt
@@ -1,15 +1,15 @@
-package org.ragwortbank.platform.config
+package org.ragwortbank.clients.config
 
 import kotlinx.collections.immutable.ImmutableList
 import kotlinx.serialization.json.Json
+import org.ragwortbank.clients.kv.KeyValueStore
+import org.ragwortbank.clients.kv.KvCondition
+import org.ragwortbank.clients.kv.KvPut
+import org.ragwortbank.clients.kv.KvResult
 import org.ragwortbank.core.config.TableChange
 import org.ragwortbank.core.config.checkConfiguration
 import org.ragwortbank.core.config.with
 import org.ragwortbank.core.model.Configuration
-import org.ragwortbank.platform.kv.KeyValueStore
-import org.ragwortbank.platform.kv.KvCondition
-import org.ragwortbank.platform.kv.KvPut
-import org.ragwortbank.platform.kv.KvResult
 
 /**
  * The operators' tables in the key-value service.
--- a/platform/src/main/kotlin/org/ragwortbank/platform/config/ConfigWrite.kt
+++ b/clients/src/main/kotlin/org/ragwortbank/clients/config/ConfigWrite.kt
@@ -1,4 +1,4 @@
-package org.ragwortbank.platform.config
+package org.ragwortbank.clients.config
 
 import kotlinx.collections.immutable.ImmutableList
 import org.ragwortbank.core.config.ConfigProblem
--- a/platform/src/main/kotlin/org/ragwortbank/platform/fencing/FencingStore.kt
+++ b/clients/src/main/kotlin/org/ragwortbank/clients/fencing/FencingStore.kt
@@ -1,10 +1,10 @@
-package org.ragwortbank.platform.fencing
+package org.ragwortbank.clients.fencing
 
+import org.ragwortbank.clients.kv.KeyValueStore
+import org.ragwortbank.clients.kv.KvCondition
+import org.ragwortbank.clients.kv.KvPut
+import org.ragwortbank.clients.kv.KvResult
 import org.ragwortbank.core.model.InstanceName
-import org.ragwortbank.platform.kv.KeyValueStore
-import org.ragwortbank.platform.kv.KvCondition
-import org.ragwortbank.platform.kv.KvPut
-import org.ragwortbank.platform.kv.KvResult
 
 /** Numbers for the orders to an upstream, each given out once and higher than all before. */
 class FencingStore(private val store: KeyValueStore) {
--- a/platform/src/main/kotlin/org/ragwortbank/platform/http/Address.kt
+++ b/clients/src/main/kotlin/org/ragwortbank/clients/http/Address.kt
@@ -1,4 +1,4 @@
-package org.ragwortbank.platform.http
+package org.ragwortbank.clients.http
 
 /** Where a server listens. */
 data class Address(
--- a/platform/src/main/kotlin/org/ragwortbank/platform/http/HttpCall.kt
+++ b/clients/src/main/kotlin/org/ragwortbank/clients/http/HttpCall.kt
@@ -1,4 +1,4 @@
-package org.ragwortbank.platform.http
+package org.ragwortbank.clients.http
 
 import kotlinx.collections.immutable.ImmutableList
 import kotlinx.collections.immutable.persistentListOf
--- a/platform/src/main/kotlin/org/ragwortbank/platform/http/HttpListener.kt
+++ b/clients/src/main/kotlin/org/ragwortbank/clients/http/HttpListener.kt
@@ -1,4 +1,4 @@
-package org.ragwortbank.platform.http
+package org.ragwortbank.clients.http
 
 /**
  * Hears an answer piece by piece, on one thread.
--- a/platform/src/main/kotlin/org/ragwortbank/platform/http/HttpReply.kt
+++ b/clients/src/main/kotlin/org/ragwortbank/clients/http/HttpReply.kt
@@ -1,4 +1,4 @@
-package org.ragwortbank.platform.http
+package org.ragwortbank.clients.http
 
 /** Outcome of a call whose answer is read as a whole. */
 sealed interface HttpReply {
--- a/platform/src/main/kotlin/org/ragwortbank/platform/instances/HttpInstanceList.kt
+++ b/clients/src/main/kotlin/org/ragwortbank/clients/instances/HttpInstanceList.kt
@@ -1,20 +1,20 @@
-package org.ragwortbank.platform.instances
+package org.ragwortbank.clients.instances
 
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.toPersistentList
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
+import org.ragwortbank.clients.http.Address
+import org.ragwortbank.clients.http.HttpCall
+import org.ragwortbank.clients.http.HttpClient
+import org.ragwortbank.clients.http.HttpReply
+import org.ragwortbank.clients.http.fetch
 import org.ragwortbank.core.model.FailureDomain
 import org.ragwortbank.core.model.Header
 import org.ragwortbank.core.model.Instance
 import org.ragwortbank.core.model.InstanceName
 import org.ragwortbank.core.model.InstanceRole
-import org.ragwortbank.platform.http.Address
-import org.ragwortbank.platform.http.HttpCall
-import org.ragwortbank.platform.http.HttpClient
-import org.ragwortbank.platform.http.HttpReply
-import org.ragwortbank.platform.http.fetch
 import java.util.concurrent.atomic.AtomicReference
 import kotlin.time.Duration
 
--- a/platform/src/main/kotlin/org/ragwortbank/platform/instances/InstancesDocument.kt
+++ b/clients/src/main/kotlin/org/ragwortbank/clients/instances/InstancesDocument.kt
@@ -1,4 +1,4 @@
-package org.ragwortbank.platform.instances
+package org.ragwortbank.clients.instances
 
 import kotlinx.serialization.Serializable
 
--- a/platform/src/main/kotlin/org/ragwortbank/platform/kv/EtcdKeyValueStore.kt
+++ b/clients/src/main/kotlin/org/ragwortbank/clients/kv/EtcdKeyValueStore.kt
@@ -1,13 +1,13 @@
-package org.ragwortbank.platform.kv
+package org.ragwortbank.clients.kv
 
 import kotlinx.serialization.KSerializer
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
-import org.ragwortbank.platform.http.Address
-import org.ragwortbank.platform.http.HttpCall
-import org.ragwortbank.platform.http.HttpClient
-import org.ragwortbank.platform.http.HttpReply
-import org.ragwortbank.platform.http.fetch
+import org.ragwortbank.clients.http.Address
+import org.ragwortbank.clients.http.HttpCall
+import org.ragwortbank.clients.http.HttpClient
+import org.ragwortbank.clients.http.HttpReply
+import org.ragwortbank.clients.http.fetch
 import kotlin.time.Duration
 
 /** The key-value service by the JSON gateway of the etcd v3 protocol. */
--- a/platform/src/main/kotlin/org/ragwortbank/platform/kv/EtcdMessages.kt
+++ b/clients/src/main/kotlin/org/ragwortbank/clients/kv/EtcdMessages.kt
@@ -1,4 +1,4 @@
-package org.ragwortbank.platform.kv
+package org.ragwortbank.clients.kv
 
 import kotlinx.serialization.EncodeDefault
 import kotlinx.serialization.ExperimentalSerializationApi
--- a/platform/src/main/kotlin/org/ragwortbank/platform/kv/EtcdWatch.kt
+++ b/clients/src/main/kotlin/org/ragwortbank/clients/kv/EtcdWatch.kt
@@ -1,9 +1,9 @@
-package org.ragwortbank.platform.kv
+package org.ragwortbank.clients.kv
 
 import kotlinx.serialization.SerializationException
-import org.ragwortbank.platform.http.HttpHead
-import org.ragwortbank.platform.http.HttpListener
-import org.ragwortbank.platform.http.LineBuffer
+import org.ragwortbank.clients.http.HttpHead
+import org.ragwortbank.clients.http.HttpListener
+import org.ragwortbank.clients.http.LineBuffer
 
 /** Reads the gateway's stream of watch answers, one JSON object per line. */
 internal class EtcdWatch(private val listener: KvWatchListener) : HttpListener {
--- a/platform/src/main/kotlin/org/ragwortbank/platform/kv/KeyValueStore.kt
+++ b/clients/src/main/kotlin/org/ragwortbank/clients/kv/KeyValueStore.kt
@@ -1,4 +1,4 @@
-package org.ragwortbank.platform.kv
+package org.ragwortbank.clients.kv
 
 /** The platform's key-value service. */
 interface KeyValueStore {
--- a/platform/src/main/kotlin/org/ragwortbank/platform/kv/KvCondition.kt
+++ b/clients/src/main/kotlin/org/ragwortbank/clients/kv/KvCondition.kt
@@ -1,4 +1,4 @@
-package org.ragwortbank.platform.kv
+package org.ragwortbank.clients.kv
 
 /** Holds while [key] is at [revision]; zero means that the key does not exist. */
 data class KvCondition(
--- a/platform/src/main/kotlin/org/ragwortbank/platform/kv/KvEntry.kt
+++ b/clients/src/main/kotlin/org/ragwortbank/clients/kv/KvEntry.kt
@@ -1,4 +1,4 @@
-package org.ragwortbank.platform.kv
+package org.ragwortbank.clients.kv
 
 /** A stored value; [revision] changes with each write of the key. */
 data class KvEntry(
--- a/platform/src/main/kotlin/org/ragwortbank/platform/kv/KvPut.kt
+++ b/clients/src/main/kotlin/org/ragwortbank/clients/kv/KvPut.kt
@@ -1,4 +1,4 @@
-package org.ragwortbank.platform.kv
+package org.ragwortbank.clients.kv
 
 /** A value to be stored. */
 data class KvPut(
--- a/platform/src/main/kotlin/org/ragwortbank/platform/kv/KvResult.kt
+++ b/clients/src/main/kotlin/org/ragwortbank/clients/kv/KvResult.kt
@@ -1,4 +1,4 @@
-package org.ragwortbank.platform.kv
+package org.ragwortbank.clients.kv
 
 /** Outcome of a call of the key-value service. */
 sealed interface KvResult<out T> {
--- a/platform/src/main/kotlin/org/ragwortbank/platform/kv/KvWatchListener.kt
+++ b/clients/src/main/kotlin/org/ragwortbank/clients/kv/KvWatchListener.kt
@@ -1,4 +1,4 @@
-package org.ragwortbank.platform.kv
+package org.ragwortbank.clients.kv
 
 /** Hears of changes in the key-value service. */
 interface KvWatchListener {
--- a/platform/src/main/kotlin/org/ragwortbank/platform/limits/EpochRead.kt
+++ b/clients/src/main/kotlin/org/ragwortbank/clients/limits/EpochRead.kt
@@ -1,4 +1,4 @@
-package org.ragwortbank.platform.limits
+package org.ragwortbank.clients.limits
 
 import org.ragwortbank.core.limits.LimitEpoch
 
--- a/platform/src/main/kotlin/org/ragwortbank/platform/limits/EpochStore.kt
+++ b/clients/src/main/kotlin/org/ragwortbank/clients/limits/EpochStore.kt
@@ -1,19 +1,19 @@
-package org.ragwortbank.platform.limits
+package org.ragwortbank.clients.limits
 
 import kotlinx.collections.immutable.toPersistentList
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
+import org.ragwortbank.clients.config.ConfigStore
+import org.ragwortbank.clients.kv.KeyValueStore
+import org.ragwortbank.clients.kv.KvCondition
+import org.ragwortbank.clients.kv.KvEntry
+import org.ragwortbank.clients.kv.KvPut
+import org.ragwortbank.clients.kv.KvResult
 import org.ragwortbank.core.limits.LimitEpoch
 import org.ragwortbank.core.limits.LimitMember
 import org.ragwortbank.core.model.Incarnation
 import org.ragwortbank.core.model.InstanceName
-import org.ragwortbank.platform.config.ConfigStore
-import org.ragwortbank.platform.kv.KeyValueStore
-import org.ragwortbank.platform.kv.KvCondition
-import org.ragwortbank.platform.kv.KvEntry
-import org.ragwortbank.platform.kv.KvPut
-import org.ragwortbank.platform.kv.KvResult
 
 /** The limit epoch in the key-value service. */
 class EpochStore(private val store: KeyValueStore) {
--- a/platform/src/main/kotlin/org/ragwortbank/platform/upstream/EngineAnswer.kt
+++ b/clients/src/main/kotlin/org/ragwortbank/clients/upstream/EngineAnswer.kt
@@ -1,14 +1,14 @@
-package org.ragwortbank.platform.upstream
+package org.ragwortbank.clients.upstream
 
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.serialization.SerializationException
+import org.ragwortbank.clients.http.HttpHead
+import org.ragwortbank.clients.http.HttpListener
 import org.ragwortbank.core.model.AdapterRef
 import org.ragwortbank.core.model.Header
 import org.ragwortbank.core.model.Usage
 import org.ragwortbank.core.model.Work
 import org.ragwortbank.core.sidecar.RunFailure
-import org.ragwortbank.platform.http.HttpHead
-import org.ragwortbank.platform.http.HttpListener
 
 /** Reads an engine's answer and checks that it comes from the adapter that was asked for. */
 internal abstract class EngineAnswer(
--- a/platform/src/main/kotlin/org/ragwortbank/platform/upstream/EngineBody.kt
+++ b/clients/src/main/kotlin/org/ragwortbank/clients/upstream/EngineBody.kt
@@ -1,4 +1,4 @@
-package org.ragwortbank.platform.upstream
+package org.ragwortbank.clients.upstream
 
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
--- a/platform/src/main/kotlin/org/ragwortbank/platform/upstream/EngineClient.kt
+++ b/clients/src/main/kotlin/org/ragwortbank/clients/upstream/EngineClient.kt
@@ -1,10 +1,15 @@
-package org.ragwortbank.platform.upstream
+package org.ragwortbank.clients.upstream
 
 import kotlinx.collections.immutable.PersistentSet
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.toPersistentSet
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
+import org.ragwortbank.clients.http.Address
+import org.ragwortbank.clients.http.HttpCall
+import org.ragwortbank.clients.http.HttpClient
+import org.ragwortbank.clients.http.HttpReply
+import org.ragwortbank.clients.http.fetch
 import org.ragwortbank.core.message.SidecarCommand
 import org.ragwortbank.core.model.AdapterRef
 import org.ragwortbank.core.model.GenerateApi
@@ -12,11 +17,6 @@
 import org.ragwortbank.core.model.Work
 import org.ragwortbank.core.sidecar.LoadFailure
 import org.ragwortbank.core.sidecar.RunFailure
-import org.ragwortbank.platform.http.Address
-import org.ragwortbank.platform.http.HttpCall
-import org.ragwortbank.platform.http.HttpClient
-import org.ragwortbank.platform.http.HttpReply
-import org.ragwortbank.platform.http.fetch
 import kotlin.time.Duration
 
 /**
--- a/platform/src/main/kotlin/org/ragwortbank/platform/upstream/EngineMessages.kt
+++ b/clients/src/main/kotlin/org/ragwortbank/clients/upstream/EngineMessages.kt
@@ -1,4 +1,4 @@
-package org.ragwortbank.platform.upstream
+package org.ragwortbank.clients.upstream
 
 import kotlinx.serialization.EncodeDefault
 import kotlinx.serialization.ExperimentalSerializationApi
--- a/platform/src/main/kotlin/org/ragwortbank/platform/upstream/EngineRefusal.kt
+++ b/clients/src/main/kotlin/org/ragwortbank/clients/upstream/EngineRefusal.kt
@@ -1,4 +1,4 @@
-package org.ragwortbank.platform.upstream
+package org.ragwortbank.clients.upstream
 
 import kotlinx.io.bytestring.encodeToByteString
 import org.ragwortbank.core.model.AdapterRef
--- a/platform/src/main/kotlin/org/ragwortbank/platform/upstream/HopHeaders.kt
+++ b/clients/src/main/kotlin/org/ragwortbank/clients/upstream/HopHeaders.kt
@@ -1,4 +1,4 @@
-package org.ragwortbank.platform.upstream
+package org.ragwortbank.clients.upstream
 
 /** Header fields that concern one connection only and are never passed on. */
 object HopHeaders {
--- a/platform/src/main/kotlin/org/ragwortbank/platform/upstream/ServiceClient.kt
+++ b/clients/src/main/kotlin/org/ragwortbank/clients/upstream/ServiceClient.kt
@@ -1,22 +1,22 @@
-package org.ragwortbank.platform.upstream
+package org.ragwortbank.clients.upstream
 
 import kotlinx.collections.immutable.PersistentSet
 import kotlinx.collections.immutable.persistentSetOf
 import kotlinx.collections.immutable.toPersistentList
 import kotlinx.io.bytestring.ByteString
+import org.ragwortbank.clients.http.Address
+import org.ragwortbank.clients.http.HttpCall
+import org.ragwortbank.clients.http.HttpClient
+import org.ragwortbank.clients.http.HttpHead
+import org.ragwortbank.clients.http.HttpListener
+import org.ragwortbank.clients.http.HttpReply
+import org.ragwortbank.clients.http.fetch
 import org.ragwortbank.core.message.SidecarCommand
 import org.ragwortbank.core.model.AdapterRef
 import org.ragwortbank.core.model.AnswerHead
 import org.ragwortbank.core.model.Work
 import org.ragwortbank.core.sidecar.LoadFailure
 import org.ragwortbank.core.sidecar.RunFailure
-import org.ragwortbank.platform.http.Address
-import org.ragwortbank.platform.http.HttpCall
-import org.ragwortbank.platform.http.HttpClient
-import org.ragwortbank.platform.http.HttpHead
-import org.ragwortbank.platform.http.HttpListener
-import org.ragwortbank.platform.http.HttpReply
-import org.ragwortbank.platform.http.fetch
 import kotlin.time.Duration
 
 /** A plain HTTP service; it holds no adapters and takes no orders. */
--- a/platform/src/main/kotlin/org/ragwortbank/platform/upstream/StreamedAnswer.kt
+++ b/clients/src/main/kotlin/org/ragwortbank/clients/upstream/StreamedAnswer.kt
@@ -1,12 +1,12 @@
-package org.ragwortbank.platform.upstream
+package org.ragwortbank.clients.upstream
 
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.io.bytestring.encodeToByteString
+import org.ragwortbank.clients.http.LineBuffer
 import org.ragwortbank.core.model.AdapterRef
 import org.ragwortbank.core.model.AnswerHead
 import org.ragwortbank.core.model.Header
 import org.ragwortbank.core.sidecar.RunFailure
-import org.ragwortbank.platform.http.LineBuffer
 
 /** An answer as server-sent events, complete only with its end mark. */
 internal class StreamedAnswer(
--- a/platform/src/main/kotlin/org/ragwortbank/platform/upstream/UpstreamClient.kt
+++ b/clients/src/main/kotlin/org/ragwortbank/clients/upstream/UpstreamClient.kt
@@ -1,4 +1,4 @@
-package org.ragwortbank.platform.upstream
+package org.ragwortbank.clients.upstream
 
 import kotlinx.collections.immutable.PersistentSet
 import org.ragwortbank.core.message.SidecarCommand
--- a/node/src/main/kotlin/org/ragwortbank/node/NodeRuntime.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/NodeRuntime.kt
@@ -11,12 +11,12 @@
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import org.ragwortbank.clients.http.HttpClient
+import org.ragwortbank.clients.kv.EtcdKeyValueStore
 import org.ragwortbank.core.model.Incarnation
 import org.ragwortbank.node.log.Logs
 import org.ragwortbank.node.metrics.NodeMetrics
 import org.ragwortbank.node.settings.PlatformSettings
-import org.ragwortbank.platform.http.HttpClient
-import org.ragwortbank.platform.kv.EtcdKeyValueStore
 import java.security.SecureRandom
 import java.util.HexFormat
 import java.util.concurrent.CountDownLatch
--- a/node/src/main/kotlin/org/ragwortbank/node/Ready.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/Ready.kt
@@ -1,6 +1,6 @@
 package org.ragwortbank.node
 
-import org.ragwortbank.platform.http.Address
+import org.ragwortbank.clients.http.Address
 
 /**
  * Addresses that a started process listens on.
--- a/node/src/main/kotlin/org/ragwortbank/node/admin/AdminServer.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/admin/AdminServer.kt
@@ -16,7 +16,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpServerCodec
 import io.netty.handler.codec.http.HttpVersion
-import org.ragwortbank.platform.http.Address
+import org.ragwortbank.clients.http.Address
 import java.net.InetSocketAddress
 
 /** Serves health, readiness, metrics and status. */
--- a/node/src/main/kotlin/org/ragwortbank/node/entry/EntryClaims.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/entry/EntryClaims.kt
@@ -1,6 +1,7 @@
 package org.ragwortbank.node.entry
 
 import kotlinx.coroutines.launch
+import org.ragwortbank.clients.claims.ClaimStore
 import org.ragwortbank.core.entry.ClaimResult
 import org.ragwortbank.core.entry.EntryInput
 import org.ragwortbank.core.model.AccountId
@@ -8,7 +9,6 @@
 import org.ragwortbank.core.model.RequestId
 import org.ragwortbank.node.NodeRuntime
 import org.ragwortbank.node.metrics.PlatformCall
-import org.ragwortbank.platform.claims.ClaimStore
 
 /** Records for an entry which idempotency keys its requests hold. */
 internal class EntryClaims(private val runtime: NodeRuntime, private val post: (EntryInput) -> Unit) {
--- a/node/src/main/kotlin/org/ragwortbank/node/entry/EntryLinks.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/entry/EntryLinks.kt
@@ -6,6 +6,7 @@
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
+import org.ragwortbank.clients.http.Address
 import org.ragwortbank.core.entry.EntryInput
 import org.ragwortbank.core.model.Instance
 import org.ragwortbank.core.model.InstanceName
@@ -16,7 +17,6 @@
 import org.ragwortbank.node.wire.PROTOCOL_VERSION
 import org.ragwortbank.node.wire.WireMessage
 import org.ragwortbank.node.wire.toReport
-import org.ragwortbank.platform.http.Address
 
 /** The links that an entry opens to sidecars and to other entries; used by the tick's thread only. */
 internal class EntryLinks(
--- a/node/src/main/kotlin/org/ragwortbank/node/entry/EntryPlatform.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/entry/EntryPlatform.kt
@@ -4,6 +4,12 @@
 import kotlinx.coroutines.channels.consumeEach
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import org.ragwortbank.clients.config.ConfigRead
+import org.ragwortbank.clients.config.ConfigStore
+import org.ragwortbank.clients.instances.HttpInstanceList
+import org.ragwortbank.clients.kv.KvWatchListener
+import org.ragwortbank.clients.limits.EpochRead
+import org.ragwortbank.clients.limits.EpochStore
 import org.ragwortbank.core.entry.EntryInput
 import org.ragwortbank.core.limits.LimitEpoch
 import org.ragwortbank.core.tick.Timestamp
@@ -12,12 +18,6 @@
 import org.ragwortbank.node.metrics.PlatformCall
 import org.ragwortbank.node.now
 import org.ragwortbank.node.settings.PlatformSettings
-import org.ragwortbank.platform.config.ConfigRead
-import org.ragwortbank.platform.config.ConfigStore
-import org.ragwortbank.platform.instances.HttpInstanceList
-import org.ragwortbank.platform.kv.KvWatchListener
-import org.ragwortbank.platform.limits.EpochRead
-import org.ragwortbank.platform.limits.EpochStore
 import kotlin.time.Duration.Companion.milliseconds
 
 /** Reads for an entry what the platform holds, and writes what the entry decides. */
--- a/node/src/main/kotlin/org/ragwortbank/node/entry/MemberProbe.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/entry/MemberProbe.kt
@@ -6,8 +6,8 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.io.IOException
+import org.ragwortbank.clients.http.Address
 import org.ragwortbank.core.limits.LimitMember
-import org.ragwortbank.platform.http.Address
 import java.net.ConnectException
 import kotlin.time.Duration.Companion.seconds
 
--- a/node/src/main/kotlin/org/ragwortbank/node/http/CallDecoder.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/http/CallDecoder.kt
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.HttpRequest
 import kotlinx.collections.immutable.toPersistentList
 import kotlinx.io.bytestring.ByteString
+import org.ragwortbank.clients.upstream.HopHeaders
 import org.ragwortbank.core.model.Call
 import org.ragwortbank.core.model.GenerateApi
 import org.ragwortbank.core.model.Header
@@ -15,7 +16,6 @@
 import org.ragwortbank.core.model.Work
 import org.ragwortbank.core.result.Refusal
 import org.ragwortbank.core.result.ResultCode
-import org.ragwortbank.platform.upstream.HopHeaders
 
 /** Turns HTTP requests into calls. */
 internal class CallDecoder(private val defaultMaxTokens: Long) {
--- a/node/src/main/kotlin/org/ragwortbank/node/http/EntryHttpServer.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/http/EntryHttpServer.kt
@@ -9,8 +9,8 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel
 import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpServerCodec
+import org.ragwortbank.clients.http.Address
 import org.ragwortbank.node.settings.HttpSettings
-import org.ragwortbank.platform.http.Address
 import java.net.InetSocketAddress
 import java.util.concurrent.atomic.AtomicInteger
 
--- a/node/src/main/kotlin/org/ragwortbank/node/http/ModelsBody.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/http/ModelsBody.kt
@@ -1,10 +1,10 @@
 package org.ragwortbank.node.http
 
 import kotlinx.serialization.json.Json
+import org.ragwortbank.clients.upstream.ModelEntry
+import org.ragwortbank.clients.upstream.ModelList
 import org.ragwortbank.core.model.Configuration
 import org.ragwortbank.core.model.KeyHash
-import org.ragwortbank.platform.upstream.ModelEntry
-import org.ragwortbank.platform.upstream.ModelList
 
 /** The adapters that the key with [credential] may reach, as the OpenAI-compatible list of models. */
 internal fun modelsBody(configuration: Configuration, credential: KeyHash?): String {
--- a/node/src/main/kotlin/org/ragwortbank/node/link/PeerDialer.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/link/PeerDialer.kt
@@ -8,9 +8,9 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeout
 import kotlinx.io.IOException
+import org.ragwortbank.clients.http.Address
 import org.ragwortbank.node.log.Logs
 import org.ragwortbank.node.wire.WireMessage
-import org.ragwortbank.platform.http.Address
 import java.util.concurrent.atomic.AtomicReference
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
--- a/node/src/main/kotlin/org/ragwortbank/node/link/PeerServer.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/link/PeerServer.kt
@@ -10,10 +10,10 @@
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.launch
 import kotlinx.io.IOException
+import org.ragwortbank.clients.http.Address
 import org.ragwortbank.node.log.Logs
 import org.ragwortbank.node.wire.PROTOCOL_VERSION
 import org.ragwortbank.node.wire.WireMessage
-import org.ragwortbank.platform.http.Address
 import java.util.concurrent.atomic.AtomicLong
 
 /** Accepts links of other processes. */
--- a/node/src/main/kotlin/org/ragwortbank/node/settings/EntryNodeSettings.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/settings/EntryNodeSettings.kt
@@ -1,8 +1,8 @@
 package org.ragwortbank.node.settings
 
+import org.ragwortbank.clients.http.Address
 import org.ragwortbank.core.entry.EntrySettings
 import org.ragwortbank.node.log.LogFormat
-import org.ragwortbank.platform.http.Address
 
 /**
  * Settings of an entry process.
--- a/node/src/main/kotlin/org/ragwortbank/node/settings/PlatformSettings.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/settings/PlatformSettings.kt
@@ -1,6 +1,6 @@
 package org.ragwortbank.node.settings
 
-import org.ragwortbank.platform.http.Address
+import org.ragwortbank.clients.http.Address
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
--- a/node/src/main/kotlin/org/ragwortbank/node/settings/SidecarNodeSettings.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/settings/SidecarNodeSettings.kt
@@ -1,8 +1,8 @@
 package org.ragwortbank.node.settings
 
+import org.ragwortbank.clients.http.Address
 import org.ragwortbank.core.sidecar.SidecarSettings
 import org.ragwortbank.node.log.LogFormat
-import org.ragwortbank.platform.http.Address
 
 /**
  * Settings of a sidecar process.
--- a/node/src/main/kotlin/org/ragwortbank/node/sidecar/SidecarNode.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/sidecar/SidecarNode.kt
@@ -6,6 +6,8 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
 import kotlinx.io.bytestring.ByteString
+import org.ragwortbank.clients.fencing.FencingStore
+import org.ragwortbank.clients.upstream.RunListener
 import org.ragwortbank.core.message.RunId
 import org.ragwortbank.core.message.SidecarCommand
 import org.ragwortbank.core.model.AnswerHead
@@ -35,8 +37,6 @@
 import org.ragwortbank.node.wire.WireMessage
 import org.ragwortbank.node.wire.toCommand
 import org.ragwortbank.node.wire.toWire
-import org.ragwortbank.platform.fencing.FencingStore
-import org.ragwortbank.platform.upstream.RunListener
 import java.util.concurrent.atomic.AtomicReference
 import kotlin.time.Duration.Companion.milliseconds
 
--- a/node/src/main/kotlin/org/ragwortbank/node/sidecar/UpstreamClients.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/sidecar/UpstreamClients.kt
@@ -1,11 +1,11 @@
 package org.ragwortbank.node.sidecar
 
+import org.ragwortbank.clients.http.HttpClient
+import org.ragwortbank.clients.upstream.EngineClient
+import org.ragwortbank.clients.upstream.ServiceClient
+import org.ragwortbank.clients.upstream.UpstreamClient
 import org.ragwortbank.core.model.UpstreamKind
 import org.ragwortbank.node.settings.SidecarNodeSettings
-import org.ragwortbank.platform.http.HttpClient
-import org.ragwortbank.platform.upstream.EngineClient
-import org.ragwortbank.platform.upstream.ServiceClient
-import org.ragwortbank.platform.upstream.UpstreamClient
 
 /** The client for the kind of upstream that [settings] name. */
 internal fun upstreamClient(settings: SidecarNodeSettings, client: HttpClient): UpstreamClient {
--- a/standins/src/main/kotlin/org/ragwortbank/standins/StandIns.kt
+++ b/standins/src/main/kotlin/org/ragwortbank/standins/StandIns.kt
@@ -6,8 +6,8 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
-import org.ragwortbank.platform.http.Address
-import org.ragwortbank.platform.http.HttpClient
+import org.ragwortbank.clients.http.Address
+import org.ragwortbank.clients.http.HttpClient
 import org.ragwortbank.standins.engine.EngineOptions
 import org.ragwortbank.standins.engine.EngineStandIn
 import org.ragwortbank.standins.instances.InstancesStandIn
--- a/standins/src/main/kotlin/org/ragwortbank/standins/demo/Demo.kt
+++ b/standins/src/main/kotlin/org/ragwortbank/standins/demo/Demo.kt
@@ -1,6 +1,6 @@
 package org.ragwortbank.standins.demo
 
-import org.ragwortbank.platform.http.HttpReply
+import org.ragwortbank.clients.http.HttpReply
 import org.ragwortbank.standins.fleet.Caller
 import org.ragwortbank.standins.fleet.Fleet
 import org.ragwortbank.standins.fleet.FleetPlan
--- a/standins/src/main/kotlin/org/ragwortbank/standins/demo/DemoCase.kt
+++ b/standins/src/main/kotlin/org/ragwortbank/standins/demo/DemoCase.kt
@@ -1,6 +1,6 @@
 package org.ragwortbank.standins.demo
 
-import org.ragwortbank.platform.http.HttpReply
+import org.ragwortbank.clients.http.HttpReply
 
 /**
  * One request of the demo and what it should get.
--- a/standins/src/main/kotlin/org/ragwortbank/standins/demo/DemoCases.kt
+++ b/standins/src/main/kotlin/org/ragwortbank/standins/demo/DemoCases.kt
@@ -1,8 +1,8 @@
 package org.ragwortbank.standins.demo
 
+import org.ragwortbank.clients.http.Address
+import org.ragwortbank.clients.http.HttpReply
 import org.ragwortbank.core.model.Header
-import org.ragwortbank.platform.http.Address
-import org.ragwortbank.platform.http.HttpReply
 import org.ragwortbank.standins.fleet.Caller
 
 /** The cases of the demo; [withdraw] withdraws a key and returns when that is in force. */
--- a/standins/src/main/kotlin/org/ragwortbank/standins/demo/DemoSetup.kt
+++ b/standins/src/main/kotlin/org/ragwortbank/standins/demo/DemoSetup.kt
@@ -1,7 +1,7 @@
 package org.ragwortbank.standins.demo
 
+import org.ragwortbank.clients.http.Address
 import org.ragwortbank.node.http.hashKey
-import org.ragwortbank.platform.http.Address
 import org.ragwortbank.standins.fleet.Caller
 import org.ragwortbank.standins.fleet.Fleet
 import org.ragwortbank.standins.fleet.Launcher
--- a/standins/src/main/kotlin/org/ragwortbank/standins/demo/Replies.kt
+++ b/standins/src/main/kotlin/org/ragwortbank/standins/demo/Replies.kt
@@ -1,6 +1,6 @@
 package org.ragwortbank.standins.demo
 
-import org.ragwortbank.platform.http.HttpReply
+import org.ragwortbank.clients.http.HttpReply
 
 /** The status of the answer; zero when there was none. */
 internal fun HttpReply.status(): Int = (this as? HttpReply.Answered)?.status ?: 0
--- a/standins/src/main/kotlin/org/ragwortbank/standins/engine/EngineStandIn.kt
+++ b/standins/src/main/kotlin/org/ragwortbank/standins/engine/EngineStandIn.kt
@@ -4,10 +4,10 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.serialization.builtins.ListSerializer
 import kotlinx.serialization.json.Json
-import org.ragwortbank.platform.http.Address
-import org.ragwortbank.platform.http.HttpClient
-import org.ragwortbank.platform.upstream.ModelEntry
-import org.ragwortbank.platform.upstream.ModelList
+import org.ragwortbank.clients.http.Address
+import org.ragwortbank.clients.http.HttpClient
+import org.ragwortbank.clients.upstream.ModelEntry
+import org.ragwortbank.clients.upstream.ModelList
 import org.ragwortbank.standins.http.Responder
 import org.ragwortbank.standins.http.StandInRequest
 import org.ragwortbank.standins.http.StandInServer
--- a/standins/src/main/kotlin/org/ragwortbank/standins/fleet/Caller.kt
+++ b/standins/src/main/kotlin/org/ragwortbank/standins/fleet/Caller.kt
@@ -4,12 +4,12 @@
 import io.netty.channel.nio.NioIoHandler
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.coroutines.runBlocking
+import org.ragwortbank.clients.http.Address
+import org.ragwortbank.clients.http.HttpCall
+import org.ragwortbank.clients.http.HttpClient
+import org.ragwortbank.clients.http.HttpReply
+import org.ragwortbank.clients.http.fetch
 import org.ragwortbank.core.model.Header
-import org.ragwortbank.platform.http.Address
-import org.ragwortbank.platform.http.HttpCall
-import org.ragwortbank.platform.http.HttpClient
-import org.ragwortbank.platform.http.HttpReply
-import org.ragwortbank.platform.http.fetch
 import kotlin.time.Duration.Companion.seconds
 
 /** A caller of the system, and of the stand-ins' control pages. */
--- a/standins/src/main/kotlin/org/ragwortbank/standins/fleet/Child.kt
+++ b/standins/src/main/kotlin/org/ragwortbank/standins/fleet/Child.kt
@@ -1,6 +1,6 @@
 package org.ragwortbank.standins.fleet
 
-import org.ragwortbank.platform.http.Address
+import org.ragwortbank.clients.http.Address
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 
--- a/standins/src/main/kotlin/org/ragwortbank/standins/fleet/Fleet.kt
+++ b/standins/src/main/kotlin/org/ragwortbank/standins/fleet/Fleet.kt
@@ -7,9 +7,9 @@
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.runBlocking
 import kotlinx.serialization.json.Json
-import org.ragwortbank.platform.http.Address
-import org.ragwortbank.platform.http.HttpCall
-import org.ragwortbank.platform.instances.InstanceDocument
+import org.ragwortbank.clients.http.Address
+import org.ragwortbank.clients.http.HttpCall
+import org.ragwortbank.clients.instances.InstanceDocument
 import kotlin.time.Duration.Companion.seconds
 
 /** Stand-ins, sidecars and entries as separate processes on the loopback interface. */
--- a/standins/src/main/kotlin/org/ragwortbank/standins/fleet/FleetStarts.kt
+++ b/standins/src/main/kotlin/org/ragwortbank/standins/fleet/FleetStarts.kt
@@ -1,6 +1,6 @@
 package org.ragwortbank.standins.fleet
 
-import org.ragwortbank.platform.http.Address
+import org.ragwortbank.clients.http.Address
 
 /** How a process is started. */
 internal class Start(val action: () -> Child)
--- a/standins/src/main/kotlin/org/ragwortbank/standins/http/StandInServer.kt
+++ b/standins/src/main/kotlin/org/ragwortbank/standins/http/StandInServer.kt
@@ -10,7 +10,7 @@
 import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.HttpObjectAggregator
 import io.netty.handler.codec.http.HttpServerCodec
-import org.ragwortbank.platform.http.Address
+import org.ragwortbank.clients.http.Address
 import java.net.InetSocketAddress
 
 /** An HTTP server for stand-ins, one request at a time on each connection. */
--- a/standins/src/main/kotlin/org/ragwortbank/standins/instances/InstancesStandIn.kt
+++ b/standins/src/main/kotlin/org/ragwortbank/standins/instances/InstancesStandIn.kt
@@ -4,9 +4,9 @@
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.serialization.json.Json
-import org.ragwortbank.platform.http.Address
-import org.ragwortbank.platform.instances.InstanceDocument
-import org.ragwortbank.platform.instances.InstancesDocument
+import org.ragwortbank.clients.http.Address
+import org.ragwortbank.clients.instances.InstanceDocument
+import org.ragwortbank.clients.instances.InstancesDocument
 import org.ragwortbank.standins.http.Responder
 import org.ragwortbank.standins.http.StandInRequest
 import org.ragwortbank.standins.http.StandInServer
--- a/standins/src/main/kotlin/org/ragwortbank/standins/kv/KvData.kt
+++ b/standins/src/main/kotlin/org/ragwortbank/standins/kv/KvData.kt
@@ -4,13 +4,13 @@
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentMapOf
-import org.ragwortbank.platform.kv.Compare
-import org.ragwortbank.platform.kv.KeyValue
-import org.ragwortbank.platform.kv.RangeResponse
-import org.ragwortbank.platform.kv.RequestOp
-import org.ragwortbank.platform.kv.ResponseOp
-import org.ragwortbank.platform.kv.TxnRequest
-import org.ragwortbank.platform.kv.TxnResponse
+import org.ragwortbank.clients.kv.Compare
+import org.ragwortbank.clients.kv.KeyValue
+import org.ragwortbank.clients.kv.RangeResponse
+import org.ragwortbank.clients.kv.RequestOp
+import org.ragwortbank.clients.kv.ResponseOp
+import org.ragwortbank.clients.kv.TxnRequest
+import org.ragwortbank.clients.kv.TxnResponse
 
 /** Content of the key-value stand-in, by Base64 key, after write number [revision]. */
 data class KvData(
--- a/standins/src/main/kotlin/org/ragwortbank/standins/load/Load.kt
+++ b/standins/src/main/kotlin/org/ragwortbank/standins/load/Load.kt
@@ -1,6 +1,6 @@
 package org.ragwortbank.standins.load
 
-import org.ragwortbank.platform.http.Address
+import org.ragwortbank.clients.http.Address
 import org.ragwortbank.standins.fleet.Caller
 import org.ragwortbank.standins.fleet.Fleet
 import org.ragwortbank.standins.fleet.FleetPlan
--- a/standins/src/main/kotlin/org/ragwortbank/standins/load/LoadRun.kt
+++ b/standins/src/main/kotlin/org/ragwortbank/standins/load/LoadRun.kt
@@ -8,11 +8,11 @@
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.suspendCancellableCoroutine
 import org.HdrHistogram.ConcurrentHistogram
+import org.ragwortbank.clients.http.Address
+import org.ragwortbank.clients.http.HttpCall
+import org.ragwortbank.clients.http.HttpHead
+import org.ragwortbank.clients.http.HttpListener
 import org.ragwortbank.core.model.Header
-import org.ragwortbank.platform.http.Address
-import org.ragwortbank.platform.http.HttpCall
-import org.ragwortbank.platform.http.HttpHead
-import org.ragwortbank.platform.http.HttpListener
 import org.ragwortbank.standins.fleet.Caller
 import java.util.concurrent.atomic.AtomicLong
 import kotlin.coroutines.resume
--- a/standins/src/main/kotlin/org/ragwortbank/standins/service/ServiceStandIn.kt
+++ b/standins/src/main/kotlin/org/ragwortbank/standins/service/ServiceStandIn.kt
@@ -6,7 +6,7 @@
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.builtins.ListSerializer
 import kotlinx.serialization.json.Json
-import org.ragwortbank.platform.http.Address
+import org.ragwortbank.clients.http.Address
 import org.ragwortbank.standins.http.Responder
 import org.ragwortbank.standins.http.StandInRequest
 import org.ragwortbank.standins.http.StandInServer
--- a/standins/src/main/kotlin/org/ragwortbank/standins/weights/WeightsStandIn.kt
+++ b/standins/src/main/kotlin/org/ragwortbank/standins/weights/WeightsStandIn.kt
@@ -1,7 +1,7 @@
 package org.ragwortbank.standins.weights
 
 import io.netty.channel.EventLoopGroup
-import org.ragwortbank.platform.http.Address
+import org.ragwortbank.clients.http.Address
 import org.ragwortbank.standins.http.Responder
 import org.ragwortbank.standins.http.StandInRequest
 import org.ragwortbank.standins.http.StandInServer
--- a/standins/src/test/kotlin/org/ragwortbank/standins/fleet/BadInputTest.kt
+++ b/standins/src/test/kotlin/org/ragwortbank/standins/fleet/BadInputTest.kt
@@ -1,7 +1,7 @@
 package org.ragwortbank.standins.fleet
 
 import org.junit.jupiter.api.AfterAll
-import org.ragwortbank.platform.http.Address
+import org.ragwortbank.clients.http.Address
 import java.net.Socket
 import kotlin.test.Test
 import kotlin.test.assertContains
--- a/standins/src/test/kotlin/org/ragwortbank/standins/fleet/TestFleet.kt
+++ b/standins/src/test/kotlin/org/ragwortbank/standins/fleet/TestFleet.kt
@@ -8,10 +8,10 @@
 import kotlinx.coroutines.runBlocking
 import kotlinx.serialization.builtins.ListSerializer
 import kotlinx.serialization.json.Json
+import org.ragwortbank.clients.http.Address
+import org.ragwortbank.clients.http.HttpCall
+import org.ragwortbank.clients.http.HttpReply
 import org.ragwortbank.core.model.Header
-import org.ragwortbank.platform.http.Address
-import org.ragwortbank.platform.http.HttpCall
-import org.ragwortbank.platform.http.HttpReply
 import org.ragwortbank.standins.service.SeenCall
 import java.nio.file.Files
 import java.nio.file.Path
