--- a/cli/src/main/kotlin/org/ragwortbank/cli/command/CheckCommand.kt
+++ b/cli/src/main/kotlin/org/ragwortbank/cli/command/CheckCommand.kt
@@ -27,6 +27,12 @@
     @Option(names = ["--sidecar"], paramLabel = "FILE", description = ["Settings of a sidecar."])
     private var sidecars: List<Path> = emptyList()
 
+    @Option(names = ["--gateway"], paramLabel = "FILE", description = ["Settings of a gateway."])
+    private var gateways: List<Path> = emptyList()
+
+    @Option(names = ["--placer"], paramLabel = "FILE", description = ["Settings of a placer."])
+    private var placers: List<Path> = emptyList()
+
     @Option(names = ["--routes"], paramLabel = "FILE", description = ["The routes table; needs --pools too."])
     private var routes: Path? = null
 
@@ -42,7 +48,8 @@
 
     private fun results(): List<Checked<*>> {
         val settings = entries.map(SettingsFile::entry) + sidecars.map(SettingsFile::sidecar)
-        val all = settings + listOfNotNull(tables())
+        val direct = gateways.map(SettingsFile::gateway) + placers.map(SettingsFile::placer)
+        val all = settings + direct + listOfNotNull(tables())
         if (all.isEmpty()) throw ParameterException(spec.commandLine(), "nothing to check: name at least one file")
         return all
     }
--- a/cli/src/main/kotlin/org/ragwortbank/cli/command/EntryCommand.kt
+++ b/cli/src/main/kotlin/org/ragwortbank/cli/command/EntryCommand.kt
@@ -18,5 +18,5 @@
     private lateinit var config: Path
 
     override fun call(): Int =
-        runProcess(SettingsFile.entry(config), { it.logLevel }, { it.logFormat }, ::EntryNode)
+        runProcess(SettingsFile.entry(config), { it.logLevel }, { it.logFormat }, start = ::EntryNode)
 }
--- /dev/null
+++ b/cli/src/main/kotlin/org/ragwortbank/cli/command/PlacerCommand.kt
@@ -0,0 +1,26 @@
+package org.ragwortbank.cli.command
+
+import org.ragwortbank.cli.settings.SettingsFile
+import org.ragwortbank.node.log.LogTarget
+import org.ragwortbank.node.placer.PlacerNode
+import org.ragwortbank.platform.PreparedPlatform
+import picocli.CommandLine.Command
+import picocli.CommandLine.Option
+import java.nio.file.Path
+import java.util.concurrent.Callable
+
+/** Runs a placer process. */
+@Command(
+    name = "placer",
+    description = ["Runs a placer process beside one engine of the prepared platform until TERM or INT."],
+    mixinStandardHelpOptions = true,
+)
+class PlacerCommand : Callable<Int> {
+    @Option(names = ["--config"], required = true, paramLabel = "FILE", description = ["Settings in TOML."])
+    private lateinit var config: Path
+
+    override fun call(): Int =
+        runProcess(SettingsFile.placer(config), { it.logLevel }, { it.logFormat }, LogTarget.STANDARD_OUTPUT) {
+            PlacerNode(it, PreparedPlatform())
+        }
+}
--- a/cli/src/main/kotlin/org/ragwortbank/cli/command/Ragwortbank.kt
+++ b/cli/src/main/kotlin/org/ragwortbank/cli/command/Ragwortbank.kt
@@ -11,6 +11,8 @@
     subcommands = [
         EntryCommand::class,
         SidecarCommandLine::class,
+        GatewayCommand::class,
+        PlacerCommand::class,
         CheckCommand::class,
         SettingsCommand::class,
         PlanCommand::class,
--- a/cli/src/main/kotlin/org/ragwortbank/cli/command/SettingsCommand.kt
+++ b/cli/src/main/kotlin/org/ragwortbank/cli/command/SettingsCommand.kt
@@ -13,14 +13,16 @@
     mixinStandardHelpOptions = true,
 )
 class SettingsCommand : Callable<Int> {
-    @Parameters(paramLabel = "PROCESS", description = ["entry or sidecar."])
+    @Parameters(paramLabel = "PROCESS", description = ["entry, sidecar, gateway or placer."])
     private lateinit var process: String
 
     override fun call(): Int =
         when (process) {
             "entry" -> show(SettingsFile.entrySettings())
             "sidecar" -> show(SettingsFile.sidecarSettings())
-            else -> fail(ExitCode.USAGE, "found '$process', expected entry or sidecar")
+            "gateway" -> show(SettingsFile.gatewaySettings())
+            "placer" -> show(SettingsFile.placerSettings())
+            else -> fail(ExitCode.USAGE, "found '$process', expected entry, sidecar, gateway or placer")
         }
 
     private fun show(settings: List<TomlSetting>): Int {
--- a/cli/src/main/kotlin/org/ragwortbank/cli/command/SidecarCommandLine.kt
+++ b/cli/src/main/kotlin/org/ragwortbank/cli/command/SidecarCommandLine.kt
@@ -18,5 +18,5 @@
     private lateinit var config: Path
 
     override fun call(): Int =
-        runProcess(SettingsFile.sidecar(config), { it.logLevel }, { it.logFormat }, ::SidecarNode)
+        runProcess(SettingsFile.sidecar(config), { it.logLevel }, { it.logFormat }, start = ::SidecarNode)
 }
--- a/cli/src/main/kotlin/org/ragwortbank/cli/settings/SettingsFile.kt
+++ b/cli/src/main/kotlin/org/ragwortbank/cli/settings/SettingsFile.kt
@@ -7,6 +7,8 @@
 import org.ragwortbank.cli.toml.TomlReader
 import org.ragwortbank.cli.toml.TomlSetting
 import org.ragwortbank.node.settings.EntryNodeSettings
+import org.ragwortbank.node.settings.GatewayNodeSettings
+import org.ragwortbank.node.settings.PlacerNodeSettings
 import org.ragwortbank.node.settings.SidecarNodeSettings
 import java.nio.file.Path
 
@@ -18,12 +20,24 @@
     /** The settings of a sidecar. */
     fun sidecar(path: Path): Checked<SidecarNodeSettings> = read(path, ::readSidecar)
 
+    /** The settings of a gateway. */
+    fun gateway(path: Path): Checked<GatewayNodeSettings> = read(path, ::readGateway)
+
+    /** The settings of a placer. */
+    fun placer(path: Path): Checked<PlacerNodeSettings> = read(path, ::readPlacer)
+
     /** All settings of an entry. */
     fun entrySettings(): List<TomlSetting> = describe(::readEntry)
 
     /** All settings of a sidecar. */
     fun sidecarSettings(): List<TomlSetting> = describe(::readSidecar)
 
+    /** All settings of a gateway. */
+    fun gatewaySettings(): List<TomlSetting> = describe(::readGateway)
+
+    /** All settings of a placer. */
+    fun placerSettings(): List<TomlSetting> = describe(::readPlacer)
+
     private fun describe(block: (TomlReader) -> Any): List<TomlSetting> {
         val reader = TomlReader("", TomlTable(emptyMap<String, Any>()))
         block(reader)
--- a/clients/src/main/kotlin/org/ragwortbank/clients/http/HttpClient.kt
+++ b/clients/src/main/kotlin/org/ragwortbank/clients/http/HttpClient.kt
@@ -4,6 +4,7 @@
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
 import io.netty.channel.ChannelOption
+import io.netty.channel.EventLoop
 import io.netty.channel.EventLoopGroup
 import io.netty.channel.pool.AbstractChannelPoolHandler
 import io.netty.channel.pool.AbstractChannelPoolMap
@@ -19,6 +20,7 @@
 import kotlinx.coroutines.suspendCancellableCoroutine
 import kotlinx.coroutines.withTimeoutOrNull
 import java.net.InetSocketAddress
+import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicBoolean
 import java.util.concurrent.atomic.AtomicReference
 import kotlin.coroutines.resume
@@ -120,3 +122,24 @@
             continuation.invokeOnCancellation { exchange.close() }
         }
     } ?: HttpReply.Failed(connected = true, "no answer within $timeout")
+
+/** Sends [call] and passes the whole answer to [done] on [loop], a failure after [timeout]; exactly once. */
+fun HttpClient.request(
+    loop: EventLoop,
+    address: Address,
+    call: HttpCall,
+    timeout: Duration,
+    done: (HttpReply) -> Unit,
+) {
+    val ended = AtomicBoolean(false)
+    val finish = { reply: HttpReply -> if (ended.compareAndSet(false, true)) loop.execute { done(reply) } }
+    val exchange = open(address, call, Collector { finish(it) })
+    loop.schedule(
+        {
+            if (!ended.get()) exchange.close()
+            finish(HttpReply.Failed(connected = true, "no answer within $timeout"))
+        },
+        timeout.inWholeMilliseconds,
+        TimeUnit.MILLISECONDS,
+    )
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/AttemptSystem.kt
@@ -0,0 +1,130 @@
+package org.ragwortbank.core.gateway
+
+import org.ragwortbank.core.log.LogPart
+import org.ragwortbank.core.result.ResultCode
+import org.ragwortbank.core.serving.RequestNumber
+import org.ragwortbank.core.serving.UpstreamId
+import org.ragwortbank.core.serving.WorkKind
+import org.ragwortbank.core.tick.Tick
+import org.ragwortbank.core.tick.TickSystem
+import org.ragwortbank.core.tick.Timestamp
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Decides on what became of a send: pass the answer on, try again, or refuse. */
+class AttemptSystem : TickSystem<GatewayTables, GatewayInput, GatewayEffect> {
+    override fun run(tick: Tick<GatewayInput>, step: GatewayStep): GatewayStep =
+        tick.inputs.fold(step) { s, input ->
+            when (input) {
+                is GatewayInput.NotSent -> s.onAttempt(input.number, input.attempt) { notSent(s, it, input, tick.now) }
+                is GatewayInput.AttemptBroke -> s.onAttempt(input.number, input.attempt) { broke(s, it, input, tick.now) }
+                is GatewayInput.HeadArrived -> s.onAttempt(input.number, input.attempt) { head(s, it, input, tick.now) }
+                is GatewayInput.AnswerEnded -> s.onAttempt(input.number, input.attempt) { ended(s, it) }
+                else -> s
+            }
+        }
+
+    private fun GatewayStep.onAttempt(
+        number: RequestNumber,
+        attempt: Int,
+        decide: (RequestRow) -> GatewayStep,
+    ): GatewayStep {
+        val row = tables.requests[number]?.takeIf { it.attempts == attempt && it.upstream != null }
+        return if (row == null) this else decide(row)
+    }
+
+    private fun notSent(step: GatewayStep, row: RequestRow, input: GatewayInput.NotSent, now: Timestamp): GatewayStep =
+        step
+            .log(LogPart.ROUTING, "request ${row.call.id} not sent to ${row.upstream}: ${input.cause}")
+            .blame(row.upstream, now)
+            .update { tables -> tables.waitAgain(row).forgetTry(row) }
+
+    private fun broke(step: GatewayStep, row: RequestRow, input: GatewayInput.AttemptBroke, now: Timestamp): GatewayStep {
+        val said = step
+            .log(LogPart.ROUTING, "request ${row.call.id} lost at ${row.upstream}: ${input.cause}")
+            .blame(row.upstream, now)
+        val ran = row.copy(mayHaveRun = true)
+        val retry = row.stage is RequestStage.Sent && row.route.repeatable && said.tables.hasOther(ran, now)
+        val detail = "upstream ${row.upstream} broke off: ${input.cause}"
+        return if (retry) said.tryAgain(ran, detail) else said.end(ran, ResultCode.OUTCOME_UNKNOWN, detail, null)
+    }
+
+    private fun head(step: GatewayStep, row: RequestRow, input: GatewayInput.HeadArrived, now: Timestamp): GatewayStep {
+        val facts = input.facts
+        val upstream = row.upstream ?: return step
+        val sentAt = (row.stage as? RequestStage.Sent)?.at ?: now
+        val told = step.update { tables ->
+            tables.updateUpstream(upstream) { u -> facts.load?.let { u.withLoad(it, now) } ?: u }
+        }
+        return when {
+            facts.notRun -> rejected(told, row, facts, now)
+            facts.status >= FIRST_FAILURE -> failed(told, row, facts, now)
+            else -> told
+                .update { t -> t.updateUpstream(upstream) { it.copy(health = it.health.afterAnswer(now - sentAt)) } }
+                .relay(row, facts)
+        }
+    }
+
+    private fun rejected(step: GatewayStep, row: RequestRow, facts: AnswerFacts, now: Timestamp): GatewayStep {
+        val said = step
+            .log(LogPart.ROUTING, "request ${row.call.id} rejected by ${row.upstream} with ${facts.status}, not run")
+            .emit(GatewayEffect.Abandon(row.number, row.attempts))
+        val pause = if (facts.status == MISDIRECTED) null else REJECTED_PAUSE
+        val avoided = if (pause == null) said else said.avoid(row.upstream, now + pause)
+        return avoided.tryAgain(row, "upstream ${row.upstream} answered ${facts.status}")
+    }
+
+    private fun failed(step: GatewayStep, row: RequestRow, facts: AnswerFacts, now: Timestamp): GatewayStep {
+        val ran = row.copy(mayHaveRun = true)
+        val retry = row.route.kind == WorkKind.IDEMPOTENT && step.tables.hasOther(ran, now)
+        if (!retry) return step.relay(row, facts)
+        return step
+            .log(LogPart.ROUTING, "request ${row.call.id} failed at ${row.upstream} with ${facts.status}")
+            .emit(GatewayEffect.Abandon(row.number, row.attempts))
+            .tryAgain(ran, "upstream ${row.upstream} answered ${facts.status}")
+    }
+
+    private fun GatewayStep.relay(row: RequestRow, facts: AnswerFacts): GatewayStep {
+        val upstream = row.upstream ?: return this
+        return log(LogPart.ANSWER, "request ${row.call.id} answered by $upstream with ${facts.status}")
+            .emit(GatewayEffect.Relay(row.number, row.attempts))
+            .update { it.put(row.copy(stage = RequestStage.Relaying(upstream), mayHaveRun = true)) }
+    }
+
+    private fun ended(step: GatewayStep, row: RequestRow): GatewayStep =
+        step.emit(GatewayEffect.Forget(row.number)).update { it.release(row).drop(row.number) }
+
+    private fun GatewayStep.tryAgain(row: RequestRow, detail: String): GatewayStep {
+        val rest = tables.retries[row.service]?.spend()
+            ?: return end(row, ResultCode.NO_UPSTREAM, "$detail; no retries are left", RETRY_AFTER)
+        return update { it.copy(retries = it.retries.put(row.service, rest)).waitAgain(row) }
+    }
+
+    private fun GatewayStep.blame(upstream: UpstreamId?, now: Timestamp): GatewayStep {
+        if (upstream == null) return this
+        return update { t -> t.updateUpstream(upstream) { it.copy(health = it.health.afterFailure(now, FAILURE_PAUSE)) } }
+    }
+
+    private fun GatewayStep.avoid(upstream: UpstreamId?, until: Timestamp): GatewayStep {
+        if (upstream == null) return this
+        return update { t -> t.updateUpstream(upstream) { it.copy(health = it.health.copy(blockedUntil = until)) } }
+    }
+
+    private fun GatewayTables.hasOther(row: RequestRow, now: Timestamp): Boolean =
+        row.tried.size < row.route.maxAttempts &&
+            members[row.service].orEmpty().any { it !in row.tried && upstreams[it]?.open(now) == true }
+
+    private companion object {
+        const val FIRST_FAILURE = 500
+        const val MISDIRECTED = 421
+        val FAILURE_PAUSE = 400.milliseconds
+        val REJECTED_PAUSE = 100.milliseconds
+        val RETRY_AFTER = 500.milliseconds
+    }
+}
+
+/** A send that never left this process doesn't count as a try of its upstream. */
+private fun GatewayTables.forgetTry(row: RequestRow): GatewayTables {
+    val upstream = row.upstream ?: return this
+    val waiting = requests[row.number] ?: return this
+    return put(waiting.copy(tried = waiting.tried.remove(upstream)))
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/DemandSystem.kt
@@ -0,0 +1,76 @@
+package org.ragwortbank.core.gateway
+
+import kotlinx.collections.immutable.PersistentSet
+import kotlinx.collections.immutable.toPersistentList
+import kotlinx.collections.immutable.toPersistentSet
+import org.ragwortbank.core.serving.AdapterKey
+import org.ragwortbank.core.serving.AdapterWish
+import org.ragwortbank.core.serving.DemandDigest
+import org.ragwortbank.core.serving.EngineSpec
+import org.ragwortbank.core.serving.UpstreamId
+import org.ragwortbank.core.tick.Tick
+import org.ragwortbank.core.tick.TickSystem
+import org.ragwortbank.core.tick.Timestamp
+
+/** Tells each placer which adapters are wished for and in use: at once when a wish is new, else at intervals. */
+class DemandSystem : TickSystem<GatewayTables, GatewayInput, GatewayEffect> {
+    override fun run(tick: Tick<GatewayInput>, step: GatewayStep): GatewayStep {
+        val wishes = wishesByUpstream(step.tables)
+        return step.tables.upstreams.values.fold(step) { s, row ->
+            val engine = s.tables.config?.services?.get(row.entry.service)?.engine
+            if (engine == null) s else tell(s, row, engine, wishes[row.entry.id].orEmpty(), tick.now)
+        }
+    }
+
+    private fun wishesByUpstream(tables: GatewayTables): Map<UpstreamId, List<AdapterKey>> =
+        tables.waiting
+            .mapNotNull { tables.requests[it] }
+            .mapNotNull { row ->
+                val wish = (row.stage as? RequestStage.Waiting)?.wish
+                val adapter = row.call.adapterKey
+                if (wish == null || adapter == null) null else wish to adapter
+            }
+            .groupBy({ it.first }, { it.second })
+
+    private fun tell(
+        step: GatewayStep,
+        row: UpstreamRow,
+        engine: EngineSpec,
+        wishes: List<AdapterKey>,
+        now: Timestamp,
+    ): GatewayStep {
+        val id = row.entry.id
+        val known = step.tables.demand[id]
+        val wished = wishes.toPersistentSet()
+        val news = wished.any { it !in known?.wishes.orEmpty() }
+        val due = known == null || now - known.at >= step.tables.settings.demandInterval
+        return if (news || due) send(step, row, digest(step.tables, row, engine, wished), now) else step
+    }
+
+    private fun digest(
+        tables: GatewayTables,
+        row: UpstreamRow,
+        engine: EngineSpec,
+        wished: PersistentSet<AdapterKey>,
+    ) = DemandDigest(
+        sender = tables.identity.name,
+        incarnation = tables.identity.incarnation,
+        number = tables.digestNumber + 1,
+        upstream = row.entry.id,
+        wishes = wished.take(MAX_WISHES).map { AdapterWish(it, tables.versions[it]?.version) }.toPersistentList(),
+        used = row.using.keys.toPersistentSet(),
+        engine = engine,
+    )
+
+    private fun send(step: GatewayStep, row: UpstreamRow, digest: DemandDigest, now: Timestamp): GatewayStep {
+        val wishes = digest.wishes.map { it.adapter }.toPersistentSet()
+        return step
+            .emit(GatewayEffect.TellPlacer(row.entry.endpoint.host, digest))
+            .update { it.copy(digestNumber = digest.number, demand = it.demand.put(row.entry.id, DemandRow(wishes, now))) }
+    }
+
+    private companion object {
+        /** Keeps a digest within one datagram. */
+        const val MAX_WISHES = 24
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/FleetBucket.kt
@@ -0,0 +1,80 @@
+package org.ragwortbank.core.gateway
+
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentMapOf
+import org.ragwortbank.core.serving.ServingAccount
+import org.ragwortbank.core.tick.Timestamp
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.DurationUnit
+
+/**
+ * What another entry has admitted for an account.
+ *
+ * @property total tokens since the start of [incarnation], as it told last
+ * @property charged tokens taken in advance since then, because it was silent
+ */
+data class PeerUse(
+    val incarnation: Long,
+    val total: Long,
+    val charged: Double = 0.0,
+)
+
+/**
+ * An account's token bucket as one entry sees it: filled at the fleet's rate, emptied by what all entries admit.
+ *
+ * Each entry learns of the others' use from their digests. What was admitted before the digest came makes the level
+ * negative and is made up by later refusals, so that the rate holds over time. An entry that is silent is charged
+ * its share of the rate, as it does itself with all the others; both sides of a cut stay within the rate together.
+ *
+ * @property level tokens that may be admitted now
+ * @property ownTotal tokens admitted by this entry since its start
+ */
+data class FleetBucket(
+    val rate: Long,
+    val burst: Long,
+    val level: Double,
+    val updatedAt: Timestamp,
+    val ownTotal: Long = 0,
+    val peers: PersistentMap<String, PeerUse> = persistentMapOf(),
+) {
+    /** The bucket at [now], with [silent] entries out of [entries] charged for the time that passed. */
+    fun refill(now: Timestamp, silent: Collection<String>, entries: Int): FleetBucket {
+        val seconds = (now - updatedAt).toDouble(DurationUnit.SECONDS).coerceAtLeast(0.0)
+        val share = rate * seconds / entries.coerceAtLeast(1)
+        val charged = silent.fold(peers) { all, name -> all.charge(name, share) }
+        val filled = level + rate * seconds - share * silent.size
+        return copy(level = filled.coerceAtMost(burst.toDouble()), updatedAt = now, peers = charged)
+    }
+
+    /** Whether a request of [tokens] may run; one that exceeds the burst may run when the bucket is full. */
+    fun admits(tokens: Long): Boolean = level >= minOf(tokens, burst)
+
+    /** The bucket after this entry admitted [tokens]; a negative number gives tokens back. */
+    fun take(tokens: Long): FleetBucket = copy(level = level - tokens, ownTotal = ownTotal + tokens)
+
+    /** The bucket after [peer] told that it has admitted [total] tokens; [counts] unless that was before this entry's time. */
+    fun hear(peer: String, incarnation: Long, total: Long, counts: Boolean): FleetBucket {
+        val known = peers[peer]
+        val before = known?.takeIf { it.incarnation == incarnation }?.total
+        val used = (total - (before ?: if (counts) 0 else total)).toDouble()
+        val corrected = (level - used + (known?.charged ?: 0.0)).coerceAtMost(burst.toDouble())
+        return copy(level = corrected, peers = peers.put(peer, PeerUse(incarnation, total)))
+    }
+
+    /** The bucket without [peer]. */
+    fun forget(peer: String): FleetBucket = copy(peers = peers.remove(peer))
+
+    /** The same bucket under changed limits. */
+    fun withLimits(account: ServingAccount): FleetBucket =
+        copy(rate = account.rate, burst = account.burst, level = level.coerceAtMost(account.burst.toDouble()))
+
+    /** How long the bucket must fill before it admits [tokens]. */
+    fun waitFor(tokens: Long): Duration =
+        ((minOf(tokens, burst) - level) / rate.coerceAtLeast(1)).coerceAtLeast(0.0).seconds
+
+    private fun PersistentMap<String, PeerUse>.charge(name: String, tokens: Double): PersistentMap<String, PeerUse> {
+        val known = this[name] ?: PeerUse(incarnation = 0, total = 0)
+        return put(name, known.copy(charged = known.charged + tokens))
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewayTables.kt
@@ -0,0 +1,93 @@
+package org.ragwortbank.core.gateway
+
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.PersistentSet
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.persistentSetOf
+import org.ragwortbank.core.log.LogLine
+import org.ragwortbank.core.log.LogPart
+import org.ragwortbank.core.model.AccountId
+import org.ragwortbank.core.serving.AdapterKey
+import org.ragwortbank.core.serving.RequestNumber
+import org.ragwortbank.core.serving.ServiceName
+import org.ragwortbank.core.serving.ServingConfig
+import org.ragwortbank.core.serving.UpstreamId
+import org.ragwortbank.core.tick.Step
+import org.ragwortbank.core.tick.Timestamp
+
+/** A gateway's step of a tick. */
+typealias GatewayStep = Step<GatewayTables, GatewayEffect>
+
+/** The newest version of an adapter, and when this entry heard of it. */
+data class NamedVersion(
+    val version: Long,
+    val heardAt: Timestamp,
+)
+
+/**
+ * All that a gateway knows, as one immutable value.
+ *
+ * A gateway is an entry that sends requests to upstreams itself and leaves orders to the placers beside them.
+ *
+ * @property config newest configuration; null before the first
+ * @property confirmedAt when the store was last asked something whose answer confirmed [config]
+ * @property members upstreams of each service
+ * @property waiting requests that wait for an upstream, the oldest first
+ * @property demand what each placer was told last
+ * @property peersTold totals of use that the other entries were told last, and [peersToldAt] when
+ * @property peerSentAt when the newest digests to the other entries were sent, by their numbers
+ */
+data class GatewayTables(
+    val identity: GatewayIdentity,
+    val settings: GatewaySettings = GatewaySettings(),
+    val startedAt: Timestamp,
+    val config: ServingConfig? = null,
+    val confirmedAt: Timestamp? = null,
+    val upstreams: PersistentMap<UpstreamId, UpstreamRow> = persistentMapOf(),
+    val members: PersistentMap<ServiceName, PersistentSet<UpstreamId>> = persistentMapOf(),
+    val versions: PersistentMap<AdapterKey, NamedVersion> = persistentMapOf(),
+    val requests: PersistentMap<RequestNumber, RequestRow> = persistentMapOf(),
+    val waiting: PersistentSet<RequestNumber> = persistentSetOf(),
+    val buckets: PersistentMap<AccountId, FleetBucket> = persistentMapOf(),
+    val retries: PersistentMap<ServiceName, RetryBudget> = persistentMapOf(),
+    val peers: PersistentMap<String, PeerRow> = persistentMapOf(),
+    val demand: PersistentMap<UpstreamId, DemandRow> = persistentMapOf(),
+    val peersToldAt: Timestamp? = null,
+    val peersTold: PersistentMap<AccountId, Long> = persistentMapOf(),
+    val peerNumber: Long = 0,
+    val peerSentAt: PersistentMap<Long, Timestamp> = persistentMapOf(),
+    val digestNumber: Long = 0,
+    val sweptAt: Timestamp? = null,
+    val stoppingSince: Timestamp? = null,
+) {
+    /** The tables with [row] in place of its earlier version. */
+    fun put(row: RequestRow): GatewayTables {
+        val waits = row.stage is RequestStage.Waiting
+        return copy(
+            requests = requests.put(row.number, row),
+            waiting = if (waits) waiting.add(row.number) else waiting.remove(row.number),
+        )
+    }
+
+    /** The tables without the request [number]. */
+    fun drop(number: RequestNumber): GatewayTables =
+        copy(requests = requests.remove(number), waiting = waiting.remove(number))
+
+    /** The tables with the row of [id] changed, if there is one. */
+    fun updateUpstream(id: UpstreamId, change: (UpstreamRow) -> UpstreamRow): GatewayTables {
+        val row = upstreams[id] ?: return this
+        return copy(upstreams = upstreams.put(id, change(row)))
+    }
+
+    /** Entries of the fleet, this one included. */
+    val entryCount: Int get() = peers.values.count { it.listed } + 1
+}
+
+/** What a placer was told last. */
+data class DemandRow(
+    val wishes: PersistentSet<AdapterKey>,
+    val at: Timestamp,
+)
+
+internal fun GatewayStep.log(part: LogPart, message: String): GatewayStep =
+    emit(GatewayEffect.Log(LogLine(part, message)))
--- /dev/null
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/PeerRow.kt
@@ -0,0 +1,22 @@
+package org.ragwortbank.core.gateway
+
+import org.ragwortbank.core.serving.Endpoint
+import org.ragwortbank.core.tick.Timestamp
+
+/**
+ * Another entry.
+ *
+ * @property endpoint where it takes digests
+ * @property listed whether the store lists it as a member
+ * @property number of its newest digest, within [incarnation]
+ * @property heardAt when that came; null when none did
+ */
+data class PeerRow(
+    val name: String,
+    val endpoint: Endpoint,
+    val listed: Boolean = true,
+    val incarnation: Long = 0,
+    val number: Long = 0,
+    val heardAt: Timestamp? = null,
+    val seenAt: Timestamp,
+)
--- /dev/null
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/RequestEnds.kt
@@ -0,0 +1,58 @@
+package org.ragwortbank.core.gateway
+
+import org.ragwortbank.core.log.LogPart
+import org.ragwortbank.core.result.Execution
+import org.ragwortbank.core.result.Refusal
+import org.ragwortbank.core.result.ResultCode
+import org.ragwortbank.core.serving.RequestNumber
+import org.ragwortbank.core.tick.Timestamp
+import kotlin.time.Duration
+
+/** Ends [row] with a refusal of [code]: not run if no upstream may have begun it, else with an unknown outcome. */
+internal fun GatewayStep.end(row: RequestRow, code: ResultCode, detail: String, retryAfter: Duration?): GatewayStep {
+    val refusal = when {
+        row.stage is RequestStage.Relaying -> Refusal(ResultCode.ANSWER_BROKEN, Execution.RAN, detail)
+        row.mayHaveRun && code == ResultCode.DEADLINE_EXCEEDED -> Refusal(code, Execution.UNKNOWN, detail)
+        row.mayHaveRun -> Refusal(ResultCode.OUTCOME_UNKNOWN, Execution.UNKNOWN, detail)
+        else -> Refusal.notRun(code, detail, retryAfter)
+    }
+    return endWith(row, refusal)
+}
+
+private fun GatewayStep.endWith(row: RequestRow, refusal: Refusal): GatewayStep {
+    val effect = when (row.stage) {
+        is RequestStage.Relaying -> GatewayEffect.BreakOff(row.number, refusal)
+        else -> GatewayEffect.Refuse(row.number, refusal)
+    }
+    return logRefusal(row.call.id, refusal)
+        .emit(effect)
+        .update { it.release(row).refund(row).drop(row.number) }
+}
+
+/** Refuses a request that has no row yet. */
+internal fun GatewayStep.refuseNew(number: RequestNumber, id: String, refusal: Refusal): GatewayStep =
+    logRefusal(id, refusal).emit(GatewayEffect.Refuse(number, refusal))
+
+private fun GatewayStep.logRefusal(id: String, refusal: Refusal): GatewayStep =
+    log(LogPart.ANSWER, "request $id: ${refusal.code.number} ${refusal.code}, ${refusal.execution.text}: ${refusal.detail}")
+
+/** The tables with the upstream of [row], if it has one, relieved of it. */
+internal fun GatewayTables.release(row: RequestRow): GatewayTables {
+    val upstream = row.upstream ?: return this
+    return updateUpstream(upstream) { it.ended(row.call.adapterKey) }
+}
+
+/** The tables with the tokens of [row] given back, if it has certainly not run. */
+internal fun GatewayTables.refund(row: RequestRow): GatewayTables {
+    val account = row.account
+    val bucket = account?.let { buckets[it] }
+    if (account == null || bucket == null || row.mayHaveRun || row.tokens == 0L) return this
+    return copy(buckets = buckets.put(account, bucket.take(-row.tokens)))
+}
+
+/** [row] waiting again after its attempt has ended without having run. */
+internal fun GatewayTables.waitAgain(row: RequestRow): GatewayTables =
+    release(row).put(row.copy(stage = RequestStage.Waiting()))
+
+/** The time left for [row] at [now]. */
+internal fun RequestRow.left(now: Timestamp): Duration = endsBy - now
--- /dev/null
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/RetryBudget.kt
@@ -0,0 +1,14 @@
+package org.ragwortbank.core.gateway
+
+/**
+ * How many sends beyond the first of each request an entry may make to a service.
+ *
+ * @property level sends that may be made now
+ */
+data class RetryBudget(val level: Double) {
+    /** The budget after a request was sent for the first time, at [ratio] extra sends per request and at most [most]. */
+    fun afterFirstSend(ratio: Double, most: Double): RetryBudget = RetryBudget((level + ratio).coerceAtMost(most))
+
+    /** The budget after an extra send; null when there is none left. */
+    fun spend(): RetryBudget? = if (level >= 1) RetryBudget(level - 1) else null
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/RoutingSystem.kt
@@ -0,0 +1,95 @@
+package org.ragwortbank.core.gateway
+
+import org.ragwortbank.core.log.LogPart
+import org.ragwortbank.core.result.ResultCode
+import org.ragwortbank.core.tick.Tick
+import org.ragwortbank.core.tick.TickSystem
+import org.ragwortbank.core.tick.Timestamp
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Sends each waiting request to the upstream with the smallest expected delay, or wishes for its adapter there. */
+class RoutingSystem(private val cost: UpstreamCost) : TickSystem<GatewayTables, GatewayInput, GatewayEffect> {
+    override fun run(tick: Tick<GatewayInput>, step: GatewayStep): GatewayStep =
+        step.tables.waiting
+            .mapNotNull { step.tables.requests[it] }
+            .sortedBy { it.priority }
+            .fold(step) { s, row -> route(s, row, tick.now) }
+
+    private fun route(step: GatewayStep, row: RequestRow, now: Timestamp): GatewayStep {
+        val members = step.tables.members[row.service].orEmpty()
+            .mapNotNull { step.tables.upstreams[it] }
+            .filter { it.entry.accepting && row.mayTry(it.entry.id) && it.serves(row) }
+        val open = members.filter { it.open(now) }
+        val best = open.map { cost.estimate(step.tables, row, it, now) }.minByOrNull { it.millis }
+        return when {
+            best != null -> place(step, row, best, now)
+            members.isNotEmpty() -> step
+            else -> step.end(row, ResultCode.NO_UPSTREAM, "${row.service} has none left, tried ${row.tried}", RETRY_AFTER)
+        }
+    }
+
+    private fun UpstreamRow.serves(row: RequestRow): Boolean {
+        val model = row.call.model ?: return true
+        val known = digest?.models?.takeIf { it.isNotEmpty() } ?: entry.models
+        return known.isEmpty() || model in known
+    }
+
+    private fun place(step: GatewayStep, row: RequestRow, best: Candidate, now: Timestamp): GatewayStep =
+        when (best.state) {
+            AdapterState.PRESENT, AdapterState.PREVIOUS -> send(step, row, best, now)
+            AdapterState.COMING, AdapterState.ABSENT, AdapterState.OUTDATED -> wish(step, row, best, now)
+        }
+
+    private fun wish(step: GatewayStep, row: RequestRow, best: Candidate, now: Timestamp): GatewayStep {
+        val id = best.row.entry.id
+        val stage = row.stage as? RequestStage.Waiting
+        if (stage?.wish == id) return step
+        val text = "request ${row.call.id} waits for ${row.call.adapterKey} at $id, ${best.state}, ${describe(best, now)}"
+        return step
+            .log(LogPart.PLACEMENT, text)
+            .update { it.put(row.copy(stage = RequestStage.Waiting(id, now))) }
+    }
+
+    private fun send(step: GatewayStep, row: RequestRow, best: Candidate, now: Timestamp): GatewayStep {
+        val entry = best.row.entry
+        val sent = row.copy(
+            stage = RequestStage.Sent(entry.id, now),
+            attempts = row.attempts + 1,
+            tried = row.tried.add(entry.id),
+        )
+        val named = row.call.adapterKey?.let { step.tables.versions[it] }
+        val sending = Sending(
+            number = row.number,
+            attempt = sent.attempts,
+            upstream = entry.id,
+            endpoint = entry.endpoint,
+            account = row.account,
+            priority = row.priority,
+            adapterVersion = named?.version?.takeIf { best.state == AdapterState.PRESENT },
+            endsBy = row.endsBy,
+        )
+        return step
+            .log(LogPart.ROUTING, "request ${row.call.id} attempt ${sent.attempts} to ${entry.id}, ${describe(best, now)}")
+            .emit(GatewayEffect.Send(sending))
+            .update { it.put(sent).updateUpstream(entry.id) { u -> u.sent(row.call.adapterKey) } }
+            .update { if (sent.attempts == 1) it.earnRetry(sent) else it }
+    }
+
+    private fun describe(best: Candidate, now: Timestamp): String {
+        val age = best.row.toldAt?.let { "${(now - it).inWholeMilliseconds} ms old" } ?: "none"
+        return "expected ${best.millis.toInt()} ms, load ${best.row.load}, load told $age"
+    }
+
+    private fun GatewayTables.earnRetry(row: RequestRow): GatewayTables {
+        val most = settings.retrySlack * OWN_PART / entryCount
+        val budget = retries[row.service] ?: RetryBudget(most)
+        val earned = budget.afterFirstSend(settings.retryRatio * OWN_PART, most)
+        return copy(retries = retries.put(row.service, earned))
+    }
+
+    private companion object {
+        /** Part of the fleet's budget that all entries use together; the rest covers what they learn late. */
+        const val OWN_PART = 0.8
+        val RETRY_AFTER = 500.milliseconds
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/UpstreamCost.kt
@@ -0,0 +1,116 @@
+package org.ragwortbank.core.gateway
+
+import org.ragwortbank.core.hash.RendezvousHash
+import org.ragwortbank.core.serving.AdapterKey
+import org.ragwortbank.core.tick.Timestamp
+import kotlin.time.DurationUnit
+
+/** How an upstream stands to the adapter of a request. */
+enum class AdapterState {
+    /** It can be used at once, or the request needs none. */
+    PRESENT,
+
+    /** An older version can be used at once, and the newer one was named only lately. */
+    PREVIOUS,
+
+    /** Its load is under way. */
+    COMING,
+
+    /** It must be loaded. */
+    ABSENT,
+
+    /** An older version is in use, so that a load would wait for its requests. */
+    OUTDATED,
+}
+
+/**
+ * An upstream that may serve a request.
+ *
+ * @property millis expected wait for the first part of the answer, in milliseconds
+ */
+data class Candidate(
+    val row: UpstreamRow,
+    val state: AdapterState,
+    val millis: Double,
+)
+
+/** Estimates how long an upstream would keep a request waiting; the smallest estimate is chosen. */
+fun interface UpstreamCost {
+    /** The estimate for [request] at [row]. */
+    fun estimate(tables: GatewayTables, request: RequestRow, row: UpstreamRow, now: Timestamp): Candidate
+}
+
+/**
+ * Adds up the wait behind other requests, the time that the adapter takes to come, and the delay that answers showed.
+ *
+ * An adapter that must be loaded prefers upstreams in the order of a rendezvous hash, so that each upstream keeps its
+ * share of the adapters and loads them from its own memory.
+ */
+class ExpectedDelay : UpstreamCost {
+    override fun estimate(tables: GatewayTables, request: RequestRow, row: UpstreamRow, now: Timestamp): Candidate {
+        val state = tables.adapterState(request.call.adapterKey, row, now)
+        val wait = waitFor(state, request, row, now)
+        val queue = queueMillis(tables, request, row)
+        return Candidate(row, state, wait + queue + row.health.delayMillis)
+    }
+
+    private fun queueMillis(tables: GatewayTables, request: RequestRow, row: UpstreamRow): Double {
+        val engine = tables.config?.services?.get(request.service)?.engine != null
+        val perRequest = if (engine) ENGINE_REQUEST_MILLIS else PLAIN_REQUEST_MILLIS
+        val over = (row.load + 1 - row.entry.slots).coerceAtLeast(0)
+        return row.load * perRequest + over * OVERFLOW_MILLIS
+    }
+
+    private fun waitFor(state: AdapterState, request: RequestRow, row: UpstreamRow, now: Timestamp): Double {
+        val waiting = request.stage as? RequestStage.Waiting
+        val wishedFor = waiting?.wishedAt?.takeIf { waiting.wish == row.entry.id }
+            ?.let { (now - it).toDouble(DurationUnit.MILLISECONDS) }
+        return when (state) {
+            AdapterState.PRESENT, AdapterState.PREVIOUS -> 0.0
+            AdapterState.COMING -> COMING_MILLIS
+            AdapterState.OUTDATED -> OUTDATED_MILLIS
+            AdapterState.ABSENT -> ABSENT_MILLIS + preference(request, row) + overdue(wishedFor)
+        }
+    }
+
+    /** A load that was wished for and takes long is likely to be stuck. */
+    private fun overdue(wishedFor: Double?): Double =
+        if (wishedFor == null) 0.0 else (wishedFor - LOAD_USUAL_MILLIS).coerceAtLeast(0.0) - WISHED_BONUS_MILLIS
+
+    private fun preference(request: RequestRow, row: UpstreamRow): Double {
+        val key = RendezvousHash.seed(request.call.adapterKey.toString())
+        val score = RendezvousHash.score(key, RendezvousHash.seed(row.entry.id.value))
+        val rank = 1.0 - (score.toLong() - Int.MIN_VALUE) / SCORE_RANGE
+        return rank * PREFERENCE_MILLIS
+    }
+
+    private companion object {
+        const val ENGINE_REQUEST_MILLIS = 4.0
+        const val PLAIN_REQUEST_MILLIS = 15.0
+        const val OVERFLOW_MILLIS = 60.0
+        const val COMING_MILLIS = 130.0
+        const val ABSENT_MILLIS = 270.0
+        const val OUTDATED_MILLIS = 1_200.0
+        const val LOAD_USUAL_MILLIS = 600.0
+        const val WISHED_BONUS_MILLIS = 60.0
+        const val PREFERENCE_MILLIS = 300.0
+        const val SCORE_RANGE = 4_294_967_296.0
+    }
+}
+
+/** How [row] stands to [adapter]. */
+internal fun GatewayTables.adapterState(adapter: AdapterKey?, row: UpstreamRow, now: Timestamp): AdapterState {
+    if (adapter == null) return AdapterState.PRESENT
+    val digest = row.freshDigest(now, settings.digestLifetime)
+    val named = versions[adapter]
+    val held = if (digest != null) digest.holds[adapter] else row.entry.adapters[adapter]
+    val coming = digest?.coming?.get(adapter)
+    val inUse = (digest != null && adapter in digest.used) || adapter in row.using
+    return when {
+        held != null && (named == null || held >= named.version) -> AdapterState.PRESENT
+        held != null && named != null && now - named.heardAt < settings.staleVersion -> AdapterState.PREVIOUS
+        coming != null && (named == null || coming >= named.version) -> AdapterState.COMING
+        held != null && inUse -> AdapterState.OUTDATED
+        else -> AdapterState.ABSENT
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/UpstreamRow.kt
@@ -0,0 +1,94 @@
+package org.ragwortbank.core.gateway
+
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentMapOf
+import org.ragwortbank.core.serving.AdapterKey
+import org.ragwortbank.core.serving.EngineDigest
+import org.ragwortbank.core.serving.UpstreamEntry
+import org.ragwortbank.core.tick.Timestamp
+import kotlin.time.Duration
+import kotlin.time.DurationUnit
+
+/** Load as an upstream told it in an answer. */
+data class LoadTold(
+    val running: Int,
+    val waiting: Int,
+)
+
+/**
+ * What answers have shown about an upstream.
+ *
+ * @property failures failed sends since the last sound answer
+ * @property blockedUntil no new work before; null when there was no reason
+ * @property delayMillis moving average of the time to the first part of an answer, in milliseconds
+ */
+data class UpstreamHealth(
+    val failures: Int = 0,
+    val blockedUntil: Timestamp? = null,
+    val delayMillis: Double = 0.0,
+) {
+    /** The health after a sound answer that began [delay] after the request was sent. */
+    fun afterAnswer(delay: Duration): UpstreamHealth {
+        val millis = delay.toDouble(DurationUnit.MILLISECONDS)
+        return UpstreamHealth(delayMillis = delayMillis + (millis - delayMillis) * WEIGHT_OF_NEWEST)
+    }
+
+    /** The health after a failed send; [pause] doubles with each failure in a row. */
+    fun afterFailure(now: Timestamp, pause: Duration): UpstreamHealth {
+        val factor = 1 shl failures.coerceAtMost(MAX_DOUBLINGS)
+        return copy(failures = failures + 1, blockedUntil = now + pause * factor)
+    }
+
+    private companion object {
+        const val WEIGHT_OF_NEWEST = 0.1
+        const val MAX_DOUBLINGS = 3
+    }
+}
+
+/**
+ * An upstream and what this entry knows of it.
+ *
+ * @property inFlight requests of this entry that it has
+ * @property using how many of those use each adapter
+ * @property digest newest word of the placer beside it
+ * @property told newest load that it told, and [toldAt] when
+ * @property sentSince requests sent by this entry since [toldAt]
+ */
+data class UpstreamRow(
+    val entry: UpstreamEntry,
+    val inFlight: Int = 0,
+    val using: PersistentMap<AdapterKey, Int> = persistentMapOf(),
+    val digest: EngineDigest? = null,
+    val digestAt: Timestamp? = null,
+    val told: LoadTold? = null,
+    val toldAt: Timestamp? = null,
+    val sentSince: Int = 0,
+    val health: UpstreamHealth = UpstreamHealth(),
+) {
+    /** The digest unless it is older than [lifetime]. */
+    fun freshDigest(now: Timestamp, lifetime: Duration): EngineDigest? =
+        digest.takeIf { digestAt != null && now - digestAt <= lifetime }
+
+    /** Whether new work may be sent now. */
+    fun open(now: Timestamp): Boolean = entry.accepting && (health.blockedUntil?.let { it <= now } ?: true)
+
+    /** Requests that it has to serve, as far as is known. */
+    val load: Int get() = maxOf(inFlight, (told?.let { it.running + it.waiting } ?: 0) + sentSince)
+
+    /** This row with a request for [adapter] sent. */
+    fun sent(adapter: AdapterKey?): UpstreamRow =
+        copy(inFlight = inFlight + 1, sentSince = sentSince + 1, using = using.change(adapter, 1))
+
+    /** This row with a request for [adapter] ended. */
+    fun ended(adapter: AdapterKey?): UpstreamRow =
+        copy(inFlight = (inFlight - 1).coerceAtLeast(0), using = using.change(adapter, -1))
+
+    /** This row with [load] as the newest word of it. */
+    fun withLoad(load: LoadTold, now: Timestamp): UpstreamRow = copy(told = load, toldAt = now, sentSince = 0)
+
+    private fun PersistentMap<AdapterKey, Int>.change(adapter: AdapterKey?, by: Int): PersistentMap<AdapterKey, Int> {
+        if (adapter == null) return this
+        val count = (this[adapter] ?: 0) + by
+        return if (count <= 0) remove(adapter) else put(adapter, count)
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/ragwortbank/core/placer/OrderSystem.kt
@@ -0,0 +1,110 @@
+package org.ragwortbank.core.placer
+
+import org.ragwortbank.core.log.LogPart
+import org.ragwortbank.core.serving.AdapterKey
+import org.ragwortbank.core.serving.AdapterWish
+import org.ragwortbank.core.serving.EngineSpec
+import org.ragwortbank.core.tick.Tick
+import org.ragwortbank.core.tick.TickSystem
+import org.ragwortbank.core.tick.Timestamp
+
+/**
+ * Orders what the entries wish for, one order at a time.
+ *
+ * Each order names the number of accepted orders at which it may be carried out, so that one that was lost and comes
+ * late, after another was accepted, is refused by the engine. After an order without an answer, the next one waits
+ * for a report.
+ */
+class OrderSystem : TickSystem<PlacerTables, PlacerInput, PlacerEffect> {
+    override fun run(tick: Tick<PlacerInput>, step: PlacerStep): PlacerStep {
+        val ended = tick.inputs.fold(step) { s, input ->
+            if (input is PlacerInput.OrderEnded) end(s, input, tick.now) else s
+        }
+        val order = if (ended.tables.pending == null) next(ended.tables, tick.now) else null
+        return if (order == null) ended else give(ended, order, tick.now)
+    }
+
+    private fun end(step: PlacerStep, input: PlacerInput.OrderEnded, now: Timestamp): PlacerStep {
+        val pending = step.tables.pending?.takeIf { it.number == input.number } ?: return step
+        val said = step.log(LogPart.PLACEMENT, "order ${pending.number}, ${pending.order}: ${input.answer}")
+        val freed = said.update { it.copy(pending = null, settledAt = now) }
+        return when (input.answer) {
+            OrderAnswer.ACCEPTED -> freed.update { it.carriedOut(pending.order, now) }
+            OrderAnswer.HOLDS, OrderAnswer.CONFLICT, OrderAnswer.REFUSED, OrderAnswer.UNKNOWN -> freed.awaitReport(now)
+        }
+    }
+
+    /** No order may be given before the next report tells what the engine holds. */
+    private fun PlacerStep.awaitReport(now: Timestamp): PlacerStep =
+        update { it.copy(report = null, reportedAt = null, reportAsked = now) }.emit(PlacerEffect.AskReport)
+
+    private fun PlacerTables.carriedOut(order: Order, now: Timestamp): PlacerTables {
+        val known = report ?: return this
+        val counted = known.copy(sequence = known.sequence + 1)
+        return when (order) {
+            is Order.LoadAdapter -> copy(
+                report = counted.copy(coming = known.coming.put(order.adapter, order.version ?: 0)),
+                lastUsed = lastUsed.put(order.adapter, now),
+            )
+            is Order.DropAdapter -> copy(report = counted.copy(holds = known.holds.remove(order.adapter)))
+            is Order.LoadModel -> copy(report = counted.copy(busy = true))
+        }
+    }
+
+    private fun next(tables: PlacerTables, now: Timestamp): Order? {
+        val report = tables.report
+        val engine = tables.entries.values.maxByOrNull { it.heardAt }?.demand?.engine
+        val missing = engine?.models?.keys?.firstOrNull()?.takeIf { report?.models?.isEmpty() == true }
+        return when {
+            report == null || engine == null || tables.stopping || report.busy -> null
+            missing != null -> Order.LoadModel(missing)
+            else -> adapterOrder(tables, report, engine, now)
+        }
+    }
+
+    private fun adapterOrder(tables: PlacerTables, report: EngineReport, engine: EngineSpec, now: Timestamp): Order? {
+        val wish = wishes(tables).firstOrNull { it.isOpen(report) } ?: return null
+        val replaces = wish.adapter in report.holds
+        return when {
+            report.coming.size >= tables.settings.maxComing -> null
+            replaces || placesLeft(report, engine) > 0 -> Order.LoadAdapter(wish.adapter, wish.version)
+            else -> victim(tables, report, now)?.let { Order.DropAdapter(it) }
+        }
+    }
+
+    private fun wishes(tables: PlacerTables): List<AdapterWish> =
+        tables.entries.values.flatMap { it.demand.wishes }
+
+    private fun AdapterWish.isOpen(report: EngineReport): Boolean {
+        val held = report.holds[adapter]
+        val satisfied = held != null && (version == null || held >= version)
+        return !satisfied && adapter !in report.coming && adapter.model in report.models
+    }
+
+    private fun placesLeft(report: EngineReport, engine: EngineSpec): Int {
+        val loaded = report.models.mapNotNull { engine.models[it] }
+        val free = engine.memoryMegabytes - loaded.sumOf { it.weightsMegabytes }
+        val each = loaded.maxOfOrNull { it.adapterMegabytes }?.takeIf { it > 0 }
+        val byMemory = each?.let { (free / it).toInt() } ?: engine.adapterSlots
+        return minOf(engine.adapterSlots, byMemory) - (report.holds.keys + report.coming.keys).size
+    }
+
+    private fun victim(tables: PlacerTables, report: EngineReport, now: Timestamp): AdapterKey? {
+        val wished = wishes(tables).map { it.adapter }.toSet()
+        return report.holds.keys
+            .filter { it !in wished && it !in tables.used && it !in report.coming }
+            .filter { key -> tables.lastUsed[key]?.let { now - it >= tables.settings.idleFor } ?: true }
+            .minByOrNull { tables.lastUsed[it]?.nanos ?: Long.MIN_VALUE }
+    }
+
+    private fun give(step: PlacerStep, order: Order, now: Timestamp): PlacerStep {
+        val tables = step.tables
+        val report = tables.report ?: return step
+        val upstream = tables.upstream ?: return step
+        val number = tables.orderNumber + 1
+        return step
+            .log(LogPart.PLACEMENT, "order $number to $upstream at ${report.sequence}: $order, holds ${report.holds.size}")
+            .emit(PlacerEffect.Give(upstream, order, number, report.sequence))
+            .update { it.copy(pending = PendingOrder(order, number, now), orderNumber = number) }
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/ragwortbank/core/placer/PlacerMessages.kt
@@ -0,0 +1,71 @@
+package org.ragwortbank.core.placer
+
+import org.ragwortbank.core.log.LogLine
+import org.ragwortbank.core.serving.DemandDigest
+import org.ragwortbank.core.serving.Endpoint
+import org.ragwortbank.core.serving.EngineDigest
+import org.ragwortbank.core.serving.UpstreamId
+import org.ragwortbank.core.tick.Timestamp
+
+/** How an engine answered an order. */
+enum class OrderAnswer {
+    /** It is being carried out. */
+    ACCEPTED,
+
+    /** What it asks for holds already. */
+    HOLDS,
+
+    /** Another order is being carried out, or the number of accepted orders differs. */
+    CONFLICT,
+
+    /** The order is not possible, or is for another engine. */
+    REFUSED,
+
+    /** No answer came; the order may still be carried out. */
+    UNKNOWN,
+}
+
+/** Something that happened to a placer since its last tick. */
+sealed interface PlacerInput {
+    /** The engine reported, asked at [askedAt]. */
+    data class Reported(val report: EngineReport, val askedAt: Timestamp) : PlacerInput
+
+    /** The engine did not report. */
+    data class ReportFailed(val cause: String) : PlacerInput
+
+    /** An order was answered, or was not in time. */
+    data class OrderEnded(val number: Long, val answer: OrderAnswer) : PlacerInput
+
+    /** An entry told what it wants. */
+    data class DemandTold(val digest: DemandDigest, val from: Endpoint) : PlacerInput
+
+    /** The process was asked to stop. */
+    data object StopAsked : PlacerInput
+}
+
+/** Something that a placer's systems decided on. */
+sealed interface PlacerEffect {
+    /** Ask the engine for a report. */
+    data object AskReport : PlacerEffect
+
+    /**
+     * Order something of the engine [upstream].
+     *
+     * @property expected number of accepted orders at which it may be carried out
+     */
+    data class Give(
+        val upstream: UpstreamId,
+        val order: Order,
+        val number: Long,
+        val expected: Long,
+    ) : PlacerEffect
+
+    /** Tell an entry what the engine holds. */
+    data class Tell(val endpoint: Endpoint, val digest: EngineDigest) : PlacerEffect
+
+    /** Write a log line. */
+    data class Log(val line: LogLine) : PlacerEffect
+
+    /** The process may end. */
+    data object Stopped : PlacerEffect
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/ragwortbank/core/placer/PlacerSchedule.kt
@@ -0,0 +1,8 @@
+package org.ragwortbank.core.placer
+
+import kotlinx.collections.immutable.persistentListOf
+import org.ragwortbank.core.tick.Schedule
+
+/** The systems of a placer, in the order in which they run. */
+fun placerSchedule(): Schedule<PlacerTables, PlacerInput, PlacerEffect> =
+    Schedule(persistentListOf(ReportSystem(), OrderSystem(), TellSystem()))
--- /dev/null
+++ b/core/src/main/kotlin/org/ragwortbank/core/placer/PlacerTables.kt
@@ -0,0 +1,123 @@
+package org.ragwortbank.core.placer
+
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.PersistentSet
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.persistentSetOf
+import org.ragwortbank.core.log.LogLine
+import org.ragwortbank.core.log.LogPart
+import org.ragwortbank.core.serving.AdapterKey
+import org.ragwortbank.core.serving.DemandDigest
+import org.ragwortbank.core.serving.Endpoint
+import org.ragwortbank.core.serving.UpstreamId
+import org.ragwortbank.core.tick.Step
+import org.ragwortbank.core.tick.Timestamp
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** A placer's step of a tick. */
+typealias PlacerStep = Step<PlacerTables, PlacerEffect>
+
+/**
+ * Bounds and intervals of a placer's decisions.
+ *
+ * @property reportInterval time between reports while nothing is loading, and [busyReportInterval] while something is
+ * @property digestInterval time between digests to the entries while nothing changes
+ * @property demandLifetime how long an entry's demand counts after its last digest
+ * @property idleFor how long an adapter must have been unused before it makes way
+ * @property orderTimeout how long an order may go without an answer
+ * @property maxComing most loads of adapters at once
+ */
+data class PlacerSettings(
+    val reportInterval: Duration = 200.milliseconds,
+    val busyReportInterval: Duration = 30.milliseconds,
+    val digestInterval: Duration = 200.milliseconds,
+    val demandLifetime: Duration = 2.seconds,
+    val idleFor: Duration = 300.milliseconds,
+    val orderTimeout: Duration = 500.milliseconds,
+    val maxComing: Int = 4,
+)
+
+/**
+ * The engine's state as it reports it.
+ *
+ * @property sequence number of orders that it has accepted since its start
+ * @property busy whether it carries out an order for a base model
+ */
+data class EngineReport(
+    val models: PersistentSet<String>,
+    val holds: PersistentMap<AdapterKey, Long>,
+    val coming: PersistentMap<AdapterKey, Long>,
+    val sequence: Long,
+    val busy: Boolean,
+    val running: Int,
+    val queued: Int,
+)
+
+/** What an order asks of an engine. */
+sealed interface Order {
+    /** Load [adapter] in [version], or in the newest one. */
+    data class LoadAdapter(val adapter: AdapterKey, val version: Long?) : Order
+
+    /** Drop [adapter]. */
+    data class DropAdapter(val adapter: AdapterKey) : Order
+
+    /** Load the base model [model]. */
+    data class LoadModel(val model: String) : Order
+}
+
+/**
+ * The order whose answer is awaited.
+ *
+ * @property number distinguishes the orders of this process
+ */
+data class PendingOrder(
+    val order: Order,
+    val number: Long,
+    val sentAt: Timestamp,
+)
+
+/** An entry, and what it wants. */
+data class EntryRow(
+    val name: String,
+    val endpoint: Endpoint,
+    val demand: DemandDigest,
+    val heardAt: Timestamp,
+)
+
+/**
+ * All that a placer knows, as one immutable value.
+ *
+ * A placer runs beside one engine and is the only one that gives it orders.
+ *
+ * @property upstream the engine's present identity, as the engine or the entries tell it
+ * @property report newest report; null before the first and while the engine doesn't answer
+ * @property reportedAt when the newest report was asked for
+ * @property pending order whose answer is awaited; there is at most one at a time
+ * @property settledAt when the last order was answered; reports that were asked for earlier may lack it
+ * @property lastUsed when each adapter was last in use or loaded
+ * @property told what the entries were told last, and [toldAt] when
+ */
+data class PlacerTables(
+    val name: String,
+    val incarnation: Long,
+    val settings: PlacerSettings = PlacerSettings(),
+    val upstream: UpstreamId? = null,
+    val report: EngineReport? = null,
+    val reportedAt: Timestamp? = null,
+    val reportAsked: Timestamp? = null,
+    val entries: PersistentMap<String, EntryRow> = persistentMapOf(),
+    val pending: PendingOrder? = null,
+    val orderNumber: Long = 0,
+    val settledAt: Timestamp? = null,
+    val lastUsed: PersistentMap<AdapterKey, Timestamp> = persistentMapOf(),
+    val told: EngineReport? = null,
+    val toldAt: Timestamp? = null,
+    val digestNumber: Long = 0,
+    val used: PersistentSet<AdapterKey> = persistentSetOf(),
+    val stopping: Boolean = false,
+)
+
+internal fun PlacerStep.log(part: LogPart, message: String): PlacerStep =
+    emit(PlacerEffect.Log(LogLine(part, message)))
--- /dev/null
+++ b/core/src/main/kotlin/org/ragwortbank/core/placer/TellSystem.kt
@@ -0,0 +1,40 @@
+package org.ragwortbank.core.placer
+
+import org.ragwortbank.core.serving.EngineDigest
+import org.ragwortbank.core.serving.UpstreamId
+import org.ragwortbank.core.tick.Tick
+import org.ragwortbank.core.tick.TickSystem
+import org.ragwortbank.core.tick.Timestamp
+
+/** Tells the entries what the engine holds: at once when that changes, else at intervals. */
+class TellSystem : TickSystem<PlacerTables, PlacerInput, PlacerEffect> {
+    override fun run(tick: Tick<PlacerInput>, step: PlacerStep): PlacerStep {
+        val tables = step.tables
+        val report = tables.report
+        val upstream = tables.upstream
+        val news = report?.holds != tables.told?.holds || report?.coming != tables.told?.coming
+        val due = tables.toldAt?.let { tick.now - it >= tables.settings.digestInterval } ?: true
+        return when {
+            report == null || upstream == null || !(news || due) -> step
+            else -> tell(step, report, upstream, tick.now)
+        }
+    }
+
+    private fun tell(step: PlacerStep, report: EngineReport, upstream: UpstreamId, now: Timestamp): PlacerStep {
+        val tables = step.tables
+        val digest = EngineDigest(
+            upstream = upstream,
+            incarnation = tables.incarnation,
+            number = tables.digestNumber + 1,
+            holds = report.holds,
+            coming = report.coming,
+            used = tables.used,
+            models = report.models,
+            running = report.running,
+            queued = report.queued,
+        )
+        return step
+            .emitAll(tables.entries.values.map { PlacerEffect.Tell(it.endpoint, digest) })
+            .update { it.copy(told = report, toldAt = now, digestNumber = digest.number) }
+    }
+}
--- a/core/src/main/kotlin/org/ragwortbank/core/result/ResultCode.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/result/ResultCode.kt
@@ -30,6 +30,8 @@
     ADAPTER_LOAD_FAILED(number = 3006, status = 503, "The engine could not load the adapter."),
     NO_FENCING(number = 3007, status = 503, "The sidecar holds no fencing number and can't order a load."),
     STALE_DISPATCH(number = 3008, status = 503, "The process paused between admitting the request and sending it."),
+    NO_CONFIGURATION(number = 3009, status = 503, "The process has not read a configuration yet."),
+    KEYS_UNCONFIRMED(number = 3010, status = 503, "The process can't confirm that keys it knows are still given."),
     UPSTREAM_FAILED(number = 4001, status = 502, "The upstream failed while it ran the request."),
     OUTCOME_UNKNOWN(number = 4002, status = 502, "Contact was lost after dispatch; the request may have run."),
     ANSWER_BROKEN(number = 4003, status = 502, "The answer ended early or had a gap."),
--- /dev/null
+++ b/core/src/main/kotlin/org/ragwortbank/core/serving/UpstreamEntry.kt
@@ -0,0 +1,25 @@
+package org.ragwortbank.core.serving
+
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.PersistentSet
+import org.ragwortbank.core.model.FailureDomain
+
+/**
+ * An upstream as it describes itself on the instance list.
+ *
+ * @property bornMillis start of this incarnation, Unix milliseconds; 0 when it doesn't say
+ * @property accepting whether it takes new work
+ * @property models base models that it holds
+ * @property adapters versions of the adapters that it holds
+ */
+data class UpstreamEntry(
+    val id: UpstreamId,
+    val service: ServiceName,
+    val endpoint: Endpoint,
+    val domain: FailureDomain,
+    val slots: Int,
+    val accepting: Boolean,
+    val bornMillis: Long,
+    val models: PersistentSet<String>,
+    val adapters: PersistentMap<AdapterKey, Long>,
+)
--- /dev/null
+++ b/node/src/main/kotlin/org/ragwortbank/node/datagram/DatagramLink.kt
@@ -0,0 +1,68 @@
+package org.ragwortbank.node.datagram
+
+import io.netty.bootstrap.Bootstrap
+import io.netty.buffer.ByteBufUtil
+import io.netty.buffer.Unpooled
+import io.netty.channel.Channel
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.channel.socket.DatagramPacket
+import io.netty.channel.socket.nio.NioDatagramChannel
+import org.ragwortbank.core.serving.Endpoint
+import org.ragwortbank.node.log.Logs
+import java.net.InetAddress
+import java.net.InetSocketAddress
+
+/**
+ * Sends digests to other processes and hears theirs.
+ *
+ * Digests go as datagrams: each holds all there is to say, so that a lost one is made up by the next, and there is no
+ * connection that could go silent without notice.
+ */
+class DatagramLink(
+    private val group: EventLoopGroup,
+    private val hear: (ReceivedDigest, Endpoint) -> Unit,
+) {
+    private lateinit var channel: Channel
+
+    /** Listens at [endpoint]; a port of 0 takes a free one. Returns where it listens. */
+    fun open(endpoint: Endpoint): Endpoint {
+        channel = Bootstrap()
+            .group(group)
+            .channel(NioDatagramChannel::class.java)
+            .handler(Receiver())
+            .bind(endpoint.host, endpoint.port)
+            .sync()
+            .channel()
+        return Endpoint(endpoint.host, (channel.localAddress() as InetSocketAddress).port)
+    }
+
+    /** Sends [bytes] to [to]. */
+    fun send(to: Endpoint, bytes: ByteArray) {
+        val address = InetSocketAddress(InetAddress.getByName(to.host), to.port)
+        channel.writeAndFlush(DatagramPacket(Unpooled.wrappedBuffer(bytes), address)).addListener { sent ->
+            if (!sent.isSuccess) Logs.links.debug("digest to {} not sent: {}", to, sent.cause()?.message)
+        }
+    }
+
+    /** Stops listening. */
+    fun close() {
+        channel.close()
+    }
+
+    private inner class Receiver : SimpleChannelInboundHandler<DatagramPacket>() {
+        override fun channelRead0(ctx: ChannelHandlerContext, packet: DatagramPacket) {
+            val sender = packet.sender()
+            val from = Endpoint(sender.address.hostAddress, sender.port)
+            val digest = DigestCodec.decode(ByteBufUtil.getBytes(packet.content()))
+            if (digest is ReceivedDigest.Bad) Logs.links.warn("datagram from {} is no digest: {}", from, digest.cause)
+            hear(digest, from)
+        }
+
+        @Deprecated("Deprecated in Java")
+        override fun exceptionCaught(ctx: ChannelHandlerContext, cause: Throwable) {
+            Logs.links.warn("datagrams: {}", cause.message)
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/ragwortbank/node/datagram/DigestCodec.kt
@@ -0,0 +1,140 @@
+package org.ragwortbank.node.datagram
+
+import kotlinx.collections.immutable.toPersistentList
+import kotlinx.collections.immutable.toPersistentMap
+import kotlinx.collections.immutable.toPersistentSet
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.cbor.Cbor
+import kotlinx.serialization.decodeFromByteArray
+import kotlinx.serialization.encodeToByteArray
+import org.ragwortbank.core.model.AccountId
+import org.ragwortbank.core.serving.AdapterKey
+import org.ragwortbank.core.serving.AdapterWish
+import org.ragwortbank.core.serving.DemandDigest
+import org.ragwortbank.core.serving.DigestStamp
+import org.ragwortbank.core.serving.EngineDigest
+import org.ragwortbank.core.serving.EngineSpec
+import org.ragwortbank.core.serving.ModelSpec
+import org.ragwortbank.core.serving.PeerDigest
+import org.ragwortbank.core.serving.UpstreamId
+
+/** A digest as it came in a datagram. */
+sealed interface ReceivedDigest {
+    /** What an entry wants. */
+    data class Demand(val digest: DemandDigest) : ReceivedDigest
+
+    /** What an engine holds. */
+    data class Engine(val digest: EngineDigest) : ReceivedDigest
+
+    /** What an entry has admitted. */
+    data class Peer(val digest: PeerDigest) : ReceivedDigest
+
+    /** Bytes that are no digest. */
+    data class Bad(val cause: String) : ReceivedDigest
+}
+
+/** Digests as CBOR. */
+@OptIn(ExperimentalSerializationApi::class)
+object DigestCodec {
+    private val cbor = Cbor {
+        ignoreUnknownKeys = true
+        encodeDefaults = false
+    }
+
+    /** Encodes what an entry wants. */
+    fun encode(digest: DemandDigest): ByteArray = cbor.encodeToByteArray(WireDigest(demand = digest.toWire()))
+
+    /** Encodes what an engine holds. */
+    fun encode(digest: EngineDigest): ByteArray = cbor.encodeToByteArray(WireDigest(engine = digest.toWire()))
+
+    /** Encodes what an entry has admitted. */
+    fun encode(digest: PeerDigest): ByteArray = cbor.encodeToByteArray(WireDigest(peer = digest.toWire()))
+
+    /** Decodes a datagram. */
+    fun decode(bytes: ByteArray): ReceivedDigest =
+        try {
+            val wire = cbor.decodeFromByteArray<WireDigest>(bytes)
+            wire.demand?.let { ReceivedDigest.Demand(it.toDigest()) }
+                ?: wire.engine?.let { ReceivedDigest.Engine(it.toDigest()) }
+                ?: wire.peer?.let { ReceivedDigest.Peer(it.toDigest()) }
+                ?: ReceivedDigest.Bad("no digest in it")
+        } catch (e: SerializationException) {
+            ReceivedDigest.Bad(e.message ?: "not CBOR")
+        } catch (e: IllegalArgumentException) {
+            ReceivedDigest.Bad(e.message ?: "not CBOR")
+        }
+}
+
+private fun AdapterKey.toWire(version: Long? = null) = WireAdapter(model, adapter, version)
+
+private fun WireAdapter.key() = AdapterKey(model, adapter)
+
+private fun DemandDigest.toWire() = WireDemand(
+    sender = sender,
+    stamp = WireStamp(incarnation, number),
+    upstream = upstream.value,
+    wishes = wishes.map { it.adapter.toWire(it.version) },
+    used = used.map { it.toWire() },
+    models = engine.models.values.map { WireModel(it.name, it.weightsMegabytes, it.adapterMegabytes) },
+    memoryMegabytes = engine.memoryMegabytes,
+    adapterSlots = engine.adapterSlots,
+)
+
+private fun WireDemand.toDigest() = DemandDigest(
+    sender = sender,
+    incarnation = stamp.incarnation,
+    number = stamp.number,
+    upstream = UpstreamId(upstream),
+    wishes = wishes.map { AdapterWish(it.key(), it.version) }.toPersistentList(),
+    used = used.map { it.key() }.toPersistentSet(),
+    engine = EngineSpec(
+        models = models
+            .associate { it.name to ModelSpec(it.name, it.weightsMegabytes, it.adapterMegabytes) }
+            .toPersistentMap(),
+        memoryMegabytes = memoryMegabytes,
+        adapterSlots = adapterSlots,
+    ),
+)
+
+private fun EngineDigest.toWire() = WireEngine(
+    upstream = upstream.value,
+    stamp = WireStamp(incarnation, number),
+    holds = holds.map { it.key.toWire(it.value) },
+    coming = coming.map { it.key.toWire(it.value) },
+    used = used.map { it.toWire() },
+    models = models.toList(),
+    running = running,
+    queued = queued,
+)
+
+private fun WireEngine.toDigest() = EngineDigest(
+    upstream = UpstreamId(upstream),
+    incarnation = stamp.incarnation,
+    number = stamp.number,
+    holds = holds.associate { it.key() to (it.version ?: 0) }.toPersistentMap(),
+    coming = coming.associate { it.key() to (it.version ?: 0) }.toPersistentMap(),
+    used = used.map { it.key() }.toPersistentSet(),
+    models = models.toPersistentSet(),
+    running = running,
+    queued = queued,
+)
+
+private fun PeerDigest.toWire() = WirePeer(
+    sender = sender,
+    stamp = WireStamp(incarnation, number),
+    used = used.mapKeys { it.key.value },
+    configVersion = configVersion,
+    confirmedMillisAgo = confirmedMillisAgo,
+    heard = heard.mapValues { WireStamp(it.value.incarnation, it.value.number) },
+)
+
+private fun WirePeer.toDigest() = PeerDigest(
+    sender = sender,
+    incarnation = stamp.incarnation,
+    number = stamp.number,
+    used = used.mapKeys { AccountId(it.key) }.toPersistentMap(),
+    configVersion = configVersion,
+    confirmedMillisAgo = confirmedMillisAgo,
+    heard = heard.mapValues { DigestStamp(it.value.incarnation, it.value.number) }.toPersistentMap(),
+)
--- /dev/null
+++ b/node/src/main/kotlin/org/ragwortbank/node/datagram/WireDigest.kt
@@ -0,0 +1,72 @@
+package org.ragwortbank.node.datagram
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
+/** What a datagram between two processes holds: exactly one of its fields is set. */
+@Serializable
+internal data class WireDigest(
+    @SerialName("d") val demand: WireDemand? = null,
+    @SerialName("e") val engine: WireEngine? = null,
+    @SerialName("p") val peer: WirePeer? = null,
+)
+
+/** Names a digest: the process's incarnation and the digest's number. */
+@Serializable
+internal data class WireStamp(
+    @SerialName("i") val incarnation: Long,
+    @SerialName("n") val number: Long,
+)
+
+/** An adapter, with the version if one is meant. */
+@Serializable
+internal data class WireAdapter(
+    @SerialName("m") val model: String,
+    @SerialName("a") val adapter: String,
+    @SerialName("v") val version: Long? = null,
+)
+
+/** A base model that an engine may hold. */
+@Serializable
+internal data class WireModel(
+    @SerialName("n") val name: String,
+    @SerialName("w") val weightsMegabytes: Double,
+    @SerialName("a") val adapterMegabytes: Double,
+)
+
+/** What an entry wants of an engine. */
+@Serializable
+internal data class WireDemand(
+    @SerialName("s") val sender: String,
+    @SerialName("t") val stamp: WireStamp,
+    @SerialName("u") val upstream: String,
+    @SerialName("w") val wishes: List<WireAdapter> = emptyList(),
+    @SerialName("o") val used: List<WireAdapter> = emptyList(),
+    @SerialName("m") val models: List<WireModel> = emptyList(),
+    @SerialName("r") val memoryMegabytes: Double,
+    @SerialName("p") val adapterSlots: Int,
+)
+
+/** What an engine holds. */
+@Serializable
+internal data class WireEngine(
+    @SerialName("u") val upstream: String,
+    @SerialName("t") val stamp: WireStamp,
+    @SerialName("h") val holds: List<WireAdapter> = emptyList(),
+    @SerialName("c") val coming: List<WireAdapter> = emptyList(),
+    @SerialName("o") val used: List<WireAdapter> = emptyList(),
+    @SerialName("m") val models: List<String> = emptyList(),
+    @SerialName("r") val running: Int = 0,
+    @SerialName("q") val queued: Int = 0,
+)
+
+/** What an entry has admitted. */
+@Serializable
+internal data class WirePeer(
+    @SerialName("s") val sender: String,
+    @SerialName("t") val stamp: WireStamp,
+    @SerialName("u") val used: Map<String, Long> = emptyMap(),
+    @SerialName("v") val configVersion: Long = 0,
+    @SerialName("c") val confirmedMillisAgo: Long = 0,
+    @SerialName("h") val heard: Map<String, WireStamp> = emptyMap(),
+)
--- /dev/null
+++ b/node/src/main/kotlin/org/ragwortbank/node/gateway/Attempt.kt
@@ -0,0 +1,110 @@
+package org.ragwortbank.node.gateway
+
+import io.netty.buffer.ByteBuf
+import io.netty.buffer.Unpooled
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpResponse
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.persistentListOf
+import org.ragwortbank.core.gateway.AnswerFacts
+import org.ragwortbank.core.gateway.GatewayInput
+import org.ragwortbank.core.serving.RequestNumber
+
+/**
+ * One send of a request, from the first byte of its answer to the last.
+ *
+ * An answer that comes as a whole is held back until it is complete, a stream until its first event; until then
+ * another upstream can still be tried.
+ */
+internal class Attempt(
+    private val number: RequestNumber,
+    private val attempt: Int,
+    private val sink: AnswerSink,
+    private val facts: (HttpResponse) -> AnswerFacts,
+    private val post: (GatewayInput) -> Unit,
+) : AttemptListener {
+    private var head: HttpResponse? = null
+    private var held: PersistentList<ByteBuf> = persistentListOf()
+    private var heldBytes = 0
+    private var told = false
+    private var relaying = false
+    private var complete = false
+
+    /** The exchange that carries it. */
+    lateinit var exchange: UpstreamExchange
+
+    override fun notSent(cause: String) = post(GatewayInput.NotSent(number, attempt, cause))
+
+    override fun head(response: HttpResponse) {
+        head = response
+    }
+
+    override fun content(content: ByteBuf) {
+        if (relaying) {
+            sink.content(content.retain())
+            exchange.read(sink.writable)
+        } else {
+            held = held.add(content.retain())
+            heldBytes += content.readableBytes()
+            if (streams() || heldBytes > MAX_HELD_BYTES) tell()
+        }
+    }
+
+    override fun ended() {
+        complete = true
+        tell()
+        if (relaying) finish()
+    }
+
+    override fun broke(cause: String) {
+        drop()
+        post(GatewayInput.AttemptBroke(number, attempt, cause))
+    }
+
+    /** Passes the answer on to the caller, as far as it is here, and the rest as it comes. */
+    fun relay() {
+        val response = head ?: return
+        relaying = true
+        sink.onWritability { exchange.read(sink.writable) }
+        if (complete && response.headers()[HttpHeaderNames.CONTENT_LENGTH] == null) frame(response)
+        sink.begin(response)
+        if (held.isNotEmpty()) sink.content(Unpooled.wrappedBuffer(*held.toTypedArray()))
+        held = persistentListOf()
+        if (complete) finish()
+    }
+
+    /** Gives the attempt up. */
+    fun cancel() {
+        drop()
+        exchange.cancel()
+    }
+
+    private fun frame(response: HttpResponse) {
+        response.headers().remove(HttpHeaderNames.TRANSFER_ENCODING)
+        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, heldBytes)
+    }
+
+    private fun finish() {
+        sink.end()
+        post(GatewayInput.AnswerEnded(number, attempt))
+    }
+
+    private fun tell() {
+        val response = head
+        if (told || response == null) return
+        told = true
+        post(GatewayInput.HeadArrived(number, attempt, facts(response)))
+    }
+
+    private fun streams(): Boolean =
+        head?.headers()?.get(HttpHeaderNames.CONTENT_TYPE)?.startsWith("text/event-stream", ignoreCase = true) == true
+
+    private fun drop() {
+        held.forEach { it.release() }
+        held = persistentListOf()
+    }
+
+    private companion object {
+        const val MAX_HELD_BYTES = 1_048_576
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/ragwortbank/node/gateway/GatewayNode.kt
@@ -0,0 +1,138 @@
+package org.ragwortbank.node.gateway
+
+import org.ragwortbank.clients.http.Address
+import org.ragwortbank.core.gateway.GatewayEffect
+import org.ragwortbank.core.gateway.GatewayIdentity
+import org.ragwortbank.core.gateway.GatewayInput
+import org.ragwortbank.core.gateway.GatewayTables
+import org.ragwortbank.core.gateway.gatewaySchedule
+import org.ragwortbank.core.serving.ClientLimits
+import org.ragwortbank.core.serving.Endpoint
+import org.ragwortbank.node.NodeProcess
+import org.ragwortbank.node.Ready
+import org.ragwortbank.node.SingleLoop
+import org.ragwortbank.node.admin.AdminPages
+import org.ragwortbank.node.admin.AdminServer
+import org.ragwortbank.node.admin.StatusDocument
+import org.ragwortbank.node.datagram.DatagramLink
+import org.ragwortbank.node.datagram.DigestCodec
+import org.ragwortbank.node.datagram.ReceivedDigest
+import org.ragwortbank.node.log.Logs
+import org.ragwortbank.node.loop.EventLoopTicker
+import org.ragwortbank.node.loop.PauseAwareClock
+import org.ragwortbank.node.metrics.NodeMetrics
+import org.ragwortbank.node.port.PlatformPorts
+import org.ragwortbank.node.settings.GatewayNodeSettings
+import kotlin.time.Duration.Companion.milliseconds
+
+/** A gateway process: callers on one side, upstreams on the other, the platform's store behind it. */
+class GatewayNode(
+    private val settings: GatewayNodeSettings,
+    private val ports: PlatformPorts,
+) : NodeProcess {
+    private val process = SingleLoop()
+    private val clock = PauseAwareClock()
+    private val metrics = NodeMetrics()
+    private val store = ports.store(process.group, process.loop, settings.storeAddress)
+    private val identity = GatewayIdentity(settings.name, System.currentTimeMillis(), settings.firstStart)
+    private val ticker = EventLoopTicker(
+        loop = process.loop,
+        schedule = gatewaySchedule(),
+        initial = GatewayTables(identity, settings.gateway, startedAt = clock.now()),
+        interval = TICK_INTERVAL,
+        now = clock::now,
+        observer = metrics,
+        perform = ::perform,
+    )
+    private val dialect = ports.dialect()
+    private val connections = UpstreamConnections(process.loop, dialect, settings.connectTimeout, clock::now)
+    private val calls = GatewayCalls(dialect, connections, metrics, clock::now, ticker::post)
+    private val front = FrontServer(process.group, { ticker.tables.config?.limits ?: ClientLimits() }, calls)
+    private val link = DatagramLink(process.group, ::hear)
+    private val follower = StoreFollower(process.loop, store, clock::now, ticker::post)
+    private lateinit var membership: Membership
+
+    override fun start(): Ready {
+        val http = front.open(settings.httpAddress.endpoint())
+        val admin = AdminServer(process.group, Pages())
+        admin.start(settings.readyAddress)
+        val adminAddress = admin.start(settings.adminAddress)
+        val digests = link.open(settings.digestAddress.endpoint())
+        membership = Membership(process.loop, store, settings.name, digests)
+        process.run {
+            ticker.start()
+            follower.start()
+            membership.start()
+        }
+        Logs.drain.info("gateway {} started, callers at {}, digests at {}", settings.name, http, digests)
+        return Ready(settings.name, http.address(), digests.address(), adminAddress)
+    }
+
+    override fun stop() = process.loop.execute {
+        calls.stopping = true
+        membership.stop()
+        ticker.post(GatewayInput.StopAsked)
+    }
+
+    override fun awaitEnd() = process.awaitEnd()
+
+    private fun perform(effect: GatewayEffect) {
+        when (effect) {
+            is GatewayEffect.Send -> calls.send(effect.sending)
+            is GatewayEffect.TellPlacer ->
+                link.send(Endpoint(effect.host, settings.placerPort), DigestCodec.encode(effect.digest))
+            is GatewayEffect.TellPeer -> link.send(effect.endpoint, DigestCodec.encode(effect.digest))
+            is GatewayEffect.Log -> Logs.write(effect.line)
+            GatewayEffect.Stopped -> ended()
+            else -> calls.perform(effect)
+        }
+    }
+
+    private fun hear(digest: ReceivedDigest, from: Endpoint) {
+        when (digest) {
+            is ReceivedDigest.Engine -> ticker.post(GatewayInput.EngineTold(digest.digest))
+            is ReceivedDigest.Peer -> ticker.post(GatewayInput.PeerTold(digest.digest, from))
+            is ReceivedDigest.Demand, is ReceivedDigest.Bad -> Unit
+        }
+    }
+
+    private fun ended() {
+        Logs.drain.info("gateway {} stopped with {} requests", settings.name, ticker.tables.requests.size)
+        follower.stop()
+        front.stopIdle()
+        link.close()
+        process.end()
+    }
+
+    private inner class Pages : AdminPages {
+        override fun ready(): Boolean {
+            val tables = ticker.tables
+            return !calls.stopping && tables.config != null && tables.upstreams.values.any { it.entry.accepting }
+        }
+
+        override fun metrics(): String {
+            metrics.holding(ticker.tables.requests.size)
+            return metrics.text()
+        }
+
+        override fun status(): String {
+            val tables = ticker.tables
+            return StatusDocument(
+                name = settings.name,
+                role = "gateway",
+                configVersion = tables.config?.version,
+                requests = tables.requests.size,
+                upstreams = tables.upstreams.values.count { it.entry.accepting },
+                stopping = calls.stopping,
+            ).text()
+        }
+    }
+
+    private companion object {
+        val TICK_INTERVAL = 20.milliseconds
+    }
+}
+
+internal fun Address.endpoint() = Endpoint(host, port)
+
+internal fun Endpoint.address() = Address(host, port)
--- /dev/null
+++ b/node/src/main/kotlin/org/ragwortbank/node/loop/EventLoopTicker.kt
@@ -0,0 +1,68 @@
+package org.ragwortbank.node.loop
+
+import io.netty.channel.EventLoop
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.persistentListOf
+import org.ragwortbank.core.tick.Schedule
+import org.ragwortbank.core.tick.Tick
+import org.ragwortbank.core.tick.Timestamp
+import org.ragwortbank.node.log.Logs
+import java.util.concurrent.TimeUnit
+import kotlin.time.Duration
+
+/**
+ * Runs the systems of a process on the thread of its event loop, once for all inputs that one round of the loop
+ * brought, and at least once per [interval].
+ *
+ * All functions must be called on that thread, so that inputs, tables and connections need no locks.
+ */
+class EventLoopTicker<T, I, E>(
+    private val loop: EventLoop,
+    private val schedule: Schedule<T, I, E>,
+    initial: T,
+    private val interval: Duration,
+    private val now: () -> Timestamp,
+    private val observer: TickObserver,
+    private val perform: (E) -> Unit,
+) {
+    private var inbox: PersistentList<I> = persistentListOf()
+    private var due = false
+
+    /** The tables after the last tick. */
+    var tables: T = initial
+        private set
+
+    /** Begins to tick. */
+    fun start() {
+        val nanos = interval.inWholeNanoseconds
+        loop.scheduleWithFixedDelay(::tick, nanos, nanos, TimeUnit.NANOSECONDS)
+    }
+
+    /** Adds an input for the next tick. */
+    fun post(input: I) {
+        inbox = inbox.add(input)
+        if (!due) loop.execute(::tick)
+        due = true
+    }
+
+    /** A tick that fails leaves the tables as they were; its inputs are lost, and the process goes on. */
+    @Suppress("TooGenericExceptionCaught")
+    private fun tick() {
+        val inputs = inbox
+        inbox = persistentListOf()
+        due = false
+        try {
+            tick(inputs)
+        } catch (e: RuntimeException) {
+            Logs.platform.error("a tick with ${inputs.size} inputs failed", e)
+        }
+    }
+
+    private fun tick(inputs: PersistentList<I>) {
+        val begin = System.nanoTime()
+        val step = schedule.run(Tick(now(), inputs), tables)
+        tables = step.tables
+        step.effects.forEach(perform)
+        observer.onTick(inputs.size, System.nanoTime() - begin)
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/ragwortbank/node/port/EngineCalls.kt
@@ -0,0 +1,23 @@
+package org.ragwortbank.node.port
+
+import org.ragwortbank.core.placer.EngineReport
+import org.ragwortbank.core.placer.OrderAnswer
+import org.ragwortbank.core.placer.PlacerEffect
+
+/** Outcome of asking an engine for its state. */
+sealed interface ReportReply {
+    /** The engine's state. */
+    data class Report(val report: EngineReport) : ReportReply
+
+    /** The engine did not answer, or not in a way that is understood. */
+    data class Failed(val cause: String) : ReportReply
+}
+
+/** Calls of the engine beside a placer; each answer comes on the event loop's thread, exactly once. */
+interface EngineCalls {
+    /** Asks for the engine's state. */
+    fun report(done: (ReportReply) -> Unit)
+
+    /** Gives an order. */
+    fun give(order: PlacerEffect.Give, done: (OrderAnswer) -> Unit)
+}
