--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/AttemptSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/AttemptSystem.kt
@@ -42,7 +42,7 @@
         val said = step
             .log(LogPart.ROUTING, "request ${row.call.id} lost at ${row.upstream}: ${input.cause}")
             .blame(row.upstream, now)
-        val ran = row.copy(mayHaveRun = true)
+        val ran = row.ran()
         val retry = row.stage is RequestStage.Sent && row.route.repeatable && said.tables.hasOther(ran, now)
         val detail = "upstream ${row.upstream} broke off: ${input.cause}"
         return if (retry) said.tryAgain(ran, detail) else said.end(ran, ResultCode.OUTCOME_UNKNOWN, detail, null)
@@ -74,7 +74,7 @@
     }
 
     private fun failed(step: GatewayStep, row: RequestRow, facts: AnswerFacts, now: Timestamp): GatewayStep {
-        val ran = row.copy(mayHaveRun = true)
+        val ran = row.ran()
         val retry = row.route.kind == WorkKind.IDEMPOTENT && step.tables.hasOther(ran, now)
         if (!retry) return step.relay(row, facts)
         return step
@@ -87,7 +87,7 @@
         val upstream = row.upstream ?: return this
         return log(LogPart.ANSWER, "request ${row.call.id} answered by $upstream with ${facts.status}")
             .emit(GatewayEffect.Relay(row.number, row.attempts))
-            .update { it.put(row.copy(stage = RequestStage.Relaying(upstream), mayHaveRun = true)) }
+            .update { it.put(row.ran().copy(stage = RequestStage.Relaying(upstream))) }
     }
 
     private fun ended(step: GatewayStep, row: RequestRow): GatewayStep =
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/EndSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/EndSystem.kt
@@ -51,8 +51,7 @@
 
     private fun expire(step: GatewayStep, row: RequestRow): GatewayStep {
         val running = if (row.upstream == null) step else step.emit(GatewayEffect.Abandon(row.number, row.attempts))
-        val sent = row.copy(mayHaveRun = row.mayHaveRun || row.upstream != null)
-        return running.end(sent, ResultCode.DEADLINE_EXCEEDED, "no whole answer in time", null)
+        return running.end(row.ran(), ResultCode.DEADLINE_EXCEEDED, "no whole answer in time", null)
     }
 
     private companion object {
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewayTables.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewayTables.kt
@@ -59,6 +59,7 @@
     val digestNumber: Long = 0,
     val sweptAt: Timestamp? = null,
     val stoppingSince: Timestamp? = null,
+    val stopped: Boolean = false,
 ) {
     /** The tables with [row] in place of its earlier version. */
     fun put(row: RequestRow): GatewayTables {
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/RequestRow.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/RequestRow.kt
@@ -33,7 +33,7 @@
  * @property tokens what it counts against its account's rate; 0 when it is not limited
  * @property attempts sends so far
  * @property tried upstreams to which it was sent
- * @property mayHaveRun whether some upstream may have begun it
+ * @property ranAt upstreams that may have begun it
  */
 data class RequestRow(
     val number: RequestNumber,
@@ -48,8 +48,11 @@
     val stage: RequestStage = RequestStage.Waiting(),
     val attempts: Int = 0,
     val tried: PersistentSet<UpstreamId> = persistentSetOf(),
-    val mayHaveRun: Boolean = false,
+    val ranAt: PersistentSet<UpstreamId> = persistentSetOf(),
 ) {
+    /** Whether some upstream may have begun it. */
+    val mayHaveRun: Boolean get() = ranAt.isNotEmpty()
+
     /** The upstream that has it at present; null while it waits. */
     val upstream: UpstreamId? get() = when (val s = stage) {
         is RequestStage.Waiting -> null
@@ -58,5 +61,9 @@
     }
 
     /** Whether the request may be sent to [upstream] without exceeding the route's number of upstreams. */
-    fun mayTry(upstream: UpstreamId): Boolean = upstream in tried || tried.size < route.maxAttempts
+    fun mayTry(upstream: UpstreamId): Boolean =
+        upstream !in ranAt && (upstream in tried || tried.size < route.maxAttempts)
+
+    /** This row with its present upstream among those that may have begun it. */
+    fun ran(): RequestRow = upstream?.let { copy(ranAt = ranAt.add(it)) } ?: this
 }
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/StopSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/StopSystem.kt
@@ -14,6 +14,7 @@
         val age = begun.tables.stoppingSince?.let { tick.now - it } ?: return begun
         val settings = begun.tables.settings
         val idle = begun.tables.requests.isEmpty() && age > settings.drainGrace
-        return if (idle || age > settings.drainLimit) begun.emit(GatewayEffect.Stopped) else begun
+        val over = !begun.tables.stopped && (idle || age > settings.drainLimit)
+        return if (over) begun.update { it.copy(stopped = true) }.emit(GatewayEffect.Stopped) else begun
     }
 }
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/StoreSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/StoreSystem.kt
@@ -56,10 +56,13 @@
         val known = step.tables.config
         if (known != null && known.version >= config.version) return step
         return step
-            .log(LogPart.CONFIG, "configuration ${config.version} in force, ${known?.version ?: "none"} before")
+            .log(LogPart.CONFIG, "configuration ${config.version} in force, ${known?.version ?: "none"} before, rates ${rates(config)}")
             .update { it.copy(config = config, buckets = bucketsFor(it, config, now)) }
     }
 
+    private fun rates(config: ServingConfig): String =
+        config.accounts.values.take(MAX_LOGGED).joinToString { "${it.id} ${it.rate}+${it.burst}" }
+
     /** A bucket that is new begins full only where nothing can have been used: at the first start of the system. */
     private fun bucketsFor(
         tables: GatewayTables,
@@ -133,4 +136,8 @@
     }
 
     private fun PersistentSet<UpstreamId>?.orEmptySet() = this ?: persistentSetOf()
+
+    private companion object {
+        const val MAX_LOGGED = 24
+    }
 }
--- a/core/src/main/kotlin/org/ragwortbank/core/placer/OrderSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/placer/OrderSystem.kt
@@ -36,7 +36,7 @@
 
     /** No order may be given before the next report tells what the engine holds. */
     private fun PlacerStep.awaitReport(now: Timestamp): PlacerStep =
-        update { it.copy(report = null, reportedAt = null, reportAsked = now) }.emit(PlacerEffect.AskReport)
+        update { it.copy(report = null, askedAt = now, awaitingReport = true) }.emit(PlacerEffect.AskReport)
 
     private fun PlacerTables.carriedOut(order: Order, now: Timestamp): PlacerTables {
         val known = report ?: return this
--- a/core/src/main/kotlin/org/ragwortbank/core/placer/PlacerTables.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/placer/PlacerTables.kt
@@ -93,7 +93,8 @@
  *
  * @property upstream the engine's present identity, as the engine or the entries tell it
  * @property report newest report; null before the first and while the engine doesn't answer
- * @property reportedAt when the newest report was asked for
+ * @property askedAt when a report was last asked for
+ * @property awaitingReport whether the answer to that is still to come
  * @property pending order whose answer is awaited; there is at most one at a time
  * @property settledAt when the last order was answered; reports that were asked for earlier may lack it
  * @property lastUsed when each adapter was last in use or loaded
@@ -105,8 +106,8 @@
     val settings: PlacerSettings = PlacerSettings(),
     val upstream: UpstreamId? = null,
     val report: EngineReport? = null,
-    val reportedAt: Timestamp? = null,
-    val reportAsked: Timestamp? = null,
+    val askedAt: Timestamp? = null,
+    val awaitingReport: Boolean = false,
     val entries: PersistentMap<String, EntryRow> = persistentMapOf(),
     val pending: PendingOrder? = null,
     val orderNumber: Long = 0,
--- a/core/src/main/kotlin/org/ragwortbank/core/placer/ReportSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/placer/ReportSystem.kt
@@ -28,14 +28,14 @@
     private fun take(step: PlacerStep, input: PlacerInput.Reported): PlacerStep {
         val tables = step.tables
         val early = tables.settledAt?.let { input.askedAt < it } ?: false
-        if (tables.pending != null || early) return step.update { it.copy(reportAsked = null) }
+        if (tables.pending != null || early) return step.update { it.copy(awaitingReport = false) }
         val said = if (step.tables.report == null) step.log(LogPart.PLATFORM, "the engine answers") else step
-        return said.update { it.copy(report = input.report, reportedAt = input.askedAt, reportAsked = null) }
+        return said.update { it.copy(report = input.report, awaitingReport = false) }
     }
 
     private fun lose(step: PlacerStep, cause: String): PlacerStep {
         val said = if (step.tables.report != null) step.log(LogPart.PLATFORM, "the engine does not answer: $cause") else step
-        return said.update { it.copy(report = null, reportAsked = null) }
+        return said.update { it.copy(report = null, awaitingReport = false) }
     }
 
     private fun demand(step: PlacerStep, input: PlacerInput.DemandTold, now: Timestamp): PlacerStep {
@@ -72,10 +72,8 @@
         val tables = step.tables
         val loading = tables.report?.coming?.isNotEmpty() == true
         val interval = if (loading) tables.settings.busyReportInterval else tables.settings.reportInterval
-        if (tables.pending != null) return step
-        val due = tables.reportedAt?.let { now - it >= interval } ?: true
-        val asked = tables.reportAsked?.let { now - it < tables.settings.orderTimeout * 2 } ?: false
-        if (!due || asked) return step
-        return step.update { it.copy(reportAsked = now) }.emit(PlacerEffect.AskReport)
+        val due = tables.askedAt?.let { now - it >= interval } ?: true
+        if (tables.pending != null || tables.awaitingReport || !due) return step
+        return step.update { it.copy(askedAt = now, awaitingReport = true) }.emit(PlacerEffect.AskReport)
     }
 }
--- a/node/src/main/kotlin/org/ragwortbank/node/SingleLoop.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/SingleLoop.kt
@@ -22,17 +22,19 @@
         loop.submit(action).get()
     }
 
-    /** Waits until [end] is called and what was being written has gone out. */
+    /** Waits until [end] is called and all tasks of the loop are done. */
     fun awaitEnd() {
         ended.await()
-        group.shutdownGracefully(QUIET_MILLIS, LONGEST_MILLIS, TimeUnit.MILLISECONDS).await()
+        group.shutdownGracefully(0, LONGEST_MILLIS, TimeUnit.MILLISECONDS).await(LONGEST_MILLIS)
     }
 
-    /** Lets [awaitEnd] return. */
-    fun end() = ended.countDown()
+    /** Lets [awaitEnd] return once what was being written has had time to go out. */
+    fun end() {
+        loop.schedule({ ended.countDown() }, FLUSH_MILLIS, TimeUnit.MILLISECONDS)
+    }
 
     private companion object {
-        const val QUIET_MILLIS = 50L
+        const val FLUSH_MILLIS = 100L
         const val LONGEST_MILLIS = 500L
     }
 }
