--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/HearSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/HearSystem.kt
@@ -25,11 +25,9 @@
             val known = row.digest
             val old = known != null && digest.incarnation == known.incarnation && digest.number <= known.number
             val older = known != null && digest.incarnation < known.incarnation
-            if (old || older) row else row.copy(digest = digest, digestAt = now).withLoad(loadOf(digest), now)
+            if (old || older) row else row.hear(digest, now)
         }
 
-    private fun loadOf(digest: EngineDigest) = LoadTold(digest.running, digest.queued)
-
     private fun hear(tables: GatewayTables, digest: PeerDigest, from: Endpoint, now: Timestamp): GatewayTables {
         val known = tables.peers[digest.sender] ?: PeerRow(digest.sender, from, listed = false, seenAt = now)
         val current = digest.incarnation == known.incarnation && digest.number > known.number
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/RoutingSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/RoutingSystem.kt
@@ -37,7 +37,7 @@
     private fun place(step: GatewayStep, row: RequestRow, best: Candidate, now: Timestamp): GatewayStep =
         when (best.state) {
             AdapterState.PRESENT, AdapterState.PREVIOUS -> send(step, row, best, now)
-            AdapterState.COMING, AdapterState.ABSENT, AdapterState.OUTDATED -> wish(step, row, best, now)
+            AdapterState.COMING, AdapterState.WARM, AdapterState.ABSENT, AdapterState.OUTDATED -> wish(step, row, best, now)
         }
 
     private fun wish(step: GatewayStep, row: RequestRow, best: Candidate, now: Timestamp): GatewayStep {
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/StoreSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/StoreSystem.kt
@@ -7,6 +7,7 @@
 import kotlinx.collections.immutable.toPersistentMap
 import org.ragwortbank.core.log.LogPart
 import org.ragwortbank.core.model.AccountId
+import org.ragwortbank.core.serving.AdapterKey
 import org.ragwortbank.core.serving.ServingConfig
 import org.ragwortbank.core.serving.StoreChange
 import org.ragwortbank.core.serving.UpstreamEntry
@@ -36,9 +37,22 @@
         val peers = all.mapNotNull { (it as? StoreChange.PeerSeen)?.name }.toSet()
         val gone = step.tables.upstreams.keys.filter { it !in upstreams }.map { StoreChange.UpstreamGone(it) }
         val left = step.tables.peers.values.filter { it.listed && it.name !in peers }
-        return applyAll(step, all + gone + left.map { StoreChange.PeerGone(it.name) }, now)
+        val known = applyAll(step, all + gone + left.map { StoreChange.PeerGone(it.name) }, now)
+        return known.update { it.copy(versions = agedVersions(step.tables, it, now)) }
     }
 
+    /** When a version was named can't be told from a whole read; it may have been long ago. */
+    private fun agedVersions(
+        before: GatewayTables,
+        after: GatewayTables,
+        now: Timestamp,
+    ): PersistentMap<AdapterKey, NamedVersion> =
+        after.versions.entries
+            .filter { (adapter, named) -> before.versions[adapter] != named }
+            .fold(after.versions) { all, (adapter, named) ->
+                all.put(adapter, named.copy(heardAt = now - after.settings.staleVersion))
+            }
+
     private fun applyAll(step: GatewayStep, changes: List<StoreChange>, now: Timestamp): GatewayStep =
         changes.fold(step) { s, change -> apply(s, change, now) }
 
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/UpstreamCost.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/UpstreamCost.kt
@@ -16,6 +16,9 @@
     /** Its load is under way. */
     COMING,
 
+    /** It must be loaded and was held there before, so that it comes fast. */
+    WARM,
+
     /** It must be loaded. */
     ABSENT,
 
@@ -69,6 +72,7 @@
             AdapterState.PRESENT, AdapterState.PREVIOUS -> 0.0
             AdapterState.COMING -> COMING_MILLIS
             AdapterState.OUTDATED -> OUTDATED_MILLIS
+            AdapterState.WARM -> WARM_MILLIS + overdue(wishedFor)
             AdapterState.ABSENT -> ABSENT_MILLIS + preference(request, row) + overdue(wishedFor)
         }
     }
@@ -89,11 +93,12 @@
         const val PLAIN_REQUEST_MILLIS = 15.0
         const val OVERFLOW_MILLIS = 60.0
         const val COMING_MILLIS = 130.0
+        const val WARM_MILLIS = 60.0
         const val ABSENT_MILLIS = 270.0
         const val OUTDATED_MILLIS = 1_200.0
         const val LOAD_USUAL_MILLIS = 600.0
         const val WISHED_BONUS_MILLIS = 60.0
-        const val PREFERENCE_MILLIS = 300.0
+        const val PREFERENCE_MILLIS = 900.0
         const val SCORE_RANGE = 4_294_967_296.0
     }
 }
@@ -111,6 +116,7 @@
         held != null && named != null && now - named.heardAt < settings.staleVersion -> AdapterState.PREVIOUS
         coming != null && (named == null || coming >= named.version) -> AdapterState.COMING
         held != null && inUse -> AdapterState.OUTDATED
+        row.past[adapter]?.let { named == null || it >= named.version } == true -> AdapterState.WARM
         else -> AdapterState.ABSENT
     }
 }
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/UpstreamRow.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/UpstreamRow.kt
@@ -51,6 +51,7 @@
  * @property inFlight requests of this entry that it has
  * @property using how many of those use each adapter
  * @property digest newest word of the placer beside it
+ * @property past versions of adapters that it held earlier and dropped; it brings those back faster than others
  * @property told newest load that it told, and [toldAt] when
  * @property sentSince requests sent by this entry since [toldAt]
  */
@@ -60,6 +61,7 @@
     val using: PersistentMap<AdapterKey, Int> = persistentMapOf(),
     val digest: EngineDigest? = null,
     val digestAt: Timestamp? = null,
+    val past: PersistentMap<AdapterKey, Long> = persistentMapOf(),
     val told: LoadTold? = null,
     val toldAt: Timestamp? = null,
     val sentSince: Int = 0,
@@ -72,6 +74,14 @@
     /** Whether new work may be sent now. */
     fun open(now: Timestamp): Boolean = entry.accepting && (health.blockedUntil?.let { it <= now } ?: true)
 
+    /** This row with [newer] as the newest word of the placer. */
+    fun hear(newer: EngineDigest, now: Timestamp): UpstreamRow {
+        val dropped = digest?.holds.orEmpty().filterKeys { it !in newer.holds }
+        val kept = if (past.size > MAX_PAST) persistentMapOf() else past
+        return copy(digest = newer, digestAt = now, past = kept.putAll(dropped))
+            .withLoad(LoadTold(newer.running, newer.queued), now)
+    }
+
     /** Requests that it has to serve, as far as is known. */
     val load: Int get() = maxOf(inFlight, (told?.let { it.running + it.waiting } ?: 0) + sentSince)
 
@@ -91,4 +101,9 @@
         val count = (this[adapter] ?: 0) + by
         return if (count <= 0) remove(adapter) else put(adapter, count)
     }
+
+    private companion object {
+        /** About as many as an engine's host memory keeps. */
+        const val MAX_PAST = 400
+    }
 }
--- a/core/src/main/kotlin/org/ragwortbank/core/placer/PlacerTables.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/placer/PlacerTables.kt
@@ -30,11 +30,11 @@
  * @property maxComing most loads of adapters at once
  */
 data class PlacerSettings(
-    val reportInterval: Duration = 200.milliseconds,
+    val reportInterval: Duration = 500.milliseconds,
     val busyReportInterval: Duration = 30.milliseconds,
-    val digestInterval: Duration = 200.milliseconds,
+    val digestInterval: Duration = 400.milliseconds,
     val demandLifetime: Duration = 2.seconds,
-    val idleFor: Duration = 300.milliseconds,
+    val idleFor: Duration = 1.seconds,
     val orderTimeout: Duration = 500.milliseconds,
     val maxComing: Int = 4,
 )
--- /dev/null
+++ b/core/src/test/kotlin/org/ragwortbank/core/gateway/AttemptSystemTest.kt
@@ -0,0 +1,117 @@
+package org.ragwortbank.core.gateway
+
+import org.ragwortbank.core.result.Execution
+import org.ragwortbank.core.result.ResultCode
+import org.ragwortbank.core.serving.RequestNumber
+import org.ragwortbank.core.serving.StoreChange
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNotEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class AttemptSystemTest {
+    private val gateway = GatewayFixture()
+
+    @Test
+    fun `given a lost send of work that may run once, then it is not sent again and its outcome is unknown`() {
+        val number = gateway.arrive("/book/x")
+        gateway.tick(GatewayInput.AttemptBroke(number, 1, "reset"))
+        assertTrue(gateway.sent().isEmpty())
+        assertEquals(Execution.UNKNOWN, gateway.refusals().single().execution)
+        assertEquals(ResultCode.OUTCOME_UNKNOWN, gateway.refusals().single().code)
+    }
+
+    @Test
+    fun `given a lost send of idempotent work, then it goes to another upstream`() {
+        val number = gateway.arrive("/look/x")
+        val first = gateway.sent().single().upstream
+        gateway.tick(GatewayInput.AttemptBroke(number, 1, "reset"))
+        assertNotEquals(first, gateway.sent().single().upstream)
+    }
+
+    @Test
+    fun `given a failure at both upstreams, then the last answer is passed on and nothing is sent a third time`() {
+        val number = gateway.arrive("/look/x")
+        gateway.tick(head(number, 1, 500))
+        assertEquals(1, gateway.sent().size)
+        gateway.tick(head(number, 2, 500))
+        assertTrue(gateway.sent().isEmpty())
+        assertTrue(gateway.effects.any { it is GatewayEffect.Relay })
+    }
+
+    @Test
+    fun `given a rejection without a run, then work that may run once is sent again, to the same upstream only`() {
+        val number = gateway.arrive("/book/x")
+        val first = gateway.sent().single().upstream
+        gateway.tick(head(number, 1, 503, notRun = true))
+        gateway.after(150.milliseconds)
+        assertEquals(first, gateway.sent().single().upstream)
+    }
+
+    @Test
+    fun `given a connection that failed before anything was sent, then another upstream gets it`() {
+        val number = gateway.arrive("/book/x")
+        val first = gateway.sent().single().upstream
+        gateway.tick(GatewayInput.NotSent(number, 1, "refused"))
+        assertNotEquals(first, gateway.sent().single().upstream)
+    }
+
+    @Test
+    fun `given no upstream left after rejections, then the refusal says truthfully that nothing ran`() {
+        val number = gateway.arrive("/book/x")
+        val first = gateway.sent().single().upstream
+        gateway.tick(head(number, 1, 503, notRun = true))
+        gateway.change(StoreChange.UpstreamGone(first))
+        assertEquals(Execution.NOT_RUN, gateway.refusals().single().execution)
+    }
+
+    @Test
+    fun `given an answer that breaks off midway, then the caller's connection is broken off too`() {
+        val number = gateway.arrive("/chat/x", gateway.call("/chat/x", adapter = "a1"))
+        gateway.tick(head(number, 1, 200))
+        gateway.tick(GatewayInput.AttemptBroke(number, 1, "reset"))
+        assertTrue(gateway.effects.any { it is GatewayEffect.BreakOff })
+    }
+
+    @Test
+    fun `given a caller that left, then its stream is given up and work that may run once goes on`() {
+        val stream = gateway.arrive("/chat/x", gateway.call("/chat/x", adapter = "a1"))
+        gateway.tick(GatewayInput.CallerGone(stream))
+        assertTrue(gateway.effects.any { it is GatewayEffect.Abandon })
+        val booking = gateway.arrive("/book/x")
+        gateway.tick(GatewayInput.CallerGone(booking))
+        assertTrue(gateway.effects.none { it is GatewayEffect.Abandon })
+    }
+
+    @Test
+    fun `given a request without an answer, then its route's timeout ends it, as unknown`() {
+        gateway.arrive("/book/x")
+        gateway.after(5_010.milliseconds)
+        assertEquals(ResultCode.DEADLINE_EXCEEDED, gateway.refusals().single().code)
+        assertEquals(Execution.UNKNOWN, gateway.refusals().single().execution)
+    }
+
+    @Test
+    fun `given rejections of every request, then resends stay within the fleet's share`() {
+        val resent = (1..100).sumOf { attempt() }
+        assertTrue(resent <= 40 + 16, "sent again $resent times")
+    }
+
+    private fun attempt(): Int {
+        gateway.after(200.milliseconds)
+        gateway.confirm()
+        val number = gateway.arrive("/book/x")
+        val first = gateway.sent().singleOrNull()
+        gateway.tick(head(number, 1, 503, notRun = true))
+        gateway.after(150.milliseconds)
+        val again = gateway.sent().size
+        gateway.after(1.seconds, GatewayInput.AnswerEnded(number, 2), GatewayInput.CallerGone(number))
+        return if (first == null) 0 else again
+    }
+
+    private fun head(number: RequestNumber, attempt: Int, status: Int, notRun: Boolean = false) =
+        GatewayInput.HeadArrived(number, attempt, AnswerFacts(status, notRun, load = null))
+
+}
--- /dev/null
+++ b/core/src/test/kotlin/org/ragwortbank/core/gateway/FleetBucketTest.kt
@@ -0,0 +1,58 @@
+package org.ragwortbank.core.gateway
+
+import org.ragwortbank.core.tick.Timestamp
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.seconds
+
+class FleetBucketTest {
+    private val start = Timestamp(0)
+    private val bucket = FleetBucket(rate = 100, burst = 200, level = 200.0, updatedAt = start)
+
+    @Test
+    fun `given use by a peer, then it counts once however often it is told`() {
+        val heard = bucket.hear("peer", 1, 150, counts = true).hear("peer", 1, 150, counts = true)
+        assertEquals(50.0, heard.level)
+    }
+
+    @Test
+    fun `given a peer that starts again, then its new total counts from nothing`() {
+        val heard = bucket.hear("peer", 1, 100, counts = true).hear("peer", 2, 60, counts = true)
+        assertEquals(40.0, heard.level)
+    }
+
+    @Test
+    fun `given totals from before this entry's time, then they don't count`() {
+        assertEquals(200.0, bucket.hear("peer", 1, 1_000_000, counts = false).level)
+    }
+
+    @Test
+    fun `given silent peers, then they are charged their share and corrected when they speak`() {
+        val empty = bucket.take(200)
+        val later = empty.refill(start + 4.seconds, listOf("peer"), entries = 2)
+        assertEquals(200.0, later.level)
+        assertTrue(later.admits(200))
+        val both = later.take(200).hear("peer", 1, 200, counts = true)
+        assertEquals(0.0, both.level)
+    }
+
+    @Test
+    fun `given a cut between two entries, then both together stay within the rate`() {
+        val sides = listOf(bucket.take(200), bucket.take(200))
+        val admitted = sides.sumOf { side ->
+            (1..40).fold(side to 0L) { (b, sum), second ->
+                val filled = b.refill(start + second.seconds, listOf("other"), entries = 2)
+                if (filled.admits(50)) filled.take(50) to sum + 50 else filled to sum
+            }.second
+        }
+        assertTrue(admitted <= 40 * 100, "admitted $admitted")
+    }
+
+    @Test
+    fun `given more than the burst, then it is admitted when the bucket is full`() {
+        assertTrue(bucket.admits(500))
+        assertFalse(bucket.take(1).admits(500))
+    }
+}
--- /dev/null
+++ b/core/src/test/kotlin/org/ragwortbank/core/gateway/GatewayFixture.kt
@@ -0,0 +1,174 @@
+package org.ragwortbank.core.gateway
+
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.persistentSetOf
+import kotlinx.collections.immutable.toPersistentList
+import kotlinx.collections.immutable.toPersistentMap
+import org.ragwortbank.core.model.AccountId
+import org.ragwortbank.core.model.FailureDomain
+import org.ragwortbank.core.model.KeyHash
+import org.ragwortbank.core.model.RouteName
+import org.ragwortbank.core.result.Refusal
+import org.ragwortbank.core.serving.AdapterKey
+import org.ragwortbank.core.serving.Endpoint
+import org.ragwortbank.core.serving.EngineDigest
+import org.ragwortbank.core.serving.EngineSpec
+import org.ragwortbank.core.serving.ModelSpec
+import org.ragwortbank.core.serving.RequestNumber
+import org.ragwortbank.core.serving.ServiceName
+import org.ragwortbank.core.serving.ServiceSpec
+import org.ragwortbank.core.serving.ServingAccount
+import org.ragwortbank.core.serving.ServingCall
+import org.ragwortbank.core.serving.ServingConfig
+import org.ragwortbank.core.serving.ServingRoute
+import org.ragwortbank.core.serving.StoreChange
+import org.ragwortbank.core.serving.UpstreamEntry
+import org.ragwortbank.core.serving.UpstreamId
+import org.ragwortbank.core.serving.WeightedService
+import org.ragwortbank.core.serving.WorkKind
+import org.ragwortbank.core.tick.Tick
+import org.ragwortbank.core.tick.Timestamp
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** A gateway in virtual time with two engines, two plain upstreams and one client account. */
+internal class GatewayFixture(firstStart: Boolean = true) {
+    private val schedule = gatewaySchedule()
+    private var calls = 0L
+
+    var now = Timestamp(0) + 100.seconds
+        private set
+    var tables = GatewayTables(GatewayIdentity("entry-1", 1, firstStart), startedAt = now)
+        private set
+    var effects: List<GatewayEffect> = emptyList()
+        private set
+
+    init {
+        tick(GatewayInput.StoreRead(everything(), now))
+        tables.upstreams.keys.filter { it.value.startsWith("engine") }.forEach { tell(it) }
+    }
+
+    fun everything() = (listOf(StoreChange.ConfigSet(config())) + upstreams()).toPersistentList()
+
+    fun tick(vararg inputs: GatewayInput) {
+        val step = schedule.run(Tick(now, inputs.toList().toPersistentList()), tables)
+        tables = step.tables
+        effects = step.effects
+    }
+
+    fun after(time: Duration, vararg inputs: GatewayInput) {
+        now += time
+        tick(*inputs)
+    }
+
+    fun confirm() = tick(GatewayInput.StoreChanged(persistentListOf(), now))
+
+    fun change(vararg changes: StoreChange) = tick(GatewayInput.StoreChanged(changes.toList().toPersistentList(), now))
+
+    fun tell(engine: UpstreamId, holds: Map<String, Long> = mapOf("a1" to 1), number: Long = ++calls) =
+        tick(GatewayInput.EngineTold(digest(engine, holds, number)))
+
+    fun arrive(path: String, call: ServingCall = call(path)): RequestNumber {
+        val number = RequestNumber(++calls)
+        tick(GatewayInput.CallArrived(number, call))
+        return number
+    }
+
+    fun sent(): List<Sending> = effects.filterIsInstance<GatewayEffect.Send>().map { it.sending }
+
+    fun refusals(): List<Refusal> = effects.mapNotNull { effect ->
+        when (effect) {
+            is GatewayEffect.Refuse -> effect.refusal
+            is GatewayEffect.BreakOff -> effect.refusal
+            else -> null
+        }
+    }
+
+    fun call(path: String, adapter: String? = null, tokens: Long? = null, key: String = "key") = ServingCall(
+        id = "id-$calls",
+        host = "host",
+        path = path,
+        key = KeyHash(key),
+        deadline = 10.seconds,
+        model = adapter?.let { MODEL },
+        adapter = adapter,
+        tokens = tokens,
+    )
+
+    fun config(version: Long = 1, rate: Long = 1_000, keys: List<String> = listOf("key")): ServingConfig {
+        val account = ServingAccount(AccountId("club"), priority = 1, rate, burst = rate, plainTokens = 10)
+        val models = persistentMapOf(MODEL to ModelSpec(MODEL, weightsMegabytes = 70.0, adapterMegabytes = 1.0))
+        val engine = EngineSpec(models, memoryMegabytes = 76.0, adapterSlots = 4)
+        return ServingConfig(
+            version = version,
+            routes = persistentMapOf("host" to routes().toPersistentList()),
+            services = persistentMapOf(
+                ENGINES to ServiceSpec(ENGINES, engine),
+                DESK to ServiceSpec(DESK, engine = null),
+            ),
+            accounts = persistentMapOf(account.id to account),
+            keys = keys.associate { KeyHash(it) to account.id }.toPersistentMap(),
+        )
+    }
+
+    fun entry(id: String, service: ServiceName, accepting: Boolean = true, born: Long = 1) = UpstreamEntry(
+        id = UpstreamId(id),
+        service = service,
+        endpoint = Endpoint("10.0.0.${id.last()}", 80),
+        domain = FailureDomain("zone"),
+        slots = 4,
+        accepting = accepting,
+        bornMillis = born,
+        models = if (service == ENGINES) persistentSetOf(MODEL) else persistentSetOf(),
+        adapters = persistentMapOf(),
+    )
+
+    private fun digest(engine: UpstreamId, holds: Map<String, Long>, number: Long) = EngineDigest(
+        upstream = engine,
+        incarnation = 1,
+        number = number,
+        holds = holds.mapKeys { AdapterKey(MODEL, it.key) }.toPersistentMap(),
+        models = persistentSetOf(MODEL),
+    )
+
+    private fun upstreams(): List<StoreChange> =
+        listOf("engine-1", "engine-2").map { StoreChange.UpstreamSeen(entry(it, ENGINES)) } +
+            listOf("desk-1", "desk-2").map { StoreChange.UpstreamSeen(entry(it, DESK)) }
+
+    private fun routes(): List<ServingRoute> = listOf(
+        route("/chat/", WorkKind.STREAM, ENGINES),
+        route("/resume/", WorkKind.STREAM, ENGINES, resumable = true, attempts = 2),
+        route("/book/", WorkKind.ONCE, DESK),
+        route("/look/", WorkKind.IDEMPOTENT, DESK, attempts = 2),
+        route("/open/", WorkKind.IDEMPOTENT, DESK, public = true),
+    )
+
+    private fun route(
+        prefix: String,
+        kind: WorkKind,
+        service: ServiceName,
+        resumable: Boolean = false,
+        attempts: Int = 1,
+        public: Boolean = false,
+    ) = ServingRoute(
+        name = RouteName(prefix.trim('/')),
+        host = "host",
+        prefix = prefix,
+        kind = kind,
+        resumable = resumable,
+        targets = persistentListOf(WeightedService(service, 1)),
+        timeout = 5.seconds,
+        targetLatency = 500.milliseconds,
+        maxAttempts = attempts,
+        priority = 0,
+        public = public,
+    )
+
+    companion object {
+        const val MODEL = "base"
+        val ENGINES = ServiceName("engines")
+        val DESK = ServiceName("desk")
+    }
+}
--- /dev/null
+++ b/core/src/test/kotlin/org/ragwortbank/core/gateway/PeerSystemTest.kt
@@ -0,0 +1,64 @@
+package org.ragwortbank.core.gateway
+
+import kotlinx.collections.immutable.persistentMapOf
+import org.ragwortbank.core.serving.DigestStamp
+import org.ragwortbank.core.serving.Endpoint
+import org.ragwortbank.core.serving.PeerDigest
+import org.ragwortbank.core.serving.StoreChange
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.seconds
+
+class PeerSystemTest {
+    private val gateway = GatewayFixture()
+    private val peer = Endpoint("10.0.0.9", 7600)
+
+    @Test
+    fun `given a peer that confirms the same configuration after it heard this entry, then keys are served on`() {
+        gateway.change(StoreChange.PeerSeen("entry-2", peer))
+        gateway.after(4.seconds)
+        val told = told()
+        gateway.after(1.seconds, GatewayInput.PeerTold(answer(told.number), peer))
+        assertTrue(gateway.tables.hasKeyAuthority(gateway.now))
+    }
+
+    @Test
+    fun `given a peer's word that may have lain in a buffer while this entry was paused, then it confirms nothing`() {
+        gateway.change(StoreChange.PeerSeen("entry-2", peer))
+        val told = told()
+        gateway.after(6.seconds, GatewayInput.PeerTold(answer(told.number), peer))
+        assertFalse(gateway.tables.hasKeyAuthority(gateway.now))
+    }
+
+    @Test
+    fun `given a peer with another configuration, then it confirms nothing`() {
+        gateway.change(StoreChange.PeerSeen("entry-2", peer))
+        gateway.after(4.seconds)
+        val told = told()
+        gateway.after(1.seconds, GatewayInput.PeerTold(answer(told.number).copy(configVersion = 7), peer))
+        assertFalse(gateway.tables.hasKeyAuthority(gateway.now))
+    }
+
+    private fun told(): PeerDigest {
+        gateway.after(gateway.tables.settings.peerInterval * 5)
+        return gateway.effects.filterIsInstance<GatewayEffect.TellPeer>().single().digest
+    }
+
+    private fun answer(heard: Long) = PeerDigest(
+        sender = "entry-2",
+        incarnation = 1,
+        number = 1,
+        configVersion = 1,
+        confirmedMillisAgo = 200,
+        heard = persistentMapOf("entry-1" to DigestStamp(1, heard)),
+    )
+
+    @Test
+    fun `given use, then the other entries are told its total`() {
+        gateway.change(StoreChange.PeerSeen("entry-2", peer))
+        gateway.arrive("/book/x")
+        assertEquals(10, told().used.values.single())
+    }
+}
--- /dev/null
+++ b/core/src/test/kotlin/org/ragwortbank/core/gateway/RoutingSystemTest.kt
@@ -0,0 +1,92 @@
+package org.ragwortbank.core.gateway
+
+import org.ragwortbank.core.result.ResultCode
+import org.ragwortbank.core.serving.AdapterKey
+import org.ragwortbank.core.serving.StoreChange
+import org.ragwortbank.core.serving.UpstreamId
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class RoutingSystemTest {
+    private val gateway = GatewayFixture()
+    private val first = UpstreamId("engine-1")
+    private val second = UpstreamId("engine-2")
+
+    @Test
+    fun `given an adapter that one engine holds, then its requests go there`() {
+        gateway.tell(first, holds = emptyMap())
+        repeat(3) {
+            gateway.arrive("/chat/x", gateway.call("/chat/x", adapter = "a1"))
+            assertEquals(second, gateway.sent().single().upstream)
+        }
+    }
+
+    @Test
+    fun `given an adapter that no engine holds, then it is wished for at one and sent there once it holds it`() {
+        gateway.arrive("/chat/x", gateway.call("/chat/x", adapter = "a9"))
+        assertTrue(gateway.sent().isEmpty())
+        val told = gateway.effects.filterIsInstance<GatewayEffect.TellPlacer>()
+            .single { it.digest.wishes.isNotEmpty() }.digest
+        assertEquals(AdapterKey(GatewayFixture.MODEL, "a9"), told.wishes.single().adapter)
+        gateway.tell(told.upstream, holds = mapOf("a9" to 1))
+        assertEquals(told.upstream, gateway.sent().single().upstream)
+    }
+
+    @Test
+    fun `given an adapter that is never loaded, then its request is refused in time and has not run`() {
+        gateway.arrive("/chat/x", gateway.call("/chat/x", adapter = "a9"))
+        gateway.after(2_600.milliseconds)
+        assertEquals(ResultCode.QUEUE_TIMEOUT, gateway.refusals().single().code)
+    }
+
+    @Test
+    fun `given a newer version of an adapter, then it is asked for by version and the old one soon not used`() {
+        gateway.change(StoreChange.VersionNamed(AdapterKey(GatewayFixture.MODEL, "a1"), 2))
+        gateway.after(3.seconds)
+        gateway.tell(first)
+        gateway.tell(second)
+        gateway.arrive("/chat/x", gateway.call("/chat/x", adapter = "a1"))
+        assertTrue(gateway.sent().isEmpty())
+        gateway.tell(first, holds = mapOf("a1" to 2))
+        assertEquals(2, gateway.sent().single().adapterVersion)
+    }
+
+    @Test
+    fun `given a newer version that was named just now, then the old one is still used meanwhile`() {
+        gateway.change(StoreChange.VersionNamed(AdapterKey(GatewayFixture.MODEL, "a1"), 2))
+        gateway.arrive("/chat/x", gateway.call("/chat/x", adapter = "a1"))
+        assertEquals(null, gateway.sent().single().adapterVersion)
+    }
+
+    @Test
+    fun `given a process that starts after a version was named, then the old one is not used`() {
+        val named = StoreChange.VersionNamed(AdapterKey(GatewayFixture.MODEL, "a1"), 2)
+        gateway.tick(GatewayInput.StoreRead(gateway.everything().add(named), gateway.now))
+        gateway.arrive("/chat/x", gateway.call("/chat/x", adapter = "a1"))
+        assertTrue(gateway.sent().isEmpty())
+    }
+
+    @Test
+    fun `given an upstream that is leaving, then it gets nothing more`() {
+        gateway.change(StoreChange.UpstreamSeen(gateway.entry("desk-1", GatewayFixture.DESK, accepting = false)))
+        repeat(4) {
+            gateway.arrive("/look/x")
+            assertEquals(UpstreamId("desk-2"), gateway.sent().single().upstream)
+        }
+    }
+
+    @Test
+    fun `given an upstream that fails, then it is left alone for a while and tried again later`() {
+        val number = gateway.arrive("/book/x")
+        val failed = gateway.sent().single().upstream
+        gateway.tick(GatewayInput.AttemptBroke(number, 1, "reset"))
+        gateway.arrive("/book/y")
+        assertTrue(gateway.sent().single().upstream != failed)
+        gateway.after(500.milliseconds)
+        gateway.arrive("/book/z")
+        assertEquals(failed, gateway.sent().single().upstream)
+    }
+}
--- a/node/src/main/kotlin/org/ragwortbank/node/datagram/DigestCodec.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/datagram/DigestCodec.kt
@@ -4,7 +4,6 @@
 import kotlinx.collections.immutable.toPersistentMap
 import kotlinx.collections.immutable.toPersistentSet
 import kotlinx.serialization.ExperimentalSerializationApi
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.cbor.Cbor
 import kotlinx.serialization.decodeFromByteArray
 import kotlinx.serialization.encodeToByteArray
@@ -18,6 +17,8 @@
 import org.ragwortbank.core.serving.ModelSpec
 import org.ragwortbank.core.serving.PeerDigest
 import org.ragwortbank.core.serving.UpstreamId
+import java.nio.ByteBuffer
+import java.util.zip.CRC32
 
 /** A digest as it came in a datagram. */
 sealed interface ReceivedDigest {
@@ -34,7 +35,12 @@
     data class Bad(val cause: String) : ReceivedDigest
 }
 
-/** Digests as CBOR. */
+/**
+ * Digests as CBOR behind a checksum.
+ *
+ * The CBOR library may loop or overflow its stack on bytes that it did not write, so only bytes with the right
+ * checksum reach it.
+ */
 @OptIn(ExperimentalSerializationApi::class)
 object DigestCodec {
     private val cbor = Cbor {
@@ -43,27 +49,51 @@
     }
 
     /** Encodes what an entry wants. */
-    fun encode(digest: DemandDigest): ByteArray = cbor.encodeToByteArray(WireDigest(demand = digest.toWire()))
+    fun encode(digest: DemandDigest): ByteArray = seal(WireDigest(demand = digest.toWire()))
 
     /** Encodes what an engine holds. */
-    fun encode(digest: EngineDigest): ByteArray = cbor.encodeToByteArray(WireDigest(engine = digest.toWire()))
+    fun encode(digest: EngineDigest): ByteArray = seal(WireDigest(engine = digest.toWire()))
 
     /** Encodes what an entry has admitted. */
-    fun encode(digest: PeerDigest): ByteArray = cbor.encodeToByteArray(WireDigest(peer = digest.toWire()))
+    fun encode(digest: PeerDigest): ByteArray = seal(WireDigest(peer = digest.toWire()))
 
     /** Decodes a datagram. */
-    fun decode(bytes: ByteArray): ReceivedDigest =
+    fun decode(bytes: ByteArray): ReceivedDigest {
+        val content = ByteBuffer.wrap(bytes)
+        val sealed = bytes.size > HEAD_BYTES && content.getInt() == MARK && content.getInt() == checksum(bytes)
+        return if (sealed) parse(bytes.copyOfRange(HEAD_BYTES, bytes.size)) else ReceivedDigest.Bad("wrong mark or checksum")
+    }
+
+    @Suppress("TooGenericExceptionCaught")
+    private fun parse(content: ByteArray): ReceivedDigest =
         try {
-            val wire = cbor.decodeFromByteArray<WireDigest>(bytes)
+            val wire = cbor.decodeFromByteArray<WireDigest>(content)
             wire.demand?.let { ReceivedDigest.Demand(it.toDigest()) }
                 ?: wire.engine?.let { ReceivedDigest.Engine(it.toDigest()) }
                 ?: wire.peer?.let { ReceivedDigest.Peer(it.toDigest()) }
                 ?: ReceivedDigest.Bad("no digest in it")
-        } catch (e: SerializationException) {
-            ReceivedDigest.Bad(e.message ?: "not CBOR")
-        } catch (e: IllegalArgumentException) {
-            ReceivedDigest.Bad(e.message ?: "not CBOR")
+        } catch (e: RuntimeException) {
+            ReceivedDigest.Bad(e.message ?: "not a digest of this version")
         }
+
+    private fun seal(digest: WireDigest): ByteArray {
+        val content = cbor.encodeToByteArray(digest)
+        val bytes = ByteBuffer.allocate(HEAD_BYTES + content.size).putInt(MARK).putInt(0).put(content).array()
+        ByteBuffer.wrap(bytes).putInt(MARK_BYTES, checksum(bytes))
+        return bytes
+    }
+
+    /** Of everything behind the head. */
+    private fun checksum(bytes: ByteArray): Int {
+        val sum = CRC32()
+        sum.update(bytes, HEAD_BYTES, bytes.size - HEAD_BYTES)
+        return sum.value.toInt()
+    }
+
+    /** "RWB" and the version of the format. */
+    private const val MARK = 0x52574201
+    private const val MARK_BYTES = 4
+    private const val HEAD_BYTES = 8
 }
 
 private fun AdapterKey.toWire(version: Long? = null) = WireAdapter(model, adapter, version)
--- a/node/src/main/kotlin/org/ragwortbank/node/entry/EntryNode.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/entry/EntryNode.kt
@@ -21,6 +21,7 @@
 import org.ragwortbank.core.tick.Timestamp
 import org.ragwortbank.node.NodeProcess
 import org.ragwortbank.node.NodeRuntime
+import org.ragwortbank.node.PendingWrites
 import org.ragwortbank.node.Ready
 import org.ragwortbank.node.admin.AdminPages
 import org.ragwortbank.node.admin.AdminServer
@@ -41,6 +42,7 @@
 import org.ragwortbank.node.wire.toWire
 import java.util.concurrent.atomic.AtomicLong
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /** An entry process: callers on one side, sidecars and other entries on the other. */
 class EntryNode(private val settings: EntryNodeSettings) : NodeProcess {
@@ -49,6 +51,7 @@
     private val sequence = AtomicLong()
     private val calls = CallRegistry()
     private val answers = EntryAnswers(calls, runtime.metrics)
+    private val writes = PendingWrites()
 
     override fun start(): Ready = runBlocking {
         val server = PeerServer(runtime.scope, runtime.selector, Peers())
@@ -62,7 +65,7 @@
         platform.start()
         server.start()
         val admin = AdminServer(runtime.group, Pages()).start(settings.adminAddress)
-        val http = EntryHttpServer(runtime.group, settings.http, Sink()).start(settings.httpAddress)
+        val http = EntryHttpServer(runtime.group, settings.http, Sink(), writes).start(settings.httpAddress)
         Ready(settings.name, http, peer, admin)
     }
 
@@ -125,6 +128,7 @@
     }
 
     private fun ended() {
+        if (!writes.await(LAST_WRITES)) Logs.drain.warn("answers were not written within {}", LAST_WRITES)
         Logs.drain.info("stopped")
         loop.stop()
         runtime.end()
@@ -194,5 +198,6 @@
 
     private companion object {
         val MAX_WAIT = 50.milliseconds
+        val LAST_WRITES = 5.seconds
     }
 }
--- a/node/src/main/kotlin/org/ragwortbank/node/gateway/GatewayNode.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/gateway/GatewayNode.kt
@@ -39,7 +39,7 @@
         loop = process.loop,
         schedule = gatewaySchedule(),
         initial = GatewayTables(identity, settings.gateway, startedAt = clock.now()),
-        interval = TICK_INTERVAL,
+        interval = { if (it.requests.isEmpty()) IDLE_INTERVAL else BUSY_INTERVAL },
         now = clock::now,
         observer = metrics,
         perform = ::perform,
@@ -129,7 +129,8 @@
     }
 
     private companion object {
-        val TICK_INTERVAL = 20.milliseconds
+        val BUSY_INTERVAL = 20.milliseconds
+        val IDLE_INTERVAL = 50.milliseconds
     }
 }
 
--- a/node/src/main/kotlin/org/ragwortbank/node/http/CallDecoder.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/http/CallDecoder.kt
@@ -35,7 +35,12 @@
 
     private fun generate(request: HttpRequest, body: ByteArray, id: RequestId, api: GenerateApi): Decoded =
         when (val parsed = parseGenerate(body, api, defaultMaxTokens)) {
-            is GenerateBody.Bad -> Decoded.Bad(Refusal.notRun(ResultCode.MALFORMED_REQUEST, parsed.detail))
+            is GenerateBody.Bad ->
+                Decoded.Bad(
+                    refusal = Refusal.notRun(ResultCode.MALFORMED_REQUEST, parsed.detail),
+                    credential = credential(request.headers()),
+                    route = parsed.model?.let(::RouteName),
+                )
             is GenerateBody.Good -> withMarks(Call(id, RouteName(parsed.model), parsed.work), request.headers())
         }
 
@@ -56,8 +61,8 @@
         val mark = headers[IDEMPOTENT_HEADER]
         val key = headers[IDEMPOTENCY_KEY_HEADER]
         return when {
-            mark != null && mark.toBooleanStrictOrNull() == null -> badMark(mark)
-            key != null && key.length !in 1..MAX_KEY_LENGTH -> badKey(key)
+            mark != null && mark.toBooleanStrictOrNull() == null -> bad(call, headers, markProblem(mark))
+            key != null && key.length !in 1..MAX_KEY_LENGTH -> bad(call, headers, keyProblem(key))
             else ->
                 Decoded.Good(
                     call.copy(
@@ -69,14 +74,13 @@
         }
     }
 
-    private fun badMark(mark: String): Decoded =
-        malformed("$IDEMPOTENT_HEADER: found '$mark', expected 'true' or 'false'")
+    private fun markProblem(mark: String): String = "$IDEMPOTENT_HEADER: found '$mark', expected 'true' or 'false'"
 
-    private fun badKey(key: String): Decoded =
-        malformed("$IDEMPOTENCY_KEY_HEADER: found ${key.length} characters, expected 1 to $MAX_KEY_LENGTH")
+    private fun keyProblem(key: String): String =
+        "$IDEMPOTENCY_KEY_HEADER: found ${key.length} characters, expected 1 to $MAX_KEY_LENGTH"
 
-    private fun malformed(detail: String): Decoded =
-        Decoded.Bad(Refusal.notRun(ResultCode.MALFORMED_REQUEST, detail))
+    private fun bad(call: Call, headers: HttpHeaders, detail: String): Decoded =
+        Decoded.Bad(Refusal.notRun(ResultCode.MALFORMED_REQUEST, detail), credential(headers), call.route)
 
     private fun credential(headers: HttpHeaders): KeyHash? {
         val bearer = headers["Authorization"]?.takeIf { it.startsWith(BEARER, ignoreCase = true) }
--- a/node/src/main/kotlin/org/ragwortbank/node/http/CallDispatcher.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/http/CallDispatcher.kt
@@ -2,15 +2,21 @@
 
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.io.bytestring.encodeToByteString
+import org.ragwortbank.core.entry.refusalOfCaller
 import org.ragwortbank.core.model.AnswerHead
 import org.ragwortbank.core.model.Header
 import org.ragwortbank.core.model.RequestId
 import org.ragwortbank.core.result.Refusal
 import org.ragwortbank.core.result.ResultCode
+import org.ragwortbank.node.PendingWrites
 import org.ragwortbank.node.metrics.BadInput
 
 /** Passes decoded requests on to [sink] and answers at once what needs no upstream. */
-internal class CallDispatcher(private val decoder: CallDecoder, private val sink: CallSink) {
+internal class CallDispatcher(
+    private val decoder: CallDecoder,
+    private val sink: CallSink,
+    val writes: PendingWrites,
+) {
     /** An identifier for the next request. */
     fun nextId(): RequestId = sink.nextId()
 
@@ -23,12 +29,16 @@
     /** Decodes a request and passes it on; the answer goes to [writer]. */
     fun dispatch(whole: Assembly.Whole, id: RequestId, writer: AnswerWriter) =
         when (val decoded = decoder.decode(whole.request, whole.body, id)) {
-            is Decoded.Bad -> refuse(decoded.refusal, writer)
+            is Decoded.Bad -> refuse(decoded, writer)
             is Decoded.Models -> writeModels(decoded, writer)
             is Decoded.Good -> passOn(decoded, writer)
         }
 
-    private fun refuse(refusal: Refusal, writer: AnswerWriter) {
+    /** Who isn't known is told only that. */
+    private fun refuse(decoded: Decoded.Bad, writer: AnswerWriter) {
+        val checksCaller = decoded.refusal.code == ResultCode.MALFORMED_REQUEST
+        val stranger = sink.configuration.refusalOfCaller(decoded.credential, decoded.route).takeIf { checksCaller }
+        val refusal = stranger ?: decoded.refusal
         sink.onBadInput(BadInput.BODY, refusal)
         writer.refuse(refusal)
     }
--- a/node/src/main/kotlin/org/ragwortbank/node/http/CallHandler.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/http/CallHandler.kt
@@ -72,7 +72,7 @@
         answering = id
         val keepAlive = HttpUtil.isKeepAlive(whole.request)
         val heads = ResponseHeads(id.toString(), keepAlive)
-        val writer = HttpAnswerWriter(ctx.channel(), heads, keepAlive, settings) { answered(ctx) }
+        val writer = HttpAnswerWriter(ctx.channel(), heads, keepAlive, settings, dispatcher.writes) { answered(ctx) }
         dispatcher.dispatch(whole, id, writer)
     }
 
@@ -100,7 +100,7 @@
         assembler.clear()
         dispatcher.badInput(BadInput.HTTP, refusal)
         val heads = ResponseHeads("none", keepAlive = false)
-        HttpAnswerWriter(ctx.channel(), heads, keepAlive = false, settings) { }.refuse(refusal)
+        HttpAnswerWriter(ctx.channel(), heads, keepAlive = false, settings, dispatcher.writes) { }.refuse(refusal)
     }
 
     private companion object {
--- a/node/src/main/kotlin/org/ragwortbank/node/http/EntryHttpServer.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/http/EntryHttpServer.kt
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpServerCodec
 import org.ragwortbank.clients.http.Address
+import org.ragwortbank.node.PendingWrites
 import org.ragwortbank.node.settings.HttpSettings
 import java.net.InetSocketAddress
 import java.util.concurrent.atomic.AtomicInteger
@@ -19,8 +20,9 @@
     private val group: EventLoopGroup,
     private val settings: HttpSettings,
     sink: CallSink,
+    writes: PendingWrites,
 ) {
-    private val dispatcher = CallDispatcher(CallDecoder(settings.defaultMaxTokens), sink)
+    private val dispatcher = CallDispatcher(CallDecoder(settings.defaultMaxTokens), sink, writes)
     private val connections = AtomicInteger()
 
     /** Listens on [address] and returns the address bound, which differs when the port was zero. */
--- a/node/src/main/kotlin/org/ragwortbank/node/http/GenerateBody.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/http/GenerateBody.kt
@@ -15,8 +15,8 @@
     /** Acceptable; [model] names the route. */
     data class Good(val model: String, val work: Work.Generate) : GenerateBody
 
-    /** Not acceptable; [detail] tells path, what was found and what was expected. */
-    data class Bad(val detail: String) : GenerateBody
+    /** Not acceptable; [detail] tells path, what was found and what was expected, [model] the route if it can be read. */
+    data class Bad(val detail: String, val model: String? = null) : GenerateBody
 }
 
 private const val BYTES_PER_TOKEN = 4
@@ -86,7 +86,8 @@
 
     private fun bad(field: String, expected: String): GenerateBody {
         val found = json[field]?.toString()?.take(MAX_QUOTE) ?: "nothing"
-        return GenerateBody.Bad("$field: found $found, expected $expected")
+        val model = (json["model"] as? JsonPrimitive)?.takeIf { it.isString }?.content
+        return GenerateBody.Bad("$field: found $found, expected $expected", model)
     }
 
     private companion object {
--- a/node/src/main/kotlin/org/ragwortbank/node/http/HttpAnswerWriter.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/http/HttpAnswerWriter.kt
@@ -12,6 +12,7 @@
 import kotlinx.io.bytestring.ByteString
 import org.ragwortbank.core.model.AnswerHead
 import org.ragwortbank.core.result.Refusal
+import org.ragwortbank.node.PendingWrites
 import org.ragwortbank.node.settings.HttpSettings
 
 /**
@@ -25,6 +26,7 @@
     private val heads: ResponseHeads,
     private val keepAlive: Boolean,
     private val settings: HttpSettings,
+    private val writes: PendingWrites,
     private val finished: () -> Unit,
 ) : AnswerWriter {
     private var head: AnswerHead? = null
@@ -72,6 +74,7 @@
 
     private fun finish(last: HttpObject) {
         val written = channel.writeAndFlush(last)
+        writes.track(written)
         if (keepAlive) written.addListener { finished() } else written.addListener(ChannelFutureListener.CLOSE)
     }
 
--- a/node/src/main/kotlin/org/ragwortbank/node/link/PeerConnection.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/link/PeerConnection.kt
@@ -8,19 +8,24 @@
 import kotlinx.coroutines.channels.ReceiveChannel
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.launch
+import org.ragwortbank.node.PendingWrites
 import org.ragwortbank.node.wire.WireMessage
 import org.ragwortbank.node.wire.encodeFrame
 import org.ragwortbank.node.wire.readFrame
 import org.ragwortbank.node.wire.writeFrame
 
 /** One open connection to another process; frames are sent in order by one writer. */
-internal class PeerConnection(private val socket: Socket) {
+internal class PeerConnection(private val socket: Socket, private val writes: PendingWrites = PendingWrites()) {
     private val outgoing = Channel<ByteArray>(OUTGOING_FRAMES)
 
     /** Queues [message]; a peer that does not keep up is disconnected. */
     fun send(message: WireMessage) {
+        writes.begin()
         val queued = outgoing.trySend(encodeFrame(message)).isSuccess
-        if (!queued) socket.close()
+        if (!queued) {
+            writes.done()
+            socket.close()
+        }
     }
 
     /** Closes the connection, which ends [serve]. */
@@ -39,6 +44,8 @@
             } finally {
                 writer.cancel()
                 socket.close()
+                outgoing.close()
+                generateSequence { outgoing.tryReceive().getOrNull() }.forEach { _ -> writes.done() }
             }
         }
 
@@ -52,16 +59,16 @@
 
     private suspend fun write(output: ByteWriteChannel, frames: ReceiveChannel<ByteArray>) {
         for (frame in frames) {
-            output.writeFrame(frame)
-            writeQueued(output, frames)
-            output.flush()
+            val batch = listOf(frame) + generateSequence { frames.tryReceive().getOrNull() }
+            try {
+                batch.forEach { output.writeFrame(it) }
+                output.flush()
+            } finally {
+                batch.forEach { _ -> writes.done() }
+            }
         }
     }
 
-    private suspend fun writeQueued(output: ByteWriteChannel, frames: ReceiveChannel<ByteArray>) {
-        generateSequence { frames.tryReceive().getOrNull() }.forEach { output.writeFrame(it) }
-    }
-
     private companion object {
         const val OUTGOING_FRAMES = 16_384
     }
--- a/node/src/main/kotlin/org/ragwortbank/node/link/PeerServer.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/link/PeerServer.kt
@@ -11,6 +11,7 @@
 import kotlinx.coroutines.launch
 import kotlinx.io.IOException
 import org.ragwortbank.clients.http.Address
+import org.ragwortbank.node.PendingWrites
 import org.ragwortbank.node.log.Logs
 import org.ragwortbank.node.wire.PROTOCOL_VERSION
 import org.ragwortbank.node.wire.WireMessage
@@ -21,6 +22,7 @@
     private val scope: CoroutineScope,
     private val selector: SelectorManager,
     private val handler: PeerHandler,
+    private val writes: PendingWrites = PendingWrites(),
 ) {
     private val lastLink = AtomicLong()
 
@@ -44,7 +46,7 @@
     }
 
     private suspend fun serve(socket: Socket) {
-        val link = IncomingLink(lastLink.incrementAndGet(), PeerConnection(socket), handler)
+        val link = IncomingLink(lastLink.incrementAndGet(), PeerConnection(socket, writes), handler)
         var cause = "the link failed"
         try {
             cause = link.connection.serve(link::receive)
--- a/node/src/main/kotlin/org/ragwortbank/node/loop/EventLoopTicker.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/loop/EventLoopTicker.kt
@@ -12,7 +12,7 @@
 
 /**
  * Runs the systems of a process on the thread of its event loop, once for all inputs that one round of the loop
- * brought, and at least once per [interval].
+ * brought, and at least once per [interval], which depends on the tables.
  *
  * All functions must be called on that thread, so that inputs, tables and connections need no locks.
  */
@@ -20,7 +20,7 @@
     private val loop: EventLoop,
     private val schedule: Schedule<T, I, E>,
     initial: T,
-    private val interval: Duration,
+    private val interval: (T) -> Duration,
     private val now: () -> Timestamp,
     private val observer: TickObserver,
     private val perform: (E) -> Unit,
@@ -34,8 +34,7 @@
 
     /** Begins to tick. */
     fun start() {
-        val nanos = interval.inWholeNanoseconds
-        loop.scheduleWithFixedDelay(::tick, nanos, nanos, TimeUnit.NANOSECONDS)
+        loop.schedule(::regularTick, interval(tables).inWholeNanoseconds, TimeUnit.NANOSECONDS)
     }
 
     /** Adds an input for the next tick. */
@@ -45,6 +44,11 @@
         due = true
     }
 
+    private fun regularTick() {
+        tick()
+        start()
+    }
+
     /** A tick that fails leaves the tables as they were; its inputs are lost, and the process goes on. */
     @Suppress("TooGenericExceptionCaught")
     private fun tick() {
--- a/node/src/main/kotlin/org/ragwortbank/node/placer/PlacerNode.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/placer/PlacerNode.kt
@@ -38,7 +38,7 @@
         loop = process.loop,
         schedule = placerSchedule(),
         initial = PlacerTables(settings.name, System.currentTimeMillis()),
-        interval = TICK_INTERVAL,
+        interval = { if (it.report?.coming.isNullOrEmpty()) IDLE_INTERVAL else BUSY_INTERVAL },
         now = clock::now,
         observer = metrics,
         perform = ::perform,
@@ -106,6 +106,7 @@
     }
 
     private companion object {
-        val TICK_INTERVAL = 20.milliseconds
+        val BUSY_INTERVAL = 20.milliseconds
+        val IDLE_INTERVAL = 100.milliseconds
     }
 }
--- a/node/src/main/kotlin/org/ragwortbank/node/sidecar/SidecarNode.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/sidecar/SidecarNode.kt
@@ -22,6 +22,7 @@
 import org.ragwortbank.core.sidecar.sidecarSchedule
 import org.ragwortbank.node.NodeProcess
 import org.ragwortbank.node.NodeRuntime
+import org.ragwortbank.node.PendingWrites
 import org.ragwortbank.node.Ready
 import org.ragwortbank.node.admin.AdminPages
 import org.ragwortbank.node.admin.AdminServer
@@ -39,10 +40,12 @@
 import org.ragwortbank.node.wire.toWire
 import java.util.concurrent.atomic.AtomicReference
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /** A sidecar process: entries on one side, one upstream on the other. */
 class SidecarNode(private val settings: SidecarNodeSettings) : NodeProcess {
     private val runtime = NodeRuntime(settings.name, settings.platform)
+    private val writes = PendingWrites()
     private val upstream = upstreamClient(settings, runtime.client)
     private val runs = RunRegistry()
     private val links = AtomicReference<PersistentMap<LinkId, PeerConnection>>(persistentMapOf())
@@ -52,7 +55,7 @@
     override fun start(): Ready = runBlocking {
         loop.start()
         takeFencing()
-        val server = PeerServer(runtime.scope, runtime.selector, Entries())
+        val server = PeerServer(runtime.scope, runtime.selector, Entries(), writes)
         val peer = server.bind(settings.peerAddress)
         server.start()
         val admin = AdminServer(runtime.group, Pages()).start(settings.adminAddress)
@@ -103,6 +106,7 @@
     }
 
     private fun ended() {
+        if (!writes.await(LAST_WRITES)) Logs.drain.warn("reports were not written within {}", LAST_WRITES)
         Logs.drain.info("stopped")
         loop.stop()
         runtime.end()
@@ -170,6 +174,7 @@
 
     private companion object {
         val MAX_WAIT = 50.milliseconds
+        val LAST_WRITES = 5.seconds
         val FENCING_RETRY_DELAY = 500.milliseconds
     }
 }
--- /dev/null
+++ b/node/src/test/kotlin/org/ragwortbank/node/datagram/DigestCodecTest.kt
@@ -0,0 +1,50 @@
+package org.ragwortbank.node.datagram
+
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.persistentSetOf
+import kotlinx.collections.immutable.toPersistentMap
+import org.ragwortbank.core.model.AccountId
+import org.ragwortbank.core.serving.AdapterKey
+import org.ragwortbank.core.serving.AdapterWish
+import org.ragwortbank.core.serving.DemandDigest
+import org.ragwortbank.core.serving.DigestStamp
+import org.ragwortbank.core.serving.EngineDigest
+import org.ragwortbank.core.serving.EngineSpec
+import org.ragwortbank.core.serving.ModelSpec
+import org.ragwortbank.core.serving.PeerDigest
+import org.ragwortbank.core.serving.UpstreamId
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import kotlin.test.assertTrue
+
+class DigestCodecTest {
+    private val adapter = AdapterKey("base", "a7")
+
+    @Test
+    fun `given each kind of digest, then it comes out as it went in`() {
+        val engine = EngineSpec(persistentMapOf("base" to ModelSpec("base", 70.5, 1.5)), 76.0, 26)
+        val demand = DemandDigest("e", 1, 2, UpstreamId("i"), persistentListOf(AdapterWish(adapter, null)), persistentSetOf(adapter), engine)
+        assertEquals(ReceivedDigest.Demand(demand), DigestCodec.decode(DigestCodec.encode(demand)))
+        val held = EngineDigest(UpstreamId("i"), 1, 2, persistentMapOf(adapter to 3L), running = 4, queued = 5)
+        assertEquals(ReceivedDigest.Engine(held), DigestCodec.decode(DigestCodec.encode(held)))
+        val peer = PeerDigest("e", 1, 2, persistentMapOf(AccountId("club") to 9L), 7, 40, persistentMapOf("f" to DigestStamp(1, 8)))
+        assertEquals(ReceivedDigest.Peer(peer), DigestCodec.decode(DigestCodec.encode(peer)))
+    }
+
+    @Test
+    fun `given an engine with all places taken, then its digest fits into one datagram`() {
+        val holds = (1..26).associate { AdapterKey("daka510000", "a${2_900 + it}") to 12L }.toPersistentMap()
+        assertTrue(DigestCodec.encode(EngineDigest(UpstreamId("i-7f3a91c2"), 1, 2, holds)).size < 1_400)
+    }
+
+    @Test
+    fun `given bytes that are no digest, then that is said and nothing thrown`() {
+        val random = Random(7)
+        repeat(2_000) {
+            assertIs<ReceivedDigest.Bad>(DigestCodec.decode(random.nextBytes(random.nextInt(0, 60))))
+        }
+    }
+}
--- a/standins/src/test/kotlin/org/ragwortbank/standins/fleet/BadInputTest.kt
+++ b/standins/src/test/kotlin/org/ragwortbank/standins/fleet/BadInputTest.kt
@@ -38,6 +38,17 @@
         assertContains(post("""{"model":"ski-advice","messages":[{"content":"x"}],"n":3}"""), "n: found 3, expected 1")
     }
 
+    @Test
+    fun `given an unknown key or none and a bad body, then only the key is spoken of`() {
+        val body = """{"model":"ski-advice","messages":[]}"""
+        val unknown = TestFleet.text(Caller.post(entry, "/v1/chat/completions", "rwb_unknown", body))
+        assertContains(unknown, "\"code\":1003")
+        val head = "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
+        val text = raw(entry, head + "Content-Length: ${body.length}\r\n\r\n$body")
+        assertContains(text, "\"code\":1002")
+        assertContains(text, "401 Unauthorized")
+    }
+
     @Test
     fun `given a body above the bound, then it is refused before it is read in full`() {
         assertContains(post("x".repeat(20_000)), "\"code\":1006")
