Hold early calls for the first configuration; believe a rejection that an adapter is missing

Ruled out: late digests (the engine had none). Change: calls wait up to 1 s for the first configuration; a quarter of the burst after a restart; an engine without the model is not a candidate; a rejected adapter counts as not held until told; at most two resends; engines whose placer is silent rank last for loads; log lines by a pattern instead of a template.

--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/ArrivalSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/ArrivalSystem.kt
@@ -1,5 +1,6 @@
 package org.ragwortbank.core.gateway
 
+import kotlinx.collections.immutable.toPersistentList
 import org.ragwortbank.core.hash.RendezvousHash
 import org.ragwortbank.core.log.LogPart
 import org.ragwortbank.core.result.Refusal
@@ -20,10 +21,29 @@
 /** Decides whether a request may run: its route, its key, its account's rate. */
 class ArrivalSystem : TickSystem<GatewayTables, GatewayInput, GatewayEffect> {
     override fun run(tick: Tick<GatewayInput>, step: GatewayStep): GatewayStep =
-        tick.inputs.fold(step) { s, input ->
-            if (input is GatewayInput.CallArrived) arrive(s, input.number, input.call, tick.now) else s
+        tick.inputs.fold(readUnread(step, tick.now)) { s, input ->
+            when (input) {
+                is GatewayInput.CallArrived -> receive(s, UnreadCall(input.number, input.call, tick.now))
+                is GatewayInput.CallerGone -> s.update { it.copy(unread = it.unread.removeAll { c -> c.number == input.number }) }
+                else -> s
+            }
         }
 
+    /** A process that has just started has its first configuration within a fraction of a second. */
+    private fun receive(step: GatewayStep, unread: UnreadCall): GatewayStep =
+        when (step.tables.config) {
+            null -> step.update { it.copy(unread = it.unread.add(unread)) }
+            else -> arrive(step, unread.number, unread.call, unread.at)
+        }
+
+    private fun readUnread(step: GatewayStep, now: Timestamp): GatewayStep {
+        val known = step.tables.config != null
+        val (due, waiting) = step.tables.unread.partition { known || now - it.at > CONFIG_PATIENCE }
+        if (due.isEmpty()) return step
+        return due.fold(step) { s, call -> arrive(s, call.number, call.call, now) }
+            .update { it.copy(unread = waiting.toPersistentList()) }
+    }
+
     private fun arrive(step: GatewayStep, number: RequestNumber, call: ServingCall, now: Timestamp): GatewayStep =
         when (val ruling = rule(step.tables, call, now)) {
             is Ruling.No -> step.refuseNew(number, call.id, ruling.refusal)
@@ -114,6 +134,7 @@
 
     private companion object {
         val SOON = 300.milliseconds
+        val CONFIG_PATIENCE = 1.seconds
     }
 }
 
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/AttemptSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/AttemptSystem.kt
@@ -68,9 +68,17 @@
         val said = step
             .log(LogPart.ROUTING, "request ${row.call.id} rejected by ${row.upstream} with ${facts.status}, not run")
             .emit(GatewayEffect.Abandon(row.number, row.attempts))
-        val pause = if (facts.status == MISDIRECTED) null else REJECTED_PAUSE
-        val avoided = if (pause == null) said else said.avoid(row.upstream, now + pause)
-        return avoided.tryAgain(row, "upstream ${row.upstream} answered ${facts.status}")
+        val detail = "upstream ${row.upstream} answered ${facts.status}"
+        val absent = facts.status == MISDIRECTED && row.call.adapterKey != null
+        val noted = if (absent) said.missing(row) else said.avoid(row.upstream, now + REJECTED_PAUSE)
+        val spent = row.attempts > row.route.maxAttempts + MAX_RESENDS
+        return if (spent) noted.end(row, ResultCode.NO_UPSTREAM, detail, RETRY_AFTER) else noted.tryAgain(row, detail)
+    }
+
+    /** The upstream doesn't hold what the request needs, whatever was told before. */
+    private fun GatewayStep.missing(row: RequestRow): GatewayStep {
+        val upstream = row.upstream ?: return this
+        return update { tables -> tables.updateUpstream(upstream) { it.without(row.call.adapterKey) } }
     }
 
     private fun failed(step: GatewayStep, row: RequestRow, facts: AnswerFacts, now: Timestamp): GatewayStep {
@@ -116,6 +124,9 @@
     private companion object {
         const val FIRST_FAILURE = 500
         const val MISDIRECTED = 421
+
+        /** Sends beyond the route's attempts that the same upstream rejected. */
+        const val MAX_RESENDS = 2
         val FAILURE_PAUSE = 400.milliseconds
         val REJECTED_PAUSE = 100.milliseconds
         val RETRY_AFTER = 500.milliseconds
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewayTables.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewayTables.kt
@@ -1,7 +1,9 @@
 package org.ragwortbank.core.gateway
 
+import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.PersistentSet
+import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.persistentSetOf
 import org.ragwortbank.core.log.LogLine
@@ -10,6 +12,7 @@
 import org.ragwortbank.core.serving.AdapterKey
 import org.ragwortbank.core.serving.RequestNumber
 import org.ragwortbank.core.serving.ServiceName
+import org.ragwortbank.core.serving.ServingCall
 import org.ragwortbank.core.serving.ServingConfig
 import org.ragwortbank.core.serving.UpstreamId
 import org.ragwortbank.core.tick.Step
@@ -18,6 +21,13 @@
 /** A gateway's step of a tick. */
 typealias GatewayStep = Step<GatewayTables, GatewayEffect>
 
+/** A call that came before the first configuration. */
+data class UnreadCall(
+    val number: RequestNumber,
+    val call: ServingCall,
+    val at: Timestamp,
+)
+
 /** The newest version of an adapter, and when this entry heard of it. */
 data class NamedVersion(
     val version: Long,
@@ -32,6 +42,7 @@
  * @property config newest configuration; null before the first
  * @property confirmedAt when the store was last asked something whose answer confirmed [config]
  * @property members upstreams of each service
+ * @property unread calls that came before the first configuration
  * @property waiting requests that wait for an upstream, the oldest first
  * @property demand what each placer was told last
  * @property peersTold totals of use that the other entries were told last, and [peersToldAt] when
@@ -47,6 +58,7 @@
     val members: PersistentMap<ServiceName, PersistentSet<UpstreamId>> = persistentMapOf(),
     val versions: PersistentMap<AdapterKey, NamedVersion> = persistentMapOf(),
     val requests: PersistentMap<RequestNumber, RequestRow> = persistentMapOf(),
+    val unread: PersistentList<UnreadCall> = persistentListOf(),
     val waiting: PersistentSet<RequestNumber> = persistentSetOf(),
     val buckets: PersistentMap<AccountId, FleetBucket> = persistentMapOf(),
     val retries: PersistentMap<ServiceName, RetryBudget> = persistentMapOf(),
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/RoutingSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/RoutingSystem.kt
@@ -24,21 +24,18 @@
         return when {
             best != null -> place(step, row, best, now)
             members.isNotEmpty() -> step
-            else -> step.end(row, ResultCode.NO_UPSTREAM, "${row.service} has none left, tried ${row.tried}", RETRY_AFTER)
+            else -> step.end(row, ResultCode.NO_UPSTREAM, "${row.service} has none with it, tried ${row.tried}", RETRY_AFTER)
         }
     }
 
     private fun UpstreamRow.serves(row: RequestRow): Boolean {
         val model = row.call.model ?: return true
         val known = digest?.models?.takeIf { it.isNotEmpty() } ?: entry.models
-        return known.isEmpty() || model in known
+        return model in known
     }
 
     private fun place(step: GatewayStep, row: RequestRow, best: Candidate, now: Timestamp): GatewayStep =
-        when (best.state) {
-            AdapterState.PRESENT, AdapterState.PREVIOUS -> send(step, row, best, now)
-            AdapterState.COMING, AdapterState.WARM, AdapterState.ABSENT, AdapterState.OUTDATED -> wish(step, row, best, now)
-        }
+        if (best.state.usable) send(step, row, best, now) else wish(step, row, best, now)
 
     private fun wish(step: GatewayStep, row: RequestRow, best: Candidate, now: Timestamp): GatewayStep {
         val id = best.row.entry.id
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/StoreSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/StoreSystem.kt
@@ -86,7 +86,7 @@
         val limited = config.accounts.values.filter { it.limited }
         val fresh = tables.identity.firstStart || tables.config != null
         return limited.associate { account ->
-            val start = if (fresh) account.burst.toDouble() else 0.0
+            val start = if (fresh) account.burst.toDouble() else account.burst * PART_AFTER_RESTART
             val known = tables.buckets[account.id]?.withLimits(account)
             account.id to (known ?: FleetBucket(account.rate, account.burst, start, now))
         }.toPersistentMap()
@@ -153,5 +153,8 @@
 
     private companion object {
         const val MAX_LOGGED = 24
+
+        /** What was used before a restart isn't known; all entries may have restarted, each with this part. */
+        const val PART_AFTER_RESTART = 0.25
     }
 }
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/UpstreamCost.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/UpstreamCost.kt
@@ -24,6 +24,10 @@
 
     /** An older version is in use, so that a load would wait for its requests. */
     OUTDATED,
+    ;
+
+    /** Whether a request can be sent at once. */
+    val usable: Boolean get() = this == PRESENT || this == PREVIOUS
 }
 
 /**
@@ -52,7 +56,9 @@
 class ExpectedDelay : UpstreamCost {
     override fun estimate(tables: GatewayTables, request: RequestRow, row: UpstreamRow, now: Timestamp): Candidate {
         val state = tables.adapterState(request.call.adapterKey, row, now)
-        val wait = waitFor(state, request, row, now)
+        val told = row.freshDigest(now, tables.settings.digestLifetime) != null
+        val silent = if (told || state.usable) 0.0 else SILENT_PLACER_MILLIS
+        val wait = waitFor(state, request, row, now) + silent
         val queue = queueMillis(tables, request, row)
         return Candidate(row, state, wait + queue + row.health.delayMillis)
     }
@@ -96,6 +102,7 @@
         const val WARM_MILLIS = 60.0
         const val ABSENT_MILLIS = 270.0
         const val OUTDATED_MILLIS = 1_200.0
+        const val SILENT_PLACER_MILLIS = 1_500.0
         const val LOAD_USUAL_MILLIS = 600.0
         const val WISHED_BONUS_MILLIS = 60.0
         const val PREFERENCE_MILLIS = 900.0
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/UpstreamRow.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/UpstreamRow.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.persistentSetOf
 import org.ragwortbank.core.serving.AdapterKey
 import org.ragwortbank.core.serving.EngineDigest
 import org.ragwortbank.core.serving.UpstreamEntry
@@ -85,6 +86,16 @@
     /** Requests that it has to serve, as far as is known. */
     val load: Int get() = maxOf(inFlight, (told?.let { it.running + it.waiting } ?: 0) + sentSince)
 
+    /** This row with [adapter] not held, until its placer or its next entry says otherwise; all of it when null. */
+    fun without(adapter: AdapterKey?): UpstreamRow =
+        when (adapter) {
+            null -> copy(digest = null, digestAt = null, entry = entry.copy(models = persistentSetOf()))
+            else -> copy(
+                digest = digest?.let { it.copy(holds = it.holds.remove(adapter)) },
+                entry = entry.copy(adapters = entry.adapters.remove(adapter)),
+            )
+        }
+
     /** This row with a request for [adapter] sent. */
     fun sent(adapter: AdapterKey?): UpstreamRow =
         copy(inFlight = inFlight + 1, sentSince = sentSince + 1, using = using.change(adapter, 1))
--- a/core/src/test/kotlin/org/ragwortbank/core/gateway/RoutingSystemTest.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/gateway/RoutingSystemTest.kt
@@ -1,5 +1,6 @@
 package org.ragwortbank.core.gateway
 
+import kotlinx.collections.immutable.persistentSetOf
 import org.ragwortbank.core.result.ResultCode
 import org.ragwortbank.core.serving.AdapterKey
 import org.ragwortbank.core.serving.StoreChange
@@ -69,6 +70,29 @@
         assertTrue(gateway.sent().isEmpty())
     }
 
+    @Test
+    fun `given an engine that started again without its model, then nothing is sent there`() {
+        val empty = gateway.entry("engine-2", GatewayFixture.ENGINES, born = 2).copy(models = persistentSetOf())
+        gateway.change(StoreChange.UpstreamSeen(empty))
+        repeat(3) {
+            gateway.arrive("/chat/x", gateway.call("/chat/x", adapter = "a1"))
+            assertEquals(first, gateway.sent().single().upstream)
+        }
+    }
+
+    @Test
+    fun `given an engine that rejects an adapter as missing, then it is not sent there again until it is told`() {
+        gateway.tell(second, holds = emptyMap())
+        val number = gateway.arrive("/chat/x", gateway.call("/chat/x", adapter = "a1"))
+        val facts = AnswerFacts(status = 421, notRun = true, load = null)
+        gateway.tick(GatewayInput.HeadArrived(number, 1, facts))
+        assertTrue(gateway.sent().isEmpty())
+        gateway.after(100.milliseconds)
+        assertTrue(gateway.sent().isEmpty())
+        gateway.tell(first)
+        assertEquals(first, gateway.sent().single().upstream)
+    }
+
     @Test
     fun `given an upstream that is leaving, then it gets nothing more`() {
         gateway.change(StoreChange.UpstreamSeen(gateway.entry("desk-1", GatewayFixture.DESK, accepting = false)))
--- a/node/src/main/kotlin/org/ragwortbank/node/log/LogSetup.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/log/LogSetup.kt
@@ -24,6 +24,9 @@
     private const val BLOCKING_WAIT = "Block"
     private const val FULL_PROPERTY = "log4j2.asyncQueueFullPolicy"
     private const val DISCARD = "Discard"
+    private const val JSON_PATTERN =
+        """{"time":"%d{yyyy-MM-dd'T'HH:mm:ss.SSSZ}","level":"%p","part":"%c","message":"%enc{%m}{JSON}"""" +
+            """%notEmpty{,"exception":"%enc{%xEx}{JSON}"}}%n"""
     private const val APPENDER = "console"
 
     /** Must be called before the first logger is used. */
@@ -51,6 +54,6 @@
             LogFormat.TEXT ->
                 builder.newLayout("PatternLayout").addAttribute("pattern", "%d{ISO8601} %-5level %c: %m%n")
             LogFormat.JSON ->
-                builder.newLayout("JsonTemplateLayout").addAttribute("eventTemplateUri", "classpath:LogTemplate.json")
+                builder.newLayout("PatternLayout").addAttribute("pattern", JSON_PATTERN).addAttribute("alwaysWriteExceptions", false)
         }
 }
