--- a/cli/src/main/kotlin/org/ragwortbank/cli/command/SettingsCommand.kt
+++ b/cli/src/main/kotlin/org/ragwortbank/cli/command/SettingsCommand.kt
@@ -1,6 +1,6 @@
 package org.ragwortbank.cli.command
 
-import org.ragwortbank.cli.settings.SettingsFile
+import org.ragwortbank.cli.settings.SettingsList
 import org.ragwortbank.cli.toml.TomlSetting
 import picocli.CommandLine.Command
 import picocli.CommandLine.Parameters
@@ -18,10 +18,10 @@
 
     override fun call(): Int =
         when (process) {
-            "entry" -> show(SettingsFile.entrySettings())
-            "sidecar" -> show(SettingsFile.sidecarSettings())
-            "gateway" -> show(SettingsFile.gatewaySettings())
-            "placer" -> show(SettingsFile.placerSettings())
+            "entry" -> show(SettingsList.entrySettings())
+            "sidecar" -> show(SettingsList.sidecarSettings())
+            "gateway" -> show(SettingsList.gatewaySettings())
+            "placer" -> show(SettingsList.placerSettings())
             else -> fail(ExitCode.USAGE, "found '$process', expected entry, sidecar, gateway or placer")
         }
 
--- a/cli/src/main/kotlin/org/ragwortbank/cli/settings/SettingsFile.kt
+++ b/cli/src/main/kotlin/org/ragwortbank/cli/settings/SettingsFile.kt
@@ -1,11 +1,9 @@
 package org.ragwortbank.cli.settings
 
-import net.peanuuutz.tomlkt.TomlTable
 import org.ragwortbank.cli.toml.Checked
 import org.ragwortbank.cli.toml.TomlContent
 import org.ragwortbank.cli.toml.TomlFile
 import org.ragwortbank.cli.toml.TomlReader
-import org.ragwortbank.cli.toml.TomlSetting
 import org.ragwortbank.node.settings.EntryNodeSettings
 import org.ragwortbank.node.settings.GatewayNodeSettings
 import org.ragwortbank.node.settings.PlacerNodeSettings
@@ -26,24 +24,6 @@
     /** The settings of a placer. */
     fun placer(path: Path): Checked<PlacerNodeSettings> = read(path, ::readPlacer)
 
-    /** All settings of an entry. */
-    fun entrySettings(): List<TomlSetting> = describe(::readEntry)
-
-    /** All settings of a sidecar. */
-    fun sidecarSettings(): List<TomlSetting> = describe(::readSidecar)
-
-    /** All settings of a gateway. */
-    fun gatewaySettings(): List<TomlSetting> = describe(::readGateway)
-
-    /** All settings of a placer. */
-    fun placerSettings(): List<TomlSetting> = describe(::readPlacer)
-
-    private fun describe(block: (TomlReader) -> Any): List<TomlSetting> {
-        val reader = TomlReader("", TomlTable(emptyMap<String, Any>()))
-        block(reader)
-        return reader.settings
-    }
-
     private fun <T> read(path: Path, block: (TomlReader) -> T): Checked<T> =
         when (val content = TomlFile.read(path)) {
             is TomlContent.Bad -> Checked.Bad(listOf(content.problem.toString()))
--- a/cli/src/test/kotlin/org/ragwortbank/cli/DocumentsTest.kt
+++ b/cli/src/test/kotlin/org/ragwortbank/cli/DocumentsTest.kt
@@ -2,7 +2,7 @@
 
 import org.ragwortbank.cli.command.ExitCode
 import org.ragwortbank.cli.command.settingsTable
-import org.ragwortbank.cli.settings.SettingsFile
+import org.ragwortbank.cli.settings.SettingsList
 import org.ragwortbank.core.result.ResultCode
 import java.nio.file.Path
 import kotlin.io.path.readText
@@ -22,7 +22,12 @@
 
     @Test
     fun `docs-SETTINGS lists every setting with the program's default`() {
-        val tables = listOf(SettingsFile.entrySettings(), SettingsFile.sidecarSettings()).map(::settingsTable)
+        val tables = listOf(
+            SettingsList.entrySettings(),
+            SettingsList.sidecarSettings(),
+            SettingsList.gatewaySettings(),
+            SettingsList.placerSettings(),
+        ).map(::settingsTable)
         assertDocumented("SETTINGS.md", tables)
     }
 
--- /dev/null
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/AdapterStates.kt
@@ -0,0 +1,34 @@
+package org.ragwortbank.core.gateway
+
+import org.ragwortbank.core.serving.AdapterKey
+import org.ragwortbank.core.tick.Timestamp
+
+/** How [row] stands to [adapter]; an upstream can always serve a request that needs none. */
+internal fun GatewayTables.adapterState(adapter: AdapterKey?, row: UpstreamRow, now: Timestamp): AdapterState =
+    if (adapter == null) AdapterState.PRESENT else heldState(adapter, row, now) ?: absentState(adapter, row, now)
+
+/** The state while the adapter can be used in some version; null when it can't. */
+private fun GatewayTables.heldState(adapter: AdapterKey, row: UpstreamRow, now: Timestamp): AdapterState? {
+    val digest = row.freshDigest(now, settings.digestLifetime)
+    val held = (if (digest != null) digest.holds[adapter] else row.entry.adapters[adapter]) ?: return null
+    val named = versions[adapter]
+    return when {
+        named == null || held >= named.version -> AdapterState.PRESENT
+        now - named.heardAt < settings.staleVersion -> AdapterState.PREVIOUS
+        else -> null
+    }
+}
+
+private fun GatewayTables.absentState(adapter: AdapterKey, row: UpstreamRow, now: Timestamp): AdapterState {
+    val digest = row.freshDigest(now, settings.digestLifetime)
+    val wanted = versions[adapter]?.version ?: 0
+    val isAtLeast = { version: Long? -> version != null && version >= wanted }
+    val outdated = digest?.holds?.containsKey(adapter) ?: (adapter in row.entry.adapters)
+    val inUse = adapter in row.using || digest?.used?.contains(adapter) == true
+    return when {
+        isAtLeast(digest?.coming?.get(adapter)) -> AdapterState.COMING
+        outdated && inUse -> AdapterState.OUTDATED
+        isAtLeast(row.past[adapter]) -> AdapterState.WARM
+        else -> AdapterState.ABSENT
+    }
+}
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/ArrivalSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/ArrivalSystem.kt
@@ -1,21 +1,15 @@
 package org.ragwortbank.core.gateway
 
 import kotlinx.collections.immutable.toPersistentList
-import org.ragwortbank.core.hash.RendezvousHash
 import org.ragwortbank.core.log.LogPart
 import org.ragwortbank.core.result.Refusal
 import org.ragwortbank.core.result.ResultCode
 import org.ragwortbank.core.serving.RequestNumber
-import org.ragwortbank.core.serving.ServiceName
 import org.ragwortbank.core.serving.ServingAccount
 import org.ragwortbank.core.serving.ServingCall
-import org.ragwortbank.core.serving.ServingConfig
-import org.ragwortbank.core.serving.ServingRoute
 import org.ragwortbank.core.tick.Tick
 import org.ragwortbank.core.tick.TickSystem
 import org.ragwortbank.core.tick.Timestamp
-import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /** Decides whether a request may run: its route, its key, its account's rate. */
@@ -24,7 +18,7 @@
         tick.inputs.fold(readUnread(step, tick.now)) { s, input ->
             when (input) {
                 is GatewayInput.CallArrived -> receive(s, UnreadCall(input.number, input.call, tick.now))
-                is GatewayInput.CallerGone -> s.update { it.copy(unread = it.unread.removeAll { c -> c.number == input.number }) }
+                is GatewayInput.CallerGone -> s.update { it.forgetUnread(input.number) }
                 else -> s
             }
         }
@@ -36,6 +30,9 @@
             else -> arrive(step, unread.number, unread.call, unread.at)
         }
 
+    private fun GatewayTables.forgetUnread(number: RequestNumber): GatewayTables =
+        copy(unread = unread.removeAll { it.number == number })
+
     private fun readUnread(step: GatewayStep, now: Timestamp): GatewayStep {
         val known = step.tables.config != null
         val (due, waiting) = step.tables.unread.partition { known || now - it.at > CONFIG_PATIENCE }
@@ -45,41 +42,11 @@
     }
 
     private fun arrive(step: GatewayStep, number: RequestNumber, call: ServingCall, now: Timestamp): GatewayStep =
-        when (val ruling = rule(step.tables, call, now)) {
+        when (val ruling = step.tables.rule(call, now)) {
             is Ruling.No -> step.refuseNew(number, call.id, ruling.refusal)
             is Ruling.Yes -> admit(step, row(number, call, ruling, now), ruling.account, now)
         }
 
-    private fun rule(tables: GatewayTables, call: ServingCall, now: Timestamp): Ruling {
-        val config = tables.config
-        val route = config?.route(call.host, call.path)
-        val service = route?.targetFor(RendezvousHash.seed(call.id).toInt())
-        return when {
-            config == null -> no(ResultCode.NO_CONFIGURATION, "none has been read yet", SOON)
-            route == null -> no(ResultCode.ROUTE_UNKNOWN, "no route for ${call.host}${call.path} in ${config.version}")
-            service == null -> no(ResultCode.NO_UPSTREAM, "route ${route.name} has no service", SOON)
-            route.public || !config.usesKeys -> Ruling.Yes(route, service, null)
-            else -> ruleKey(tables, config, call, Ruling.Yes(route, service, null), now)
-        }
-    }
-
-    private fun ruleKey(
-        tables: GatewayTables,
-        config: ServingConfig,
-        call: ServingCall,
-        ruling: Ruling.Yes,
-        now: Timestamp,
-    ): Ruling {
-        val account = call.key?.let { config.keys[it] }?.let { config.accounts[it] }
-        return when {
-            !tables.hasKeyAuthority(now) ->
-                no(ResultCode.KEYS_UNCONFIRMED, "last confirmed ${tables.confirmedAgo(now)} ago", SOON)
-            call.key == null -> no(ResultCode.KEY_MISSING)
-            account == null -> no(ResultCode.KEY_UNKNOWN, "not in configuration ${config.version}")
-            else -> ruling.copy(account = account)
-        }
-    }
-
     private fun row(number: RequestNumber, call: ServingCall, ruling: Ruling.Yes, now: Timestamp): RequestRow {
         val patience = minOf(call.deadline ?: ruling.route.timeout, ruling.route.timeout)
         val resumes = ruling.route.resumable && call.resumesStream
@@ -123,31 +90,7 @@
         return step.refuseNew(row.number, row.call.id, Refusal.notRun(ResultCode.RATE_EXCEEDED, detail, wait))
     }
 
-    private fun no(code: ResultCode, detail: String = code.meaning, retryAfter: Duration? = null): Ruling =
-        Ruling.No(Refusal.notRun(code, detail, retryAfter))
-
-    private sealed interface Ruling {
-        data class Yes(val route: ServingRoute, val service: ServiceName, val account: ServingAccount?) : Ruling
-
-        data class No(val refusal: Refusal) : Ruling
-    }
-
     private companion object {
-        val SOON = 300.milliseconds
         val CONFIG_PATIENCE = 1.seconds
     }
 }
-
-/** How long ago the store confirmed the configuration. */
-internal fun GatewayTables.confirmedAgo(now: Timestamp): Duration = confirmedAt?.let { now - it } ?: NEVER
-
-/** Whether keys may be accepted: the store has confirmed lately that the configuration is the newest. */
-internal fun GatewayTables.hasKeyAuthority(now: Timestamp): Boolean = confirmedAgo(now) <= settings.keyAuthority
-
-/** Listed entries that have sent no digest for too long. */
-internal fun GatewayTables.silentPeers(now: Timestamp): List<String> =
-    peers.values
-        .filter { it.listed && now - (it.heardAt ?: it.seenAt) > settings.peerSilence }
-        .map { it.name }
-
-private val NEVER: Duration = 1_000_000.seconds
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/AttemptSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/AttemptSystem.kt
@@ -3,7 +3,6 @@
 import org.ragwortbank.core.log.LogPart
 import org.ragwortbank.core.result.ResultCode
 import org.ragwortbank.core.serving.RequestNumber
-import org.ragwortbank.core.serving.UpstreamId
 import org.ragwortbank.core.serving.WorkKind
 import org.ragwortbank.core.tick.Tick
 import org.ragwortbank.core.tick.TickSystem
@@ -16,7 +15,8 @@
         tick.inputs.fold(step) { s, input ->
             when (input) {
                 is GatewayInput.NotSent -> s.onAttempt(input.number, input.attempt) { notSent(s, it, input, tick.now) }
-                is GatewayInput.AttemptBroke -> s.onAttempt(input.number, input.attempt) { broke(s, it, input, tick.now) }
+                is GatewayInput.AttemptBroke ->
+                    s.onAttempt(input.number, input.attempt) { broke(s, it, input, tick.now) }
                 is GatewayInput.HeadArrived -> s.onAttempt(input.number, input.attempt) { head(s, it, input, tick.now) }
                 is GatewayInput.AnswerEnded -> s.onAttempt(input.number, input.attempt) { ended(s, it) }
                 else -> s
@@ -36,9 +36,14 @@
         step
             .log(LogPart.ROUTING, "request ${row.call.id} not sent to ${row.upstream}: ${input.cause}")
             .blame(row.upstream, now)
-            .update { tables -> tables.waitAgain(row).forgetTry(row) }
+            .update { it.waitUntried(row) }
 
-    private fun broke(step: GatewayStep, row: RequestRow, input: GatewayInput.AttemptBroke, now: Timestamp): GatewayStep {
+    private fun broke(
+        step: GatewayStep,
+        row: RequestRow,
+        input: GatewayInput.AttemptBroke,
+        now: Timestamp,
+    ): GatewayStep {
         val said = step
             .log(LogPart.ROUTING, "request ${row.call.id} lost at ${row.upstream}: ${input.cause}")
             .blame(row.upstream, now)
@@ -58,9 +63,7 @@
         return when {
             facts.notRun -> rejected(told, row, facts, now)
             facts.status >= FIRST_FAILURE -> failed(told, row, facts, now)
-            else -> told
-                .update { t -> t.updateUpstream(upstream) { it.copy(health = it.health.afterAnswer(now - sentAt)) } }
-                .relay(row, facts)
+            else -> told.update { it.praise(upstream, now - sentAt) }.relay(row, facts)
         }
     }
 
@@ -75,12 +78,6 @@
         return if (spent) noted.end(row, ResultCode.NO_UPSTREAM, detail, RETRY_AFTER) else noted.tryAgain(row, detail)
     }
 
-    /** The upstream doesn't hold what the request needs, whatever was told before. */
-    private fun GatewayStep.missing(row: RequestRow): GatewayStep {
-        val upstream = row.upstream ?: return this
-        return update { tables -> tables.updateUpstream(upstream) { it.without(row.call.adapterKey) } }
-    }
-
     private fun failed(step: GatewayStep, row: RequestRow, facts: AnswerFacts, now: Timestamp): GatewayStep {
         val ran = row.ran()
         val retry = row.route.kind == WorkKind.IDEMPOTENT && step.tables.hasOther(ran, now)
@@ -107,35 +104,13 @@
         return update { it.copy(retries = it.retries.put(row.service, rest)).waitAgain(row) }
     }
 
-    private fun GatewayStep.blame(upstream: UpstreamId?, now: Timestamp): GatewayStep {
-        if (upstream == null) return this
-        return update { t -> t.updateUpstream(upstream) { it.copy(health = it.health.afterFailure(now, FAILURE_PAUSE)) } }
-    }
-
-    private fun GatewayStep.avoid(upstream: UpstreamId?, until: Timestamp): GatewayStep {
-        if (upstream == null) return this
-        return update { t -> t.updateUpstream(upstream) { it.copy(health = it.health.copy(blockedUntil = until)) } }
-    }
-
-    private fun GatewayTables.hasOther(row: RequestRow, now: Timestamp): Boolean =
-        row.tried.size < row.route.maxAttempts &&
-            members[row.service].orEmpty().any { it !in row.tried && upstreams[it]?.open(now) == true }
-
     private companion object {
         const val FIRST_FAILURE = 500
         const val MISDIRECTED = 421
 
         /** Sends beyond the route's attempts that the same upstream rejected. */
         const val MAX_RESENDS = 2
-        val FAILURE_PAUSE = 400.milliseconds
         val REJECTED_PAUSE = 100.milliseconds
         val RETRY_AFTER = 500.milliseconds
     }
 }
-
-/** A send that never left this process doesn't count as a try of its upstream. */
-private fun GatewayTables.forgetTry(row: RequestRow): GatewayTables {
-    val upstream = row.upstream ?: return this
-    val waiting = requests[row.number] ?: return this
-    return put(waiting.copy(tried = waiting.tried.remove(upstream)))
-}
--- /dev/null
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/ConfigChanges.kt
@@ -0,0 +1,48 @@
+package org.ragwortbank.core.gateway
+
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.toPersistentMap
+import org.ragwortbank.core.log.LogPart
+import org.ragwortbank.core.model.AccountId
+import org.ragwortbank.core.serving.ServingConfig
+import org.ragwortbank.core.serving.StoreChange
+import org.ragwortbank.core.tick.Timestamp
+
+private const val MAX_LOGGED = 24
+
+/** What was used before a restart isn't known; all entries may have restarted, each with this part. */
+private const val PART_AFTER_RESTART = 0.25
+
+/** Puts [config] in force unless a newer version is. */
+internal fun GatewayStep.takeConfig(config: ServingConfig, now: Timestamp): GatewayStep {
+    val known = tables.config
+    if (known != null && known.version >= config.version) return this
+    val before = known?.version ?: "none"
+    return log(LogPart.CONFIG, "configuration ${config.version} in force, $before before, rates ${rates(config)}")
+        .update { it.copy(config = config, buckets = bucketsFor(it, config, now)) }
+}
+
+/** Notes the newest version of an adapter. */
+internal fun GatewayTables.nameVersion(change: StoreChange.VersionNamed, now: Timestamp): GatewayTables {
+    val known = versions[change.adapter]
+    if (known != null && known.version >= change.version) return this
+    return copy(versions = versions.put(change.adapter, NamedVersion(change.version, now)))
+}
+
+private fun rates(config: ServingConfig): String =
+    config.accounts.values.take(MAX_LOGGED).joinToString { "${it.id} ${it.rate}+${it.burst}" }
+
+/** A bucket that is new begins full only where nothing can have been used: at the first start of the system. */
+private fun bucketsFor(
+    tables: GatewayTables,
+    config: ServingConfig,
+    now: Timestamp,
+): PersistentMap<AccountId, FleetBucket> {
+    val limited = config.accounts.values.filter { it.limited }
+    val fresh = tables.identity.firstStart || tables.config != null
+    return limited.associate { account ->
+        val start = if (fresh) account.burst.toDouble() else account.burst * PART_AFTER_RESTART
+        val known = tables.buckets[account.id]?.withLimits(account)
+        account.id to (known ?: FleetBucket(account.rate, account.burst, start, now))
+    }.toPersistentMap()
+}
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/DemandSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/DemandSystem.kt
@@ -66,7 +66,8 @@
         val wishes = digest.wishes.map { it.adapter }.toPersistentSet()
         return step
             .emit(GatewayEffect.TellPlacer(row.entry.endpoint.host, digest))
-            .update { it.copy(digestNumber = digest.number, demand = it.demand.put(row.entry.id, DemandRow(wishes, now))) }
+            .update { it.copy(digestNumber = digest.number) }
+            .update { it.copy(demand = it.demand.put(row.entry.id, DemandRow(wishes, now))) }
     }
 
     private companion object {
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/FleetBucket.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/FleetBucket.kt
@@ -53,7 +53,7 @@
     /** The bucket after this entry admitted [tokens]; a negative number gives tokens back. */
     fun take(tokens: Long): FleetBucket = copy(level = level - tokens, ownTotal = ownTotal + tokens)
 
-    /** The bucket after [peer] told that it has admitted [total] tokens; [counts] unless that was before this entry's time. */
+    /** The bucket after [peer] told its [total] of admitted tokens, which [counts] if it was in this entry's time. */
     fun hear(peer: String, incarnation: Long, total: Long, counts: Boolean): FleetBucket {
         val known = peers[peer]
         val before = known?.takeIf { it.incarnation == incarnation }?.total
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/HearSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/HearSystem.kt
@@ -46,7 +46,8 @@
      * A peer that holds the same configuration confirms it as of the peer's own question to the store.
      *
      * How long the digest was on its way, or lay in a buffer while this process was paused, can't be told from it. But
-     * it was made after the peer heard the digest of this entry that it names, so the age counts from when that was sent.
+     * it was made after the peer heard the digest of this entry that it names, so its age counts from the time at which
+     * that was sent.
      */
     private fun GatewayTables.confirmedBy(digest: PeerDigest): GatewayTables {
         val own = config?.version ?: return this
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/PeerSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/PeerSystem.kt
@@ -20,7 +20,8 @@
 
     private fun due(tables: GatewayTables, totals: PersistentMap<AccountId, Long>, now: Timestamp): Boolean {
         val at = tables.peersToldAt ?: return true
-        return now - at >= if (totals == tables.peersTold) tables.settings.peerInterval * IDLE_FACTOR else interval(tables)
+        val idle = totals == tables.peersTold
+        return now - at >= if (idle) tables.settings.peerInterval * IDLE_FACTOR else interval(tables)
     }
 
     /** Grows with the fleet, so that what an entry sends and receives a second does not. */
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/RequestEnds.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/RequestEnds.kt
@@ -34,7 +34,10 @@
     logRefusal(id, refusal).emit(GatewayEffect.Refuse(number, refusal))
 
 private fun GatewayStep.logRefusal(id: String, refusal: Refusal): GatewayStep =
-    log(LogPart.ANSWER, "request $id: ${refusal.code.number} ${refusal.code}, ${refusal.execution.text}: ${refusal.detail}")
+    log(LogPart.ANSWER, "request $id: ${describe(refusal)}")
+
+private fun describe(refusal: Refusal): String =
+    "${refusal.code.number} ${refusal.code}, ${refusal.execution.text}: ${refusal.detail}"
 
 /** The tables with the upstream of [row], if it has one, relieved of it. */
 internal fun GatewayTables.release(row: RequestRow): GatewayTables {
@@ -44,9 +47,9 @@
 
 /** The tables with the tokens of [row] given back, if it has certainly not run. */
 internal fun GatewayTables.refund(row: RequestRow): GatewayTables {
-    val account = row.account
+    val account = row.account?.takeIf { !row.mayHaveRun && row.tokens > 0 }
     val bucket = account?.let { buckets[it] }
-    if (account == null || bucket == null || row.mayHaveRun || row.tokens == 0L) return this
+    if (account == null || bucket == null) return this
     return copy(buckets = buckets.put(account, bucket.take(-row.tokens)))
 }
 
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/RetryBudget.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/RetryBudget.kt
@@ -6,7 +6,7 @@
  * @property level sends that may be made now
  */
 data class RetryBudget(val level: Double) {
-    /** The budget after a request was sent for the first time, at [ratio] extra sends per request and at most [most]. */
+    /** The budget after the first send of a request, at [ratio] extra sends per request and at most [most]. */
     fun afterFirstSend(ratio: Double, most: Double): RetryBudget = RetryBudget((level + ratio).coerceAtMost(most))
 
     /** The budget after an extra send; null when there is none left. */
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/RoutingSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/RoutingSystem.kt
@@ -24,10 +24,12 @@
         return when {
             best != null -> place(step, row, best, now)
             members.isNotEmpty() -> step
-            else -> step.end(row, ResultCode.NO_UPSTREAM, "${row.service} has none with it, tried ${row.tried}", RETRY_AFTER)
+            else -> step.end(row, ResultCode.NO_UPSTREAM, noneLeft(row), RETRY_AFTER)
         }
     }
 
+    private fun noneLeft(row: RequestRow): String = "${row.service} has none with it, tried ${row.tried}"
+
     private fun UpstreamRow.serves(row: RequestRow): Boolean {
         val model = row.call.model ?: return true
         val known = digest?.models?.takeIf { it.isNotEmpty() } ?: entry.models
@@ -41,9 +43,9 @@
         val id = best.row.entry.id
         val stage = row.stage as? RequestStage.Waiting
         if (stage?.wish == id) return step
-        val text = "request ${row.call.id} waits for ${row.call.adapterKey} at $id, ${best.state}, ${describe(best, now)}"
+        val wanted = "waits for ${row.call.adapterKey} at $id, ${best.state}"
         return step
-            .log(LogPart.PLACEMENT, text)
+            .log(LogPart.PLACEMENT, "request ${row.call.id} $wanted, ${describe(best, now)}")
             .update { it.put(row.copy(stage = RequestStage.Waiting(id, now))) }
     }
 
@@ -65,8 +67,9 @@
             adapterVersion = named?.version?.takeIf { best.state == AdapterState.PRESENT },
             endsBy = row.endsBy,
         )
+        val attempt = "attempt ${sent.attempts} to ${entry.id}"
         return step
-            .log(LogPart.ROUTING, "request ${row.call.id} attempt ${sent.attempts} to ${entry.id}, ${describe(best, now)}")
+            .log(LogPart.ROUTING, "request ${row.call.id} $attempt, ${describe(best, now)}")
             .emit(GatewayEffect.Send(sending))
             .update { it.put(sent).updateUpstream(entry.id) { u -> u.sent(row.call.adapterKey) } }
             .update { if (sent.attempts == 1) it.earnRetry(sent) else it }
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/UpstreamCost.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/UpstreamCost.kt
@@ -1,7 +1,6 @@
 package org.ragwortbank.core.gateway
 
 import org.ragwortbank.core.hash.RendezvousHash
-import org.ragwortbank.core.serving.AdapterKey
 import org.ragwortbank.core.tick.Timestamp
 import kotlin.time.DurationUnit
 
@@ -109,21 +108,3 @@
         const val SCORE_RANGE = 4_294_967_296.0
     }
 }
-
-/** How [row] stands to [adapter]. */
-internal fun GatewayTables.adapterState(adapter: AdapterKey?, row: UpstreamRow, now: Timestamp): AdapterState {
-    if (adapter == null) return AdapterState.PRESENT
-    val digest = row.freshDigest(now, settings.digestLifetime)
-    val named = versions[adapter]
-    val held = if (digest != null) digest.holds[adapter] else row.entry.adapters[adapter]
-    val coming = digest?.coming?.get(adapter)
-    val inUse = (digest != null && adapter in digest.used) || adapter in row.using
-    return when {
-        held != null && (named == null || held >= named.version) -> AdapterState.PRESENT
-        held != null && named != null && now - named.heardAt < settings.staleVersion -> AdapterState.PREVIOUS
-        coming != null && (named == null || coming >= named.version) -> AdapterState.COMING
-        held != null && inUse -> AdapterState.OUTDATED
-        row.past[adapter]?.let { named == null || it >= named.version } == true -> AdapterState.WARM
-        else -> AdapterState.ABSENT
-    }
-}
--- a/core/src/main/kotlin/org/ragwortbank/core/placer/OrderSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/placer/OrderSystem.kt
@@ -1,8 +1,6 @@
 package org.ragwortbank.core.placer
 
 import org.ragwortbank.core.log.LogPart
-import org.ragwortbank.core.serving.AdapterKey
-import org.ragwortbank.core.serving.AdapterWish
 import org.ragwortbank.core.serving.EngineSpec
 import org.ragwortbank.core.tick.Tick
 import org.ragwortbank.core.tick.TickSystem
@@ -63,47 +61,24 @@
     }
 
     private fun adapterOrder(tables: PlacerTables, report: EngineReport, engine: EngineSpec, now: Timestamp): Order? {
-        val wish = wishes(tables).firstOrNull { it.isOpen(report) } ?: return null
+        val wish = tables.wishes().firstOrNull { it.isOpen(report) } ?: return null
         val replaces = wish.adapter in report.holds
         return when {
             report.coming.size >= tables.settings.maxComing -> null
-            replaces || placesLeft(report, engine) > 0 -> Order.LoadAdapter(wish.adapter, wish.version)
-            else -> victim(tables, report, now)?.let { Order.DropAdapter(it) }
+            replaces || report.placesLeft(engine) > 0 -> Order.LoadAdapter(wish.adapter, wish.version)
+            else -> tables.leastUsed(report, now)?.let { Order.DropAdapter(it) }
         }
     }
 
-    private fun wishes(tables: PlacerTables): List<AdapterWish> =
-        tables.entries.values.flatMap { it.demand.wishes }
-
-    private fun AdapterWish.isOpen(report: EngineReport): Boolean {
-        val held = report.holds[adapter]
-        val satisfied = held != null && (version == null || held >= version)
-        return !satisfied && adapter !in report.coming && adapter.model in report.models
-    }
-
-    private fun placesLeft(report: EngineReport, engine: EngineSpec): Int {
-        val loaded = report.models.mapNotNull { engine.models[it] }
-        val free = engine.memoryMegabytes - loaded.sumOf { it.weightsMegabytes }
-        val each = loaded.maxOfOrNull { it.adapterMegabytes }?.takeIf { it > 0 }
-        val byMemory = each?.let { (free / it).toInt() } ?: engine.adapterSlots
-        return minOf(engine.adapterSlots, byMemory) - (report.holds.keys + report.coming.keys).size
-    }
-
-    private fun victim(tables: PlacerTables, report: EngineReport, now: Timestamp): AdapterKey? {
-        val wished = wishes(tables).map { it.adapter }.toSet()
-        return report.holds.keys
-            .filter { it !in wished && it !in tables.used && it !in report.coming }
-            .filter { key -> tables.lastUsed[key]?.let { now - it >= tables.settings.idleFor } ?: true }
-            .minByOrNull { tables.lastUsed[it]?.nanos ?: Long.MIN_VALUE }
-    }
-
     private fun give(step: PlacerStep, order: Order, now: Timestamp): PlacerStep {
         val tables = step.tables
-        val report = tables.report ?: return step
-        val upstream = tables.upstream ?: return step
+        val report = tables.report
+        val upstream = tables.upstream
+        if (report == null || upstream == null) return step
         val number = tables.orderNumber + 1
+        val state = "at ${report.sequence}, holds ${report.holds.size}"
         return step
-            .log(LogPart.PLACEMENT, "order $number to $upstream at ${report.sequence}: $order, holds ${report.holds.size}")
+            .log(LogPart.PLACEMENT, "order $number to $upstream $state: $order")
             .emit(PlacerEffect.Give(upstream, order, number, report.sequence))
             .update { it.copy(pending = PendingOrder(order, number, now), orderNumber = number) }
     }
--- /dev/null
+++ b/core/src/main/kotlin/org/ragwortbank/core/placer/Places.kt
@@ -0,0 +1,34 @@
+package org.ragwortbank.core.placer
+
+import org.ragwortbank.core.serving.AdapterKey
+import org.ragwortbank.core.serving.AdapterWish
+import org.ragwortbank.core.serving.EngineSpec
+import org.ragwortbank.core.tick.Timestamp
+
+/** Adapters that entries wait for. */
+internal fun PlacerTables.wishes(): List<AdapterWish> = entries.values.flatMap { it.demand.wishes }
+
+/** Whether the engine neither holds what is wished for nor is loading it. */
+internal fun AdapterWish.isOpen(report: EngineReport): Boolean {
+    val held = report.holds[adapter]
+    val satisfied = held != null && (version == null || held >= version)
+    return !satisfied && adapter !in report.coming && adapter.model in report.models
+}
+
+/** Places for further adapters, with those counted that are under way. */
+internal fun EngineReport.placesLeft(engine: EngineSpec): Int {
+    val loaded = models.mapNotNull { engine.models[it] }
+    val free = engine.memoryMegabytes - loaded.sumOf { it.weightsMegabytes }
+    val each = loaded.maxOfOrNull { it.adapterMegabytes }?.takeIf { it > 0 }
+    val byMemory = each?.let { (free / it).toInt() } ?: engine.adapterSlots
+    return minOf(engine.adapterSlots, byMemory) - (holds.keys + coming.keys).size
+}
+
+/** The adapter that was unused longest; null when all are in use, wished for or lately used. */
+internal fun PlacerTables.leastUsed(report: EngineReport, now: Timestamp): AdapterKey? {
+    val wished = wishes().map { it.adapter }.toSet()
+    return report.holds.keys
+        .filter { it !in wished && it !in used && it !in report.coming }
+        .filter { key -> lastUsed[key]?.let { now - it >= settings.idleFor } ?: true }
+        .minByOrNull { lastUsed[it]?.nanos ?: Long.MIN_VALUE }
+}
--- a/core/src/main/kotlin/org/ragwortbank/core/placer/ReportSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/placer/ReportSystem.kt
@@ -34,7 +34,8 @@
     }
 
     private fun lose(step: PlacerStep, cause: String): PlacerStep {
-        val said = if (step.tables.report != null) step.log(LogPart.PLATFORM, "the engine does not answer: $cause") else step
+        val news = step.tables.report != null
+        val said = if (news) step.log(LogPart.PLATFORM, "the engine does not answer: $cause") else step
         return said.update { it.copy(report = null, awaitingReport = false) }
     }
 
--- a/core/src/test/kotlin/org/ragwortbank/core/gateway/AttemptSystemTest.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/gateway/AttemptSystemTest.kt
@@ -113,5 +113,4 @@
 
     private fun head(number: RequestNumber, attempt: Int, status: Int, notRun: Boolean = false) =
         GatewayInput.HeadArrived(number, attempt, AnswerFacts(status, notRun, load = null))
-
 }
--- a/core/src/test/kotlin/org/ragwortbank/core/gateway/GatewayFixture.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/gateway/GatewayFixture.kt
@@ -142,7 +142,7 @@
         route("/resume/", WorkKind.STREAM, ENGINES, resumable = true, attempts = 2),
         route("/book/", WorkKind.ONCE, DESK),
         route("/look/", WorkKind.IDEMPOTENT, DESK, attempts = 2),
-        route("/open/", WorkKind.IDEMPOTENT, DESK, public = true),
+        route("/open/", WorkKind.IDEMPOTENT, DESK).copy(public = true),
     )
 
     private fun route(
@@ -151,7 +151,6 @@
         service: ServiceName,
         resumable: Boolean = false,
         attempts: Int = 1,
-        public: Boolean = false,
     ) = ServingRoute(
         name = RouteName(prefix.trim('/')),
         host = "host",
@@ -163,7 +162,7 @@
         targetLatency = 500.milliseconds,
         maxAttempts = attempts,
         priority = 0,
-        public = public,
+        public = false,
     )
 
     companion object {
--- a/node/src/main/kotlin/org/ragwortbank/node/datagram/DigestCodec.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/datagram/DigestCodec.kt
@@ -61,7 +61,10 @@
     fun decode(bytes: ByteArray): ReceivedDigest {
         val content = ByteBuffer.wrap(bytes)
         val sealed = bytes.size > HEAD_BYTES && content.getInt() == MARK && content.getInt() == checksum(bytes)
-        return if (sealed) parse(bytes.copyOfRange(HEAD_BYTES, bytes.size)) else ReceivedDigest.Bad("wrong mark or checksum")
+        return when {
+            sealed -> parse(bytes.copyOfRange(HEAD_BYTES, bytes.size))
+            else -> ReceivedDigest.Bad("wrong mark or checksum")
+        }
     }
 
     @Suppress("TooGenericExceptionCaught")
--- a/node/src/main/kotlin/org/ragwortbank/node/gateway/Attempt.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/gateway/Attempt.kt
@@ -1,11 +1,8 @@
 package org.ragwortbank.node.gateway
 
 import io.netty.buffer.ByteBuf
-import io.netty.buffer.Unpooled
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpResponse
-import kotlinx.collections.immutable.PersistentList
-import kotlinx.collections.immutable.persistentListOf
 import org.ragwortbank.core.gateway.AnswerFacts
 import org.ragwortbank.core.gateway.GatewayInput
 import org.ragwortbank.core.serving.RequestNumber
@@ -24,8 +21,7 @@
     private val post: (GatewayInput) -> Unit,
 ) : AttemptListener {
     private var head: HttpResponse? = null
-    private var held: PersistentList<ByteBuf> = persistentListOf()
-    private var heldBytes = 0
+    private val held = HeldBody()
     private var told = false
     private var relaying = false
     private var complete = false
@@ -44,9 +40,8 @@
             sink.content(content.retain())
             exchange.read(sink.writable)
         } else {
-            held = held.add(content.retain())
-            heldBytes += content.readableBytes()
-            if (streams() || heldBytes > MAX_HELD_BYTES) tell()
+            held.add(content)
+            if (streams() || held.size > MAX_HELD_BYTES) tell()
         }
     }
 
@@ -57,7 +52,7 @@
     }
 
     override fun broke(cause: String) {
-        drop()
+        held.drop()
         post(GatewayInput.AttemptBroke(number, attempt, cause))
     }
 
@@ -66,24 +61,19 @@
         val response = head ?: return
         relaying = true
         sink.onWritability { exchange.read(sink.writable) }
-        if (complete && response.headers()[HttpHeaderNames.CONTENT_LENGTH] == null) frame(response)
+        if (complete) response.headers().set(HttpHeaderNames.CONTENT_LENGTH, held.size)
+        if (complete) response.headers().remove(HttpHeaderNames.TRANSFER_ENCODING)
         sink.begin(response)
-        if (held.isNotEmpty()) sink.content(Unpooled.wrappedBuffer(*held.toTypedArray()))
-        held = persistentListOf()
+        held.take()?.let(sink::content)
         if (complete) finish()
     }
 
     /** Gives the attempt up. */
     fun cancel() {
-        drop()
+        held.drop()
         exchange.cancel()
     }
 
-    private fun frame(response: HttpResponse) {
-        response.headers().remove(HttpHeaderNames.TRANSFER_ENCODING)
-        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, heldBytes)
-    }
-
     private fun finish() {
         sink.end()
         post(GatewayInput.AnswerEnded(number, attempt))
@@ -99,11 +89,6 @@
     private fun streams(): Boolean =
         head?.headers()?.get(HttpHeaderNames.CONTENT_TYPE)?.startsWith("text/event-stream", ignoreCase = true) == true
 
-    private fun drop() {
-        held.forEach { it.release() }
-        held = persistentListOf()
-    }
-
     private companion object {
         const val MAX_HELD_BYTES = 1_048_576
     }
--- /dev/null
+++ b/node/src/main/kotlin/org/ragwortbank/node/gateway/HeldBody.kt
@@ -0,0 +1,31 @@
+package org.ragwortbank.node.gateway
+
+import io.netty.buffer.ByteBuf
+import io.netty.buffer.CompositeByteBuf
+import io.netty.buffer.Unpooled
+
+/** The part of an answer's body that has not gone on to the caller yet. */
+internal class HeldBody {
+    private var body: CompositeByteBuf? = null
+
+    /** Bytes held. */
+    val size: Int get() = body?.readableBytes() ?: 0
+
+    /** Keeps [content], which stays its sender's to release. */
+    fun add(content: ByteBuf) {
+        val all = body ?: Unpooled.compositeBuffer(Int.MAX_VALUE).also { body = it }
+        all.addComponent(true, content.retain())
+    }
+
+    /** Gives all of it away; null when there is nothing. */
+    fun take(): ByteBuf? {
+        val all = body
+        body = null
+        return all
+    }
+
+    /** Forgets it. */
+    fun drop() {
+        take()?.release()
+    }
+}
--- a/node/src/main/kotlin/org/ragwortbank/node/gateway/UpstreamConnections.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/gateway/UpstreamConnections.kt
@@ -2,6 +2,7 @@
 
 import io.netty.bootstrap.Bootstrap
 import io.netty.channel.Channel
+import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoop
@@ -36,13 +37,14 @@
 
     /** Sends [request], whose caller names it [id], to [endpoint] and tells [listener] what becomes of it. */
     fun send(endpoint: Endpoint, id: String, request: FullHttpRequest, listener: AttemptListener): UpstreamExchange {
-        val exchange = UpstreamExchange(id, request, listener, dialect) { channel, limit -> release(endpoint, channel, limit) }
+        val keep = { channel: Channel, limit: Duration -> release(endpoint, channel, limit) }
+        val exchange = UpstreamExchange(id, request, listener, dialect, keep)
         val kept = take(endpoint)
         if (kept != null) {
             exchange.sendOn(kept)
         } else {
             bootstrap.connect(endpoint.host, endpoint.port).addListener { done ->
-                exchange.connected((done as io.netty.channel.ChannelFuture).channel(), done.cause())
+                exchange.connected((done as ChannelFuture).channel(), done.cause())
             }
         }
         return exchange
--- a/node/src/main/kotlin/org/ragwortbank/node/http/GenerateBody.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/http/GenerateBody.kt
@@ -15,7 +15,7 @@
     /** Acceptable; [model] names the route. */
     data class Good(val model: String, val work: Work.Generate) : GenerateBody
 
-    /** Not acceptable; [detail] tells path, what was found and what was expected, [model] the route if it can be read. */
+    /** Not acceptable; [detail] tells path, what was found and expected, [model] the route if it can be read. */
     data class Bad(val detail: String, val model: String? = null) : GenerateBody
 }
 
--- a/node/src/main/kotlin/org/ragwortbank/node/log/LogSetup.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/log/LogSetup.kt
@@ -54,6 +54,8 @@
             LogFormat.TEXT ->
                 builder.newLayout("PatternLayout").addAttribute("pattern", "%d{ISO8601} %-5level %c: %m%n")
             LogFormat.JSON ->
-                builder.newLayout("PatternLayout").addAttribute("pattern", JSON_PATTERN).addAttribute("alwaysWriteExceptions", false)
+                builder.newLayout("PatternLayout")
+                    .addAttribute("pattern", JSON_PATTERN)
+                    .addAttribute("alwaysWriteExceptions", false)
         }
 }
--- a/node/src/main/kotlin/org/ragwortbank/node/loop/EventLoopTicker.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/loop/EventLoopTicker.kt
@@ -10,9 +10,20 @@
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 
+/**
+ * When ticks happen.
+ *
+ * @property now the present time
+ * @property interval longest time to the next tick, by the tables after the last one
+ */
+class Pace<T>(
+    val now: () -> Timestamp,
+    val interval: (T) -> Duration,
+)
+
 /**
  * Runs the systems of a process on the thread of its event loop, once for all inputs that one round of the loop
- * brought, and at least once per [interval], which depends on the tables.
+ * brought, and at least once per interval of [pace].
  *
  * All functions must be called on that thread, so that inputs, tables and connections need no locks.
  */
@@ -20,8 +31,7 @@
     private val loop: EventLoop,
     private val schedule: Schedule<T, I, E>,
     initial: T,
-    private val interval: (T) -> Duration,
-    private val now: () -> Timestamp,
+    private val pace: Pace<T>,
     private val observer: TickObserver,
     private val perform: (E) -> Unit,
 ) {
@@ -34,7 +44,7 @@
 
     /** Begins to tick. */
     fun start() {
-        loop.schedule(::regularTick, interval(tables).inWholeNanoseconds, TimeUnit.NANOSECONDS)
+        loop.schedule(::regularTick, pace.interval(tables).inWholeNanoseconds, TimeUnit.NANOSECONDS)
     }
 
     /** Adds an input for the next tick. */
@@ -64,7 +74,7 @@
 
     private fun tick(inputs: PersistentList<I>) {
         val begin = System.nanoTime()
-        val step = schedule.run(Tick(now(), inputs), tables)
+        val step = schedule.run(Tick(pace.now(), inputs), tables)
         tables = step.tables
         step.effects.forEach(perform)
         observer.onTick(inputs.size, System.nanoTime() - begin)
--- a/node/src/main/kotlin/org/ragwortbank/node/placer/PlacerNode.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/placer/PlacerNode.kt
@@ -18,6 +18,7 @@
 import org.ragwortbank.node.gateway.endpoint
 import org.ragwortbank.node.log.Logs
 import org.ragwortbank.node.loop.EventLoopTicker
+import org.ragwortbank.node.loop.Pace
 import org.ragwortbank.node.loop.PauseAwareClock
 import org.ragwortbank.node.metrics.NodeMetrics
 import org.ragwortbank.node.port.PlatformPorts
@@ -38,8 +39,7 @@
         loop = process.loop,
         schedule = placerSchedule(),
         initial = PlacerTables(settings.name, System.currentTimeMillis()),
-        interval = { if (it.report?.coming.isNullOrEmpty()) IDLE_INTERVAL else BUSY_INTERVAL },
-        now = clock::now,
+        pace = Pace(clock::now) { if (it.report?.coming.isNullOrEmpty()) IDLE_INTERVAL else BUSY_INTERVAL },
         observer = metrics,
         perform = ::perform,
     )
@@ -49,7 +49,8 @@
         val admin = AdminServer(process.group, Pages()).start(settings.adminAddress)
         val digests = link.open(settings.digestAddress.endpoint())
         process.run { ticker.start() }
-        Logs.drain.info("placer {} started, digests at {}, engine at {}", settings.name, digests, settings.engineAddress)
+        val engineAddress = settings.engineAddress
+        Logs.drain.info("placer {} started, digests at {}, engine at {}", settings.name, digests, engineAddress)
         return Ready(settings.name, null, digests.address(), admin)
     }
 
--- a/node/src/test/kotlin/org/ragwortbank/node/datagram/DigestCodecTest.kt
+++ b/node/src/test/kotlin/org/ragwortbank/node/datagram/DigestCodecTest.kt
@@ -26,11 +26,13 @@
     @Test
     fun `given each kind of digest, then it comes out as it went in`() {
         val engine = EngineSpec(persistentMapOf("base" to ModelSpec("base", 70.5, 1.5)), 76.0, 26)
-        val demand = DemandDigest("e", 1, 2, UpstreamId("i"), persistentListOf(AdapterWish(adapter, null)), persistentSetOf(adapter), engine)
+        val wishes = persistentListOf(AdapterWish(adapter, null))
+        val demand = DemandDigest("e", 1, 2, UpstreamId("i"), wishes, persistentSetOf(adapter), engine)
         assertEquals(ReceivedDigest.Demand(demand), DigestCodec.decode(DigestCodec.encode(demand)))
         val held = EngineDigest(UpstreamId("i"), 1, 2, persistentMapOf(adapter to 3L), running = 4, queued = 5)
         assertEquals(ReceivedDigest.Engine(held), DigestCodec.decode(DigestCodec.encode(held)))
-        val peer = PeerDigest("e", 1, 2, persistentMapOf(AccountId("club") to 9L), 7, 40, persistentMapOf("f" to DigestStamp(1, 8)))
+        val used = persistentMapOf(AccountId("club") to 9L)
+        val peer = PeerDigest("e", 1, 2, used, 7, 40, persistentMapOf("f" to DigestStamp(1, 8)))
         assertEquals(ReceivedDigest.Peer(peer), DigestCodec.decode(DigestCodec.encode(peer)))
     }
 
