End a call whose kept connection had closed before its handler was added

Change: a failed write ends the call; the admin server says that it closes. HttpClientTest fails before (one of 2,000 calls without an end) and passes after.

--- a/clients/src/main/kotlin/org/ragwortbank/clients/http/HttpClient.kt
+++ b/clients/src/main/kotlin/org/ragwortbank/clients/http/HttpClient.kt
@@ -97,8 +97,11 @@
         private fun send(opened: Channel) {
             opened.attr(USED).set(true)
             channel.set(opened)
-            opened.pipeline().addLast(ResponseHandler(listener) { pool.release(opened) })
-            opened.writeAndFlush(request())
+            val handler = ResponseHandler(listener) { pool.release(opened) }
+            opened.pipeline().addLast(handler)
+            opened.writeAndFlush(request()).addListener { sent ->
+                if (!sent.isSuccess) handler.notWritten(opened, sent.cause())
+            }
             if (cancelled.get()) opened.close()
         }
 
--- a/clients/src/main/kotlin/org/ragwortbank/clients/http/ResponseHandler.kt
+++ b/clients/src/main/kotlin/org/ragwortbank/clients/http/ResponseHandler.kt
@@ -1,6 +1,7 @@
 package org.ragwortbank.clients.http
 
 import io.netty.buffer.ByteBufUtil
+import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.SimpleChannelInboundHandler
 import io.netty.handler.codec.http.HttpContent
@@ -37,6 +38,10 @@
     override fun exceptionCaught(ctx: ChannelHandlerContext, cause: Throwable) =
         fail(ctx, cause.message ?: cause.javaClass.simpleName)
 
+    /** The connection had closed before this handler could hear of it, so that nothing else will end the call. */
+    fun notWritten(channel: Channel, cause: Throwable) =
+        channel.eventLoop().execute { end(channel, cause.message ?: cause.javaClass.simpleName) }
+
     private fun onHead(response: HttpResponse) {
         keepAlive = HttpUtil.isKeepAlive(response)
         val headers = response.headers().entries().map { Header(it.key, it.value) }
@@ -55,10 +60,12 @@
         listener.onEnd()
     }
 
-    private fun fail(ctx: ChannelHandlerContext, cause: String) {
+    private fun fail(ctx: ChannelHandlerContext, cause: String) = end(ctx.channel(), cause)
+
+    private fun end(channel: Channel, cause: String) {
         if (ended) return
         ended = true
-        ctx.close()
+        channel.close()
         release()
         listener.onFailure(connected = true, cause)
     }
--- /dev/null
+++ b/clients/src/test/kotlin/org/ragwortbank/clients/http/HttpClientTest.kt
@@ -0,0 +1,49 @@
+package org.ragwortbank.clients.http
+
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
+import kotlinx.coroutines.runBlocking
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.net.Socket
+import kotlin.concurrent.thread
+import kotlin.test.AfterTest
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.time.Duration.Companion.seconds
+
+class HttpClientTest {
+    private val group = MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory())
+    private val client = HttpClient(group, 2.seconds)
+    private val server = ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress())
+    private val acceptor = thread(isDaemon = true) {
+        generateSequence { runCatching { server.accept() }.getOrNull() }.forEach { thread(isDaemon = true) { answer(it) } }
+    }
+
+    @AfterTest
+    fun stop() {
+        server.close()
+        acceptor.join()
+        group.shutdownGracefully()
+    }
+
+    /** Answers one request and closes, without saying so in the answer. */
+    private fun answer(socket: Socket) = socket.use {
+        it.getInputStream().read(ByteArray(REQUEST_BYTES))
+        it.getOutputStream().write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n".encodeToByteArray())
+    }
+
+    @Test
+    fun `given a server that closes kept connections without notice, then each call ends at once with what happened`() {
+        val address = Address(server.inetAddress.hostAddress, server.localPort)
+        val replies = generateSequence { runBlocking { client.fetch(address, HttpCall.get("/"), 2.seconds) } }
+        val hung = replies.take(CALLS).filterIsInstance<HttpReply.Failed>().firstOrNull { "no answer within" in it.cause }
+        assertEquals(null, hung, "a call had no end")
+    }
+
+    private companion object {
+        const val BACKLOG = 50
+        const val REQUEST_BYTES = 4_096
+        const val CALLS = 2_000
+    }
+}
--- a/node/src/main/kotlin/org/ragwortbank/node/admin/AdminServer.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/admin/AdminServer.kt
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaderValues
 import io.netty.handler.codec.http.HttpObjectAggregator
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpServerCodec
@@ -46,6 +47,7 @@
             val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, page.status, body)
             response.headers().set(HttpHeaderNames.CONTENT_TYPE, page.type)
             response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes())
+            response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
             ctx.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE)
         }
 
--- a/node/src/main/kotlin/org/ragwortbank/node/gateway/UpstreamExchange.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/gateway/UpstreamExchange.kt
@@ -73,7 +73,9 @@
     fun sendOn(opened: Channel) {
         channel = opened
         opened.pipeline().get(UpstreamHandler::class.java).exchange = this
-        opened.writeAndFlush(request)
+        opened.writeAndFlush(request).addListener { sent ->
+            if (!sent.isSuccess) onBroken(sent.cause().message ?: "not written")
+        }
     }
 
     /** The head of an answer arrived. */
