Wish for adapters where a place is free, and hold on to the preferred engine

Change: digests tell how many places can take another adapter, an engine without one ranks last for loads, and the preferred engine weighs more than a difference in load.

--- a/clients/src/test/kotlin/org/ragwortbank/clients/http/HttpClientTest.kt
+++ b/clients/src/test/kotlin/org/ragwortbank/clients/http/HttpClientTest.kt
@@ -17,7 +17,8 @@
     private val client = HttpClient(group, 2.seconds)
     private val server = ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress())
     private val acceptor = thread(isDaemon = true) {
-        generateSequence { runCatching { server.accept() }.getOrNull() }.forEach { thread(isDaemon = true) { answer(it) } }
+        val accepted = generateSequence { runCatching { server.accept() }.getOrNull() }
+        accepted.forEach { thread(isDaemon = true) { answer(it) } }
     }
 
     @AfterTest
@@ -37,7 +38,8 @@
     fun `given a server that closes kept connections without notice, then each call ends at once with what happened`() {
         val address = Address(server.inetAddress.hostAddress, server.localPort)
         val replies = generateSequence { runBlocking { client.fetch(address, HttpCall.get("/"), 2.seconds) } }
-        val hung = replies.take(CALLS).filterIsInstance<HttpReply.Failed>().firstOrNull { "no answer within" in it.cause }
+        val failures = replies.take(CALLS).filterIsInstance<HttpReply.Failed>()
+        val hung = failures.firstOrNull { "no answer within" in it.cause }
         assertEquals(null, hung, "a call had no end")
     }
 
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/UpstreamCost.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/UpstreamCost.kt
@@ -56,8 +56,13 @@
     override fun estimate(tables: GatewayTables, request: RequestRow, row: UpstreamRow, now: Timestamp): Candidate {
         val state = tables.adapterState(request.call.adapterKey, row, now)
         val told = row.freshDigest(now, tables.settings.digestLifetime) != null
-        val silent = if (told || state.usable) 0.0 else SILENT_PLACER_MILLIS
-        val wait = waitFor(state, request, row, now) + silent
+        val blocked = when {
+            state.usable || state == AdapterState.COMING -> 0.0
+            !told -> SILENT_PLACER_MILLIS
+            row.digest?.free == 0 -> NO_PLACE_MILLIS
+            else -> 0.0
+        }
+        val wait = waitFor(state, request, row, now) + blocked
         val queue = queueMillis(tables, request, row)
         return Candidate(row, state, wait + queue + row.health.delayMillis)
     }
@@ -101,10 +106,11 @@
         const val WARM_MILLIS = 60.0
         const val ABSENT_MILLIS = 270.0
         const val OUTDATED_MILLIS = 1_200.0
-        const val SILENT_PLACER_MILLIS = 1_500.0
+        const val SILENT_PLACER_MILLIS = 4_000.0
+        const val NO_PLACE_MILLIS = 2_500.0
         const val LOAD_USUAL_MILLIS = 600.0
         const val WISHED_BONUS_MILLIS = 60.0
-        const val PREFERENCE_MILLIS = 900.0
+        const val PREFERENCE_MILLIS = 2_500.0
         const val SCORE_RANGE = 4_294_967_296.0
     }
 }
--- a/core/src/main/kotlin/org/ragwortbank/core/placer/OrderSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/placer/OrderSystem.kt
@@ -51,7 +51,7 @@
 
     private fun next(tables: PlacerTables, now: Timestamp): Order? {
         val report = tables.report
-        val engine = tables.entries.values.maxByOrNull { it.heardAt }?.demand?.engine
+        val engine = tables.engineSpec()
         val missing = engine?.models?.keys?.firstOrNull()?.takeIf { report?.models?.isEmpty() == true }
         return when {
             report == null || engine == null || tables.stopping || report.busy -> null
--- a/core/src/main/kotlin/org/ragwortbank/core/placer/Places.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/placer/Places.kt
@@ -25,10 +25,19 @@
 }
 
 /** The adapter that was unused longest; null when all are in use, wished for or lately used. */
-internal fun PlacerTables.leastUsed(report: EngineReport, now: Timestamp): AdapterKey? {
+internal fun PlacerTables.leastUsed(report: EngineReport, now: Timestamp): AdapterKey? =
+    unused(report, now).minByOrNull { lastUsed[it]?.nanos ?: Long.MIN_VALUE }
+
+/** Places that can take another adapter now. */
+internal fun PlacerTables.freePlaces(report: EngineReport, now: Timestamp): Int =
+    (engineSpec()?.let { report.placesLeft(it) } ?: 0) + unused(report, now).size
+
+/** What the engine can hold, by the newest word of an entry. */
+internal fun PlacerTables.engineSpec(): EngineSpec? = entries.values.maxByOrNull { it.heardAt }?.demand?.engine
+
+private fun PlacerTables.unused(report: EngineReport, now: Timestamp): List<AdapterKey> {
     val wished = wishes().map { it.adapter }.toSet()
     return report.holds.keys
         .filter { it !in wished && it !in used && it !in report.coming }
         .filter { key -> lastUsed[key]?.let { now - it >= settings.idleFor } ?: true }
-        .minByOrNull { lastUsed[it]?.nanos ?: Long.MIN_VALUE }
 }
--- a/core/src/main/kotlin/org/ragwortbank/core/placer/TellSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/placer/TellSystem.kt
@@ -32,6 +32,7 @@
             models = report.models,
             running = report.running,
             queued = report.queued,
+            free = tables.freePlaces(report, now),
         )
         return step
             .emitAll(tables.entries.values.map { PlacerEffect.Tell(it.endpoint, digest) })
--- a/core/src/main/kotlin/org/ragwortbank/core/serving/Digests.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/serving/Digests.kt
@@ -39,6 +39,7 @@
  * @property coming versions of the adapters whose load is under way
  * @property running requests under way at the engine, of all entries
  * @property queued requests that wait there
+ * @property free places that can take another adapter now, those of unused adapters included
  */
 data class EngineDigest(
     val upstream: UpstreamId,
@@ -50,6 +51,7 @@
     val models: PersistentSet<String> = persistentSetOf(),
     val running: Int = 0,
     val queued: Int = 0,
+    val free: Int = 0,
 )
 
 /**
--- a/core/src/test/kotlin/org/ragwortbank/core/gateway/GatewayFixture.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/gateway/GatewayFixture.kt
@@ -67,8 +67,8 @@
 
     fun change(vararg changes: StoreChange) = tick(GatewayInput.StoreChanged(changes.toList().toPersistentList(), now))
 
-    fun tell(engine: UpstreamId, holds: Map<String, Long> = mapOf("a1" to 1), number: Long = ++calls) =
-        tick(GatewayInput.EngineTold(digest(engine, holds, number)))
+    fun tell(engine: UpstreamId, holds: Map<String, Long> = mapOf("a1" to 1), free: Int = 3) =
+        tick(GatewayInput.EngineTold(digest(engine, holds).copy(free = free)))
 
     fun arrive(path: String, call: ServingCall = call(path)): RequestNumber {
         val number = RequestNumber(++calls)
@@ -125,10 +125,10 @@
         adapters = persistentMapOf(),
     )
 
-    private fun digest(engine: UpstreamId, holds: Map<String, Long>, number: Long) = EngineDigest(
+    private fun digest(engine: UpstreamId, holds: Map<String, Long>) = EngineDigest(
         upstream = engine,
         incarnation = 1,
-        number = number,
+        number = ++calls,
         holds = holds.mapKeys { AdapterKey(MODEL, it.key) }.toPersistentMap(),
         models = persistentSetOf(MODEL),
     )
--- a/core/src/test/kotlin/org/ragwortbank/core/gateway/RoutingSystemTest.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/gateway/RoutingSystemTest.kt
@@ -36,6 +36,16 @@
         assertEquals(told.upstream, gateway.sent().single().upstream)
     }
 
+    @Test
+    fun `given an engine whose places are all in use, then an adapter is wished for at another`() {
+        gateway.tell(first, free = 0)
+        repeat(4) { index ->
+            gateway.arrive("/chat/x", gateway.call("/chat/x", adapter = "b$index"))
+            val told = gateway.effects.filterIsInstance<GatewayEffect.TellPlacer>().map { it.digest }
+            assertEquals(second, told.last { it.wishes.isNotEmpty() }.upstream)
+        }
+    }
+
     @Test
     fun `given an adapter that is never loaded, then its request is refused in time and has not run`() {
         gateway.arrive("/chat/x", gateway.call("/chat/x", adapter = "a9"))
--- a/core/src/test/kotlin/org/ragwortbank/core/placer/OrderSystemTest.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/placer/OrderSystemTest.kt
@@ -70,6 +70,14 @@
         assertTrue(orders().isEmpty())
     }
 
+    @Test
+    fun `given adapters in use and unused ones, then the entries are told how many places can take another`() {
+        tick(PlacerInput.DemandTold(demand(emptyList(), used = listOf("a1")), from))
+        after(2.seconds, PlacerInput.DemandTold(demand(emptyList(), used = listOf("a1")), from))
+        report(sequence = 1, holds = listOf("a1", "a2"))
+        assertEquals(1, effects.filterIsInstance<PlacerEffect.Tell>().last().digest.free)
+    }
+
     @Test
     fun `given an engine without its model, then the model is loaded before any adapter`() {
         tick(PlacerInput.Reported(engine(0).copy(models = persistentSetOf()), now))
--- a/node/src/main/kotlin/org/ragwortbank/node/datagram/DigestCodec.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/datagram/DigestCodec.kt
@@ -139,6 +139,7 @@
     models = models.toList(),
     running = running,
     queued = queued,
+    free = free,
 )
 
 private fun WireEngine.toDigest() = EngineDigest(
@@ -151,6 +152,7 @@
     models = models.toPersistentSet(),
     running = running,
     queued = queued,
+    free = free,
 )
 
 private fun PeerDigest.toWire() = WirePeer(
--- a/node/src/main/kotlin/org/ragwortbank/node/datagram/WireDigest.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/datagram/WireDigest.kt
@@ -58,6 +58,7 @@
     @SerialName("m") val models: List<String> = emptyList(),
     @SerialName("r") val running: Int = 0,
     @SerialName("q") val queued: Int = 0,
+    @SerialName("f") val free: Int = 0,
 )
 
 /** What an entry has admitted. */
