Hear what happened during a pause before sending anything

Ruled out: deadlines (the requests were new to the process). Change: after a gap of 400 ms between ticks nothing is sent for 60 ms; calls of callers that have left are forgotten.

--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/ArrivalSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/ArrivalSystem.kt
@@ -17,25 +17,29 @@
     override fun run(tick: Tick<GatewayInput>, step: GatewayStep): GatewayStep =
         tick.inputs.fold(readUnread(step, tick.now)) { s, input ->
             when (input) {
-                is GatewayInput.CallArrived -> receive(s, UnreadCall(input.number, input.call, tick.now))
-                is GatewayInput.CallerGone -> s.update { it.forgetUnread(input.number) }
+                is GatewayInput.CallArrived -> receive(s, UnreadCall(input.number, input.call, tick.now), tick.now)
+                is GatewayInput.CallerGone -> forgetUnread(s, input.number)
                 else -> s
             }
         }
 
     /** A process that has just started has its first configuration within a fraction of a second. */
-    private fun receive(step: GatewayStep, unread: UnreadCall): GatewayStep =
-        when (step.tables.config) {
-            null -> step.update { it.copy(unread = it.unread.add(unread)) }
+    private fun receive(step: GatewayStep, unread: UnreadCall, now: Timestamp): GatewayStep =
+        when {
+            step.tables.config == null || step.tables.listens(now) ->
+                step.update { it.copy(unread = it.unread.add(unread)) }
             else -> arrive(step, unread.number, unread.call, unread.at)
         }
 
-    private fun GatewayTables.forgetUnread(number: RequestNumber): GatewayTables =
-        copy(unread = unread.removeAll { it.number == number })
+    private fun forgetUnread(step: GatewayStep, number: RequestNumber): GatewayStep {
+        val kept = step.tables.unread.removeAll { it.number == number }
+        if (kept.size == step.tables.unread.size) return step
+        return step.emit(GatewayEffect.Forget(number)).update { it.copy(unread = kept) }
+    }
 
     private fun readUnread(step: GatewayStep, now: Timestamp): GatewayStep {
-        val known = step.tables.config != null
-        val (due, waiting) = step.tables.unread.partition { known || now - it.at > CONFIG_PATIENCE }
+        val readable = step.tables.config != null && !step.tables.listens(now)
+        val (due, waiting) = step.tables.unread.partition { readable || now - it.at > CONFIG_PATIENCE }
         if (due.isEmpty()) return step
         return due.fold(step) { s, call -> arrive(s, call.number, call.call, now) }
             .update { it.copy(unread = waiting.toPersistentList()) }
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewaySchedule.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewaySchedule.kt
@@ -7,6 +7,7 @@
 fun gatewaySchedule(cost: UpstreamCost = ExpectedDelay()): Schedule<GatewayTables, GatewayInput, GatewayEffect> =
     Schedule(
         persistentListOf(
+            PauseSystem(),
             StoreSystem(),
             HearSystem(),
             AttemptSystem(),
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewayTables.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewayTables.kt
@@ -42,7 +42,8 @@
  * @property config newest configuration; null before the first
  * @property confirmedAt when the store was last asked something whose answer confirmed [config]
  * @property members upstreams of each service
- * @property unread calls that came before the first configuration
+ * @property unread calls that came before the first configuration or right after a pause of the process
+ * @property listensUntil while nothing is sent, because the process stood still before
  * @property waiting requests that wait for an upstream, the oldest first
  * @property demand what each placer was told last
  * @property peersTold totals of use that the other entries were told last, and [peersToldAt] when
@@ -70,6 +71,8 @@
     val peerSentAt: PersistentMap<Long, Timestamp> = persistentMapOf(),
     val digestNumber: Long = 0,
     val sweptAt: Timestamp? = null,
+    val tickedAt: Timestamp? = null,
+    val listensUntil: Timestamp? = null,
     val stoppingSince: Timestamp? = null,
     val stopped: Boolean = false,
 ) {
--- /dev/null
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/PauseSystem.kt
@@ -0,0 +1,34 @@
+package org.ragwortbank.core.gateway
+
+import org.ragwortbank.core.log.LogPart
+import org.ragwortbank.core.tick.Tick
+import org.ragwortbank.core.tick.TickSystem
+import org.ragwortbank.core.tick.Timestamp
+import kotlin.time.Duration.Companion.milliseconds
+
+/**
+ * Notices that the process stood still, and lets it hear what happened meanwhile before it sends anything.
+ *
+ * After a pause the requests that arrived are read before the news that their callers have left.
+ */
+class PauseSystem : TickSystem<GatewayTables, GatewayInput, GatewayEffect> {
+    override fun run(tick: Tick<GatewayInput>, step: GatewayStep): GatewayStep {
+        val gap = step.tables.tickedAt?.let { tick.now - it }
+        val ticked = step.update { it.copy(tickedAt = tick.now) }
+        if (gap == null || gap < LONGEST_GAP) return ticked
+        return ticked
+            .log(LogPart.DRAIN, "stood still for $gap, sending nothing for $CATCH_UP")
+            .update { it.copy(listensUntil = tick.now + CATCH_UP) }
+    }
+
+    private companion object {
+        /** Ticks come every 50 ms at least, on an instance that is not overloaded. */
+        val LONGEST_GAP = 400.milliseconds
+
+        /** Enough for several rounds of the event loop over all connections. */
+        val CATCH_UP = 60.milliseconds
+    }
+}
+
+/** Whether the process is still hearing what happened while it stood still. */
+internal fun GatewayTables.listens(now: Timestamp): Boolean = listensUntil?.let { now < it } ?: false
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/RoutingSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/RoutingSystem.kt
@@ -10,10 +10,13 @@
 /** Sends each waiting request to the upstream with the smallest expected delay, or wishes for its adapter there. */
 class RoutingSystem(private val cost: UpstreamCost) : TickSystem<GatewayTables, GatewayInput, GatewayEffect> {
     override fun run(tick: Tick<GatewayInput>, step: GatewayStep): GatewayStep =
+        if (step.tables.listens(tick.now)) step else routeAll(step, tick.now)
+
+    private fun routeAll(step: GatewayStep, now: Timestamp): GatewayStep =
         step.tables.waiting
             .mapNotNull { step.tables.requests[it] }
             .sortedBy { it.priority }
-            .fold(step) { s, row -> route(s, row, tick.now) }
+            .fold(step) { s, row -> route(s, row, now) }
 
     private fun route(step: GatewayStep, row: RequestRow, now: Timestamp): GatewayStep {
         val members = step.tables.members[row.service].orEmpty()
--- a/core/src/test/kotlin/org/ragwortbank/core/gateway/GatewayFixture.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/gateway/GatewayFixture.kt
@@ -58,7 +58,22 @@
         effects = step.effects
     }
 
+    /** Lets [time] pass with ticks as a process has them; [effects] are those of all of them. */
     fun after(time: Duration, vararg inputs: GatewayInput) {
+        val end = now + time
+        var all = emptyList<GatewayEffect>()
+        while (end - now > INTERVAL) {
+            now += INTERVAL
+            tick()
+            all = all + effects
+        }
+        now = end
+        tick(*inputs)
+        effects = all + effects
+    }
+
+    /** Lets [time] pass while the process stands still. */
+    fun pause(time: Duration, vararg inputs: GatewayInput) {
         now += time
         tick(*inputs)
     }
@@ -167,6 +182,7 @@
 
     companion object {
         const val MODEL = "base"
+        val INTERVAL = 50.milliseconds
         val ENGINES = ServiceName("engines")
         val DESK = ServiceName("desk")
     }
