Reset the connection of a request that is given up

Change: a request that is given up resets its connection, which takes back what is on its way. UpstreamConnectionsTest fails before and passes after.

--- a/node/src/main/kotlin/org/ragwortbank/node/gateway/UpstreamExchange.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/gateway/UpstreamExchange.kt
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf
 import io.netty.channel.Channel
+import io.netty.channel.ChannelOption
 import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpStatusClass
@@ -43,11 +44,17 @@
     private var skipping = false
     private var skipped = 0
 
-    /** Gives the request up and closes its connection. */
+    /**
+     * Gives the request up and resets its connection.
+     *
+     * A request that is still on its way, to an instance that is paused or cut off, must not arrive later; only a
+     * reset takes it back.
+     */
     fun cancel() {
         val open = channel
         if (!closed && open == null) request.release()
         closed = true
+        open?.config()?.setOption(ChannelOption.SO_LINGER, 0)
         open?.close()
     }
 
--- /dev/null
+++ b/node/src/test/kotlin/org/ragwortbank/node/gateway/UpstreamConnectionsTest.kt
@@ -0,0 +1,83 @@
+package org.ragwortbank.node.gateway
+
+import io.netty.buffer.ByteBuf
+import io.netty.handler.codec.http.DefaultFullHttpRequest
+import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpRequest
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpVersion
+import org.ragwortbank.core.gateway.AnswerFacts
+import org.ragwortbank.core.gateway.Sending
+import org.ragwortbank.core.serving.Endpoint
+import org.ragwortbank.core.serving.ServingCall
+import org.ragwortbank.core.tick.Timestamp
+import org.ragwortbank.node.SingleLoop
+import org.ragwortbank.node.port.RequestDialect
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.net.SocketException
+import java.util.concurrent.atomic.AtomicReference
+import kotlin.test.AfterTest
+import kotlin.test.Test
+import kotlin.test.assertFailsWith
+import kotlin.test.assertTrue
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+class UpstreamConnectionsTest {
+    private val process = SingleLoop()
+    private val server = ServerSocket(0, 1, InetAddress.getLoopbackAddress())
+    private val connections =
+        UpstreamConnections(process.loop, SilentDialect, 2.seconds) { Timestamp(System.nanoTime()) }
+
+    @AfterTest
+    fun stop() {
+        server.close()
+        process.end()
+        process.awaitEnd()
+    }
+
+    @Test
+    fun `given a request that is given up, then its connection is reset, so that it can't arrive later`() {
+        val endpoint = Endpoint(server.inetAddress.hostAddress, server.localPort)
+        val request = DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/")
+        val exchange = AtomicReference<UpstreamExchange>()
+        process.run { exchange.set(connections.send(endpoint, "r1", request, NoListener)) }
+        server.accept().use { upstream ->
+            assertTrue(upstream.getInputStream().read(ByteArray(REQUEST_BYTES)) > 0)
+            process.run { exchange.get().cancel() }
+            upstream.soTimeout = PATIENCE_MILLIS
+            assertFailsWith<SocketException> { upstream.getInputStream().read() }
+        }
+    }
+
+    private object NoListener : AttemptListener {
+        override fun notSent(cause: String) = Unit
+
+        override fun head(response: HttpResponse) = Unit
+
+        override fun content(content: ByteBuf) = Unit
+
+        override fun ended() = Unit
+
+        override fun broke(cause: String) = Unit
+    }
+
+    private object SilentDialect : RequestDialect {
+        override fun decode(request: HttpRequest): ServingCall? = null
+
+        override fun outgoing(headers: HttpHeaders, sending: Sending, left: Duration): HttpHeaders = headers
+
+        override fun facts(response: HttpResponse) = AnswerFacts(response.status().code(), notRun = false, load = null)
+
+        override fun isForeign(response: HttpResponse, id: String) = false
+
+        override fun idleLimit(response: HttpResponse): Duration? = null
+    }
+
+    private companion object {
+        const val REQUEST_BYTES = 4_096
+        const val PATIENCE_MILLIS = 20_000
+    }
+}
