--- a/cli/src/main/kotlin/org/ragwortbank/cli/settings/EntryReader.kt
+++ b/cli/src/main/kotlin/org/ragwortbank/cli/settings/EntryReader.kt
@@ -42,14 +42,14 @@
     )
 }
 
-internal fun readLogLevel(reader: TomlReader): String {
-    reader.choice("format", LogFormat.TEXT, LogFormat.entries)
+internal fun readLogLevel(reader: TomlReader, format: LogFormat = LogFormat.TEXT): String {
+    reader.choice("format", format, LogFormat.entries)
     return reader.choice("level", LogLevel.INFO, LogLevel.entries).name.lowercase()
 }
 
-internal fun readLogFormat(reader: TomlReader): LogFormat {
+internal fun readLogFormat(reader: TomlReader, format: LogFormat = LogFormat.TEXT): LogFormat {
     reader.choice("level", LogLevel.INFO, LogLevel.entries)
-    return reader.choice("format", LogFormat.TEXT, LogFormat.entries)
+    return reader.choice("format", format, LogFormat.entries)
 }
 
 private fun readHttp(reader: TomlReader): HttpSettings {
--- a/cli/src/main/kotlin/org/ragwortbank/cli/settings/GatewayReader.kt
+++ b/cli/src/main/kotlin/org/ragwortbank/cli/settings/GatewayReader.kt
@@ -2,7 +2,6 @@
 
 import org.ragwortbank.cli.toml.TomlReader
 import org.ragwortbank.cli.toml.address
-import org.ragwortbank.cli.toml.choice
 import org.ragwortbank.cli.toml.duration
 import org.ragwortbank.cli.toml.int
 import org.ragwortbank.cli.toml.optionalBoolean
@@ -39,8 +38,8 @@
         firstStart = reader.optionalBoolean("first_start") ?: false,
         connectTimeout = reader.duration("connect_timeout", DEFAULT_CONNECT_TIMEOUT),
         gateway = reader.section("bounds", ::readBounds),
-        logLevel = reader.section("log", ::readJsonLogLevel),
-        logFormat = reader.section("log", ::readJsonLogFormat),
+        logLevel = reader.section("log") { readLogLevel(it, LogFormat.JSON) },
+        logFormat = reader.section("log") { readLogFormat(it, LogFormat.JSON) },
     )
 }
 
@@ -51,8 +50,8 @@
         adminAddress = reader.address("admin_address", nowhere),
         digestAddress = reader.address("digest_address", nowhere),
         engineAddress = reader.address("engine_address", default = null),
-        logLevel = reader.section("log", ::readJsonLogLevel),
-        logFormat = reader.section("log", ::readJsonLogFormat),
+        logLevel = reader.section("log") { readLogLevel(it, LogFormat.JSON) },
+        logFormat = reader.section("log") { readLogFormat(it, LogFormat.JSON) },
     )
 }
 
@@ -72,16 +71,6 @@
     )
 }
 
-internal fun readJsonLogLevel(reader: TomlReader): String {
-    reader.choice("format", LogFormat.JSON, LogFormat.entries)
-    return reader.choice("level", LogLevel.INFO, LogLevel.entries).name.lowercase()
-}
-
-internal fun readJsonLogFormat(reader: TomlReader): LogFormat {
-    reader.choice("level", LogLevel.INFO, LogLevel.entries)
-    return reader.choice("format", LogFormat.JSON, LogFormat.entries)
-}
-
 private const val DEFAULT_PLACER_PORT = 7_600
 private val DEFAULT_CONNECT_TIMEOUT = 300.milliseconds
 private val GRACE_MARGIN = 700.milliseconds
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/ArrivalSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/ArrivalSystem.kt
@@ -53,10 +53,9 @@
 
     private fun row(number: RequestNumber, call: ServingCall, ruling: Ruling.Yes, now: Timestamp): RequestRow {
         val patience = minOf(call.deadline ?: ruling.route.timeout, ruling.route.timeout)
-        val resumes = ruling.route.resumable && call.resumesStream
         return RequestRow(
             number = number,
-            call = if (resumes == call.resumesStream) call else call.copy(resumesStream = false),
+            call = call,
             route = ruling.route,
             service = ruling.service,
             account = ruling.account?.id,
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/UpstreamCost.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/UpstreamCost.kt
@@ -93,7 +93,7 @@
 
     private fun preference(request: RequestRow, row: UpstreamRow): Double {
         val key = RendezvousHash.seed(request.call.adapterKey.toString())
-        val score = RendezvousHash.score(key, RendezvousHash.seed(row.entry.id.value))
+        val score = RendezvousHash.score(key, row.entry.seed)
         val rank = 1.0 - (score.toLong() - Int.MIN_VALUE) / SCORE_RANGE
         return rank * PREFERENCE_MILLIS
     }
--- a/core/src/main/kotlin/org/ragwortbank/core/serving/ServingCall.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/serving/ServingCall.kt
@@ -12,7 +12,6 @@
  * @property model base model; null for a plain call
  * @property adapter adapter of that model; null for the base model itself
  * @property tokens prompt tokens and most output tokens together; null when the caller doesn't say
- * @property resumesStream whether the caller continues a stream that it has received in part
  */
 data class ServingCall(
     val id: String,
@@ -23,7 +22,6 @@
     val model: String? = null,
     val adapter: String? = null,
     val tokens: Long? = null,
-    val resumesStream: Boolean = false,
 ) {
     /** The adapter with its model; null when the base model or a plain service is asked for. */
     val adapterKey: AdapterKey? get() = if (model != null && adapter != null) AdapterKey(model, adapter) else null
--- a/core/src/main/kotlin/org/ragwortbank/core/serving/UpstreamEntry.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/serving/UpstreamEntry.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.PersistentSet
+import org.ragwortbank.core.hash.RendezvousHash
 import org.ragwortbank.core.model.FailureDomain
 
 /**
@@ -22,4 +23,7 @@
     val bornMillis: Long,
     val models: PersistentSet<String>,
     val adapters: PersistentMap<AdapterKey, Long>,
-)
+) {
+    /** For rendezvous hashing. */
+    val seed: Long = RendezvousHash.seed(id.value)
+}
