Avoid ended incarnations at a reused place; let requests wait for the base model; load elsewhere than at a busy outdated adapter

A request for a new version waited 2.4 s at an engine that was still using the old one.

Ruled out: more retries (they are the fleet's budget).

Change: of several upstreams at one address only the one born last is used; requests wait while a configured model can come; an adapter whose old version is in use there is expected later than a load elsewhere.

--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/MemberChanges.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/MemberChanges.kt
@@ -66,6 +66,17 @@
     return copy(
         upstreams = upstreams.put(entry.id, row),
         members = left.put(entry.service, left[entry.service].orNone().add(entry.id)),
+    ).supersede(entry)
+}
+
+/** Of the upstreams at the place of [entry] all but the one that was born last have ended, listed or not. */
+private fun GatewayTables.supersede(entry: UpstreamEntry): GatewayTables {
+    val there = upstreams.values.filter { it.entry.endpoint == entry.endpoint }
+    val newest = there.maxOf { it.entry.bornMillis }
+    return copy(
+        upstreams = there.fold(upstreams) { all, row ->
+            all.put(row.entry.id, row.copy(superseded = row.entry.bornMillis < newest))
+        },
     )
 }
 
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/RoutingSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/RoutingSystem.kt
@@ -21,24 +21,18 @@
     private fun route(step: GatewayStep, row: RequestRow, now: Timestamp): GatewayStep {
         val members = step.tables.members[row.service].orEmpty()
             .mapNotNull { step.tables.upstreams[it] }
-            .filter { it.entry.accepting && row.mayTry(it.entry.id) && it.serves(row) }
-        val open = members.filter { it.open(now) }
+            .filter { it.accepting && row.mayTry(it.entry.id) }
+        val open = members.filter { it.open(now) && it.serves(row) }
         val best = open.map { cost.estimate(step.tables, row, it, now) }.minByOrNull { it.millis }
         return when {
             best != null -> place(step, row, best, now)
-            members.isNotEmpty() -> step
+            members.any { it.serves(row) } || step.tables.modelComes(row, members) -> step
             else -> step.end(row, ResultCode.NO_UPSTREAM, noneLeft(row), RETRY_AFTER)
         }
     }
 
     private fun noneLeft(row: RequestRow): String = "${row.service} has none with it, tried ${row.tried}"
 
-    private fun UpstreamRow.serves(row: RequestRow): Boolean {
-        val model = row.call.model ?: return true
-        val known = digest?.models?.takeIf { it.isNotEmpty() } ?: entry.models
-        return model in known
-    }
-
     private fun place(step: GatewayStep, row: RequestRow, best: Candidate, now: Timestamp): GatewayStep =
         if (best.state.usable) send(step, row, best, now) else wish(step, row, best, now)
 
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/UpstreamCost.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/UpstreamCost.kt
@@ -105,7 +105,7 @@
         const val COMING_MILLIS = 130.0
         const val WARM_MILLIS = 60.0
         const val ABSENT_MILLIS = 270.0
-        const val OUTDATED_MILLIS = 1_200.0
+        const val OUTDATED_MILLIS = 2_500.0
         const val SILENT_PLACER_MILLIS = 4_000.0
         const val NO_PLACE_MILLIS = 2_500.0
         const val LOAD_USUAL_MILLIS = 600.0
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/UpstreamRow.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/UpstreamRow.kt
@@ -55,6 +55,7 @@
  * @property past versions of adapters that it held earlier and dropped; it brings those back faster than others
  * @property told newest load that it told, and [toldAt] when
  * @property sentSince requests sent by this entry since [toldAt]
+ * @property superseded whether a later incarnation listens where this one did, so that it has ended
  */
 data class UpstreamRow(
     val entry: UpstreamEntry,
@@ -67,13 +68,17 @@
     val toldAt: Timestamp? = null,
     val sentSince: Int = 0,
     val health: UpstreamHealth = UpstreamHealth(),
+    val superseded: Boolean = false,
 ) {
+    /** Whether it takes new work as far as the list tells. */
+    val accepting: Boolean get() = entry.accepting && !superseded
+
     /** The digest unless it is older than [lifetime]. */
     fun freshDigest(now: Timestamp, lifetime: Duration): EngineDigest? =
         digest.takeIf { digestAt != null && now - digestAt <= lifetime }
 
     /** Whether new work may be sent now. */
-    fun open(now: Timestamp): Boolean = entry.accepting && (health.blockedUntil?.let { it <= now } ?: true)
+    fun open(now: Timestamp): Boolean = accepting && (health.blockedUntil?.let { it <= now } ?: true)
 
     /** This row with [newer] as the newest word of the placer. */
     fun hear(newer: EngineDigest, now: Timestamp): UpstreamRow {
--- a/core/src/test/kotlin/org/ragwortbank/core/gateway/RoutingSystemTest.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/gateway/RoutingSystemTest.kt
@@ -103,6 +103,30 @@
         assertEquals(first, gateway.sent().single().upstream)
     }
 
+    @Test
+    fun `given a later incarnation at the place of a listed upstream, then nothing is sent to the earlier one`() {
+        gateway.change(StoreChange.UpstreamSeen(gateway.entry("new-desk-1", GatewayFixture.DESK, born = 9)))
+        gateway.change(StoreChange.UpstreamSeen(gateway.entry("desk-1", GatewayFixture.DESK)))
+        repeat(6) {
+            gateway.arrive("/look/x")
+            assertTrue(gateway.sent().single().upstream != UpstreamId("desk-1"))
+        }
+    }
+
+    @Test
+    fun `given engines that have lost their base model, then its requests wait until it is loaded again`() {
+        listOf("engine-1", "engine-2").forEach { id ->
+            val empty = gateway.entry(id, GatewayFixture.ENGINES, born = 2).copy(models = persistentSetOf())
+            gateway.change(StoreChange.UpstreamSeen(empty))
+        }
+        gateway.arrive("/chat/x", gateway.call("/chat/x", adapter = "a1"))
+        assertTrue(gateway.refusals().isEmpty())
+        gateway.after(1.seconds)
+        assertTrue(gateway.refusals().isEmpty())
+        gateway.tell(first)
+        assertEquals(first, gateway.sent().single().upstream)
+    }
+
     @Test
     fun `given an upstream that is leaving, then it gets nothing more`() {
         gateway.change(StoreChange.UpstreamSeen(gateway.entry("desk-1", GatewayFixture.DESK, accepting = false)))
