Refuse with the time at which the base model is likely there, in place of waiting for it

Ruled out: the earlier socket alone (it lets more callers wait, it does not make them leave).

Change: while no engine of a service has the model, requests are refused at once; the time to come back counts from when that was noticed. The test that demanded waiting is replaced by one that demands the refusal, its times and what follows.

--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewayTables.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewayTables.kt
@@ -45,6 +45,7 @@
  * @property unread calls that came before the first configuration or right after a pause of the process
  * @property listensUntil while nothing is sent, because the process stood still before
  * @property waiting requests that wait for an upstream, the oldest first
+ * @property modelMissingSince since when no engine of a service has had the base model that requests name
  * @property demand what each placer was told last
  * @property peersTold totals of use that the other entries were told last, and [peersToldAt] when
  * @property peerSentAt when the newest digests to the other entries were sent, by their numbers
@@ -64,6 +65,7 @@
     val buckets: PersistentMap<AccountId, FleetBucket> = persistentMapOf(),
     val retries: PersistentMap<ServiceName, RetryBudget> = persistentMapOf(),
     val peers: PersistentMap<String, PeerRow> = persistentMapOf(),
+    val modelMissingSince: PersistentMap<ServiceName, Timestamp> = persistentMapOf(),
     val demand: PersistentMap<UpstreamId, DemandRow> = persistentMapOf(),
     val peersToldAt: Timestamp? = null,
     val peersTold: PersistentMap<AccountId, Long> = persistentMapOf(),
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/ModelStates.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/ModelStates.kt
@@ -1,5 +1,10 @@
 package org.ragwortbank.core.gateway
 
+import org.ragwortbank.core.result.ResultCode
+import org.ragwortbank.core.serving.ServiceName
+import org.ragwortbank.core.tick.Timestamp
+import kotlin.time.Duration.Companion.milliseconds
+
 /** Base models that the upstream holds, by the newest word of it. */
 internal val UpstreamRow.heldModels: Set<String>
     get() = digest?.models?.takeIf { it.isNotEmpty() } ?: entry.models
@@ -13,3 +18,23 @@
     val models = config?.services?.get(request.service)?.engine?.models.orEmpty()
     return request.call.model in models && members.any { it.heldModels.isEmpty() }
 }
+
+/**
+ * Refuses [row] while the engines of its service bring their base model, with the time at which it is likely there.
+ *
+ * A caller that is kept waiting gives up about when the model comes, one that is sent away returns with new patience.
+ */
+internal fun GatewayStep.refuseUntilModel(row: RequestRow, now: Timestamp): GatewayStep {
+    val since = tables.modelMissingSince[row.service] ?: now
+    val left = (MODEL_LOAD_TIME - (now - since)).coerceAtLeast(SHORTEST_RETURN)
+    return update { it.copy(modelMissingSince = it.modelMissingSince.put(row.service, since)) }
+        .end(row, ResultCode.NO_UPSTREAM, "the engines of ${row.service} are loading ${row.call.model}", left)
+}
+
+/** The tables after an engine of [service] was seen with its base model. */
+internal fun GatewayTables.modelSeen(service: ServiceName): GatewayTables =
+    if (service in modelMissingSince) copy(modelMissingSince = modelMissingSince.remove(service)) else this
+
+/** Loads from an engine's own disk take less, those from the weight store up to twice as long. */
+private val MODEL_LOAD_TIME = 1_800.milliseconds
+private val SHORTEST_RETURN = 500.milliseconds
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/RoutingSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/RoutingSystem.kt
@@ -25,8 +25,9 @@
         val open = members.filter { it.open(now) && it.serves(row) }
         val best = open.map { cost.estimate(step.tables, row, it, now) }.minByOrNull { it.millis }
         return when {
-            best != null -> place(step, row, best, now)
-            members.any { it.serves(row) } || step.tables.modelComes(row, members) -> step
+            best != null -> place(step.update { it.modelSeen(row.service) }, row, best, now)
+            members.any { it.serves(row) } -> step
+            step.tables.modelComes(row, members) -> step.refuseUntilModel(row, now)
             else -> step.end(row, ResultCode.NO_UPSTREAM, noneLeft(row), RETRY_AFTER)
         }
     }
--- a/core/src/test/kotlin/org/ragwortbank/core/gateway/RoutingSystemTest.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/gateway/RoutingSystemTest.kt
@@ -1,6 +1,7 @@
 package org.ragwortbank.core.gateway
 
 import kotlinx.collections.immutable.persistentSetOf
+import org.ragwortbank.core.result.Execution
 import org.ragwortbank.core.result.ResultCode
 import org.ragwortbank.core.serving.AdapterKey
 import org.ragwortbank.core.serving.StoreChange
@@ -8,6 +9,7 @@
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -114,17 +116,23 @@
     }
 
     @Test
-    fun `given engines that have lost their base model, then its requests wait until it is loaded again`() {
+    fun `given engines that have lost their base model, then requests are told when it is likely there again`() {
         listOf("engine-1", "engine-2").forEach { id ->
             val empty = gateway.entry(id, GatewayFixture.ENGINES, born = 2).copy(models = persistentSetOf())
             gateway.change(StoreChange.UpstreamSeen(empty))
         }
-        gateway.arrive("/chat/x", gateway.call("/chat/x", adapter = "a1"))
-        assertTrue(gateway.refusals().isEmpty())
-        gateway.after(1.seconds)
-        assertTrue(gateway.refusals().isEmpty())
+        val times = listOf(0.seconds, 1.seconds, 5.seconds).map { later ->
+            gateway.after(later)
+            gateway.confirm()
+            gateway.arrive("/chat/x", gateway.call("/chat/x", adapter = "a1"))
+            assertEquals(Execution.NOT_RUN, gateway.refusals().single().execution)
+            gateway.refusals().single().retryAfter
+        }
+        assertEquals(listOf<Duration?>(1_800.milliseconds, 800.milliseconds, 500.milliseconds), times)
         gateway.tell(first)
+        gateway.arrive("/chat/x", gateway.call("/chat/x", adapter = "a1"))
         assertEquals(first, gateway.sent().single().upstream)
+        assertTrue(gateway.tables.modelMissingSince.isEmpty())
     }
 
     @Test
