Tell a request's story from the logs: ragwortbank explain

It prints the lines that name the request, what its processes came to believe of its upstreams around that time, and the meaning of its result code; torn lines are counted, an unknown id and clocks that differ are said.

--- /dev/null
+++ b/cli/src/main/kotlin/org/ragwortbank/cli/command/ExplainCommand.kt
@@ -0,0 +1,43 @@
+package org.ragwortbank.cli.command
+
+import org.ragwortbank.cli.explain.ReadLines
+import org.ragwortbank.cli.explain.RequestStory
+import org.ragwortbank.cli.explain.text
+import picocli.CommandLine.Command
+import picocli.CommandLine.Parameters
+import java.io.IOException
+import java.nio.file.Path
+import java.util.concurrent.Callable
+import kotlin.io.path.bufferedReader
+import kotlin.io.path.name
+
+/** Tells what became of a request, from the logs of several processes. */
+@Command(
+    name = "explain",
+    description = ["Prints the story of a request from log files, or from standard input when none is named."],
+    mixinStandardHelpOptions = true,
+)
+class ExplainCommand : Callable<Int> {
+    @Parameters(index = "0", paramLabel = "ID", description = ["The request's id."])
+    private lateinit var id: String
+
+    @Parameters(index = "1..*", paramLabel = "FILE", description = ["Logs of gateways and placers."])
+    private var files: List<Path> = emptyList()
+
+    override fun call(): Int =
+        try {
+            val read = read()
+            val story = RequestStory.of(id, read.lines, read.unreadable)
+            print(story.text())
+            if (story.own.isEmpty()) ExitCode.INVALID.number else ExitCode.OK.number
+        } catch (e: IOException) {
+            reportProblems(listOf("found ${e.message}, expected readable log files"))
+        }
+
+    private fun read(): ReadLines =
+        if (files.isEmpty()) {
+            ReadLines().and("standard input", System.`in`.bufferedReader())
+        } else {
+            files.fold(ReadLines()) { all, file -> all.and(file.name, file.bufferedReader()) }
+        }
+}
--- a/cli/src/main/kotlin/org/ragwortbank/cli/command/Ragwortbank.kt
+++ b/cli/src/main/kotlin/org/ragwortbank/cli/command/Ragwortbank.kt
@@ -21,6 +21,7 @@
         PoolsCommand::class,
         KeysCommand::class,
         StatusCommand::class,
+        ExplainCommand::class,
     ],
     exitCodeListHeading = "%nExit codes:%n",
     exitCodeList = [
