Pass on answers that come just when a request's time is over

Change: a request that an upstream has is ended 100 ms after its time, and nothing is sent to an upstream after it.

--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/EndSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/EndSystem.kt
@@ -41,8 +41,9 @@
         val waited = now - row.arrivedAt
         val waits = row.stage is RequestStage.Waiting
         val patience = minOf(step.tables.settings.loadPatience, (row.endsBy - row.arrivedAt) * PATIENT_PART)
+        val answerDue = if (row.upstream == null) row.endsBy else row.endsBy + ANSWER_GRACE
         return when {
-            row.endsBy <= now -> expire(step, row)
+            answerDue <= now -> expire(step, row)
             waits && waited > patience ->
                 step.end(row, ResultCode.QUEUE_TIMEOUT, "no upstream could take it in $waited", RETRY_AFTER)
             else -> step
@@ -58,5 +59,8 @@
         /** Part of a request's time that it may spend waiting for an upstream. */
         const val PATIENT_PART = 0.5
         val RETRY_AFTER = 500.milliseconds
+
+        /** An upstream that has used up its time says so itself, a moment later. */
+        val ANSWER_GRACE = 100.milliseconds
     }
 }
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/RoutingSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/RoutingSystem.kt
@@ -15,6 +15,7 @@
     private fun routeAll(step: GatewayStep, now: Timestamp): GatewayStep =
         step.tables.waiting
             .mapNotNull { step.tables.requests[it] }
+            .filter { it.endsBy > now }
             .sortedBy { it.priority }
             .fold(step) { s, row -> route(s, row, now) }
 
