Count a gateway's use once when its listing has lapsed

Cause: a gateway that stops, or that the store turns away, leaves the list and goes on for seconds.

Ruled out: hot accounts (the refused ones asked for less than their rate), the part of a bucket after a restart.

Change: what a peer told stays known while this process lives; a total that is first heard counts only when its sender started after this process, in place of a guess by time; a peer that is listed no more and still tells its use is told that of the others. Test in PeerSystemTest; it failed before at its first level.

--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/FleetBucket.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/FleetBucket.kt
@@ -53,7 +53,7 @@
     /** The bucket after this entry admitted [tokens]; a negative number gives tokens back. */
     fun take(tokens: Long): FleetBucket = copy(level = level - tokens, ownTotal = ownTotal + tokens)
 
-    /** The bucket after [peer] told its [total] of admitted tokens, which [counts] if it was in this entry's time. */
+    /** The bucket after [peer] told its [total] of admitted tokens, which [counts] if it started after this entry. */
     fun hear(peer: String, incarnation: Long, total: Long, counts: Boolean): FleetBucket {
         val known = peers[peer]
         val before = known?.takeIf { it.incarnation == incarnation }?.total
@@ -62,9 +62,6 @@
         return copy(level = corrected, peers = peers.put(peer, PeerUse(incarnation, total)))
     }
 
-    /** The bucket without [peer]. */
-    fun forget(peer: String): FleetBucket = copy(peers = peers.remove(peer))
-
     /** The same bucket under changed limits. */
     fun withLimits(account: ServingAccount): FleetBucket =
         copy(rate = account.rate, burst = account.burst, level = level.coerceAtMost(account.burst.toDouble()))
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/HearSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/HearSystem.kt
@@ -7,7 +7,6 @@
 import org.ragwortbank.core.tick.TickSystem
 import org.ragwortbank.core.tick.Timestamp
 import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
 
 /** Takes over the digests of placers and of other entries; one that is older than what is known changes nothing. */
 class HearSystem : TickSystem<GatewayTables, GatewayInput, GatewayEffect> {
@@ -33,7 +32,7 @@
         val current = digest.incarnation == known.incarnation && digest.number > known.number
         if (!current && digest.incarnation <= known.incarnation) return tables
         val row = known.copy(incarnation = digest.incarnation, number = digest.number, heardAt = now)
-        val counts = now - tables.startedAt > LEARNING
+        val counts = digest.incarnation > tables.identity.incarnation
         val buckets = digest.used.entries.fold(tables.buckets) { all, (account, total) ->
             val bucket = all[account]?.hear(digest.sender, digest.incarnation, total, counts)
             if (bucket == null) all else all.put(account, bucket)
@@ -58,9 +57,4 @@
         val newer = at != null && (confirmedAt == null || at > confirmedAt)
         return if (usable && newer) copy(confirmedAt = at) else this
     }
-
-    private companion object {
-        /** Totals of others that are first heard within this time of the start were used before it. */
-        val LEARNING = 3.seconds
-    }
 }
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/MemberChanges.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/MemberChanges.kt
@@ -43,11 +43,13 @@
     return copy(peers = peers.put(change.name, row))
 }
 
-/** Forgets another entry that is no member any more. */
+/**
+ * Notes that another entry is listed no more. It may go on all the same, as one that is stopping or cut off from the
+ * store does, and tell the same totals of use again; so what it told stays known.
+ */
 internal fun GatewayTables.unlistPeer(name: String): GatewayTables {
-    if (name !in peers) return this
-    val kept = buckets.mapValues { it.value.forget(name) }.toPersistentMap()
-    return copy(peers = peers.remove(name), buckets = kept)
+    val row = peers[name] ?: return this
+    return copy(peers = if (row.heardAt == null) peers.remove(name) else peers.put(name, row.copy(listed = false)))
 }
 
 private fun news(known: UpstreamEntry?, entry: UpstreamEntry): String? =
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/PeerSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/PeerSystem.kt
@@ -40,10 +40,14 @@
             heard = heard(tables),
         )
         return step
-            .emitAll(tables.peers.values.filter { it.listed }.map { GatewayEffect.TellPeer(it.endpoint, digest) })
+            .emitAll(tables.livePeers(now).map { GatewayEffect.TellPeer(it.endpoint, digest) })
             .update { it.refilled(now).told(digest, now) }
     }
 
+    /** One that is listed no more and still tells its use must know that of the others too. */
+    private fun GatewayTables.livePeers(now: Timestamp): List<PeerRow> =
+        peers.values.filter { row -> row.listed || row.heardAt?.let { now - it <= settings.peerSilence } ?: false }
+
     private fun heard(tables: GatewayTables): PersistentMap<String, DigestStamp> =
         tables.peers.values
             .filter { it.heardAt != null }
--- a/core/src/test/kotlin/org/ragwortbank/core/gateway/PeerSystemTest.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/gateway/PeerSystemTest.kt
@@ -1,6 +1,7 @@
 package org.ragwortbank.core.gateway
 
 import kotlinx.collections.immutable.persistentMapOf
+import org.ragwortbank.core.model.AccountId
 import org.ragwortbank.core.serving.DigestStamp
 import org.ragwortbank.core.serving.Endpoint
 import org.ragwortbank.core.serving.PeerDigest
@@ -61,4 +62,28 @@
         gateway.arrive("/book/x")
         assertEquals(10, told().used.values.single())
     }
+
+    @Test
+    fun `given an entry whose listing lapsed, when it tells its use again, then that counts once and it is told on`() {
+        gateway.change(StoreChange.PeerSeen("entry-2", peer))
+        gateway.tick(GatewayInput.PeerTold(use(number = 1, tokens = 900), peer))
+        assertEquals(100.0, level())
+        gateway.change(StoreChange.PeerGone("entry-2"))
+        gateway.tick(GatewayInput.PeerTold(use(number = 2, tokens = 900), peer))
+        assertEquals(100.0, level())
+        assertEquals("entry-1", told().sender)
+    }
+
+    @Test
+    fun `given an entry that started before this one, when it is first heard, then its earlier use does not count`() {
+        val earlier = use(number = 7, tokens = 900).copy(incarnation = 0)
+        gateway.change(StoreChange.PeerSeen("entry-2", peer))
+        gateway.after(10.seconds, GatewayInput.PeerTold(earlier, peer))
+        assertEquals(1_000.0, level())
+    }
+
+    private fun level(): Double = gateway.tables.buckets.values.single().level
+
+    private fun use(number: Long, tokens: Long) =
+        PeerDigest("entry-2", incarnation = 2, number, used = persistentMapOf(AccountId("club") to tokens))
 }
