--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/MemberChanges.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/MemberChanges.kt
@@ -3,7 +3,6 @@
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.PersistentSet
 import kotlinx.collections.immutable.persistentSetOf
-import kotlinx.collections.immutable.toPersistentMap
 import org.ragwortbank.core.log.LogPart
 import org.ragwortbank.core.serving.ServiceName
 import org.ragwortbank.core.serving.StoreChange
