Read the settings file again on HUP, and go on

Ruled out: keeping the signal away from the runtime (-Xrs), which would take TERM away too.

Change: HUP reads the file again; a gateway's bounds hold at once, addresses and logging at the next start; a file with mistakes changes nothing and is told. Tests: ArrivalSystemTest, and PreparedPlatformTest with real processes.

--- a/cli/src/main/kotlin/org/ragwortbank/cli/command/EntryCommand.kt
+++ b/cli/src/main/kotlin/org/ragwortbank/cli/command/EntryCommand.kt
@@ -18,5 +18,6 @@
     private lateinit var config: Path
 
     override fun call(): Int =
-        runProcess(SettingsFile.entry(config), { it.logLevel }, { it.logFormat }, start = ::EntryNode)
+        ProcessRun<_, EntryNode>({ SettingsFile.entry(config) }, { it.logLevel }, { it.logFormat })
+            .run { settings -> { EntryNode(settings) } }
 }
--- a/cli/src/main/kotlin/org/ragwortbank/cli/command/SidecarCommandLine.kt
+++ b/cli/src/main/kotlin/org/ragwortbank/cli/command/SidecarCommandLine.kt
@@ -18,5 +18,6 @@
     private lateinit var config: Path
 
     override fun call(): Int =
-        runProcess(SettingsFile.sidecar(config), { it.logLevel }, { it.logFormat }, start = ::SidecarNode)
+        ProcessRun<_, SidecarNode>({ SettingsFile.sidecar(config) }, { it.logLevel }, { it.logFormat })
+            .run { settings -> { SidecarNode(settings) } }
 }
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewayInput.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewayInput.kt
@@ -53,6 +53,9 @@
     /** Another entry told what it has admitted. */
     data class PeerTold(val digest: PeerDigest, val from: Endpoint) : GatewayInput
 
+    /** The settings were read again. */
+    data class SettingsRead(val settings: GatewaySettings) : GatewayInput
+
     /** The process was asked to stop. */
     data object StopAsked : GatewayInput
 }
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewaySchedule.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewaySchedule.kt
@@ -8,6 +8,7 @@
     Schedule(
         persistentListOf(
             PauseSystem(),
+            SettingsSystem(),
             StoreSystem(),
             HearSystem(),
             AttemptSystem(),
--- a/core/src/test/kotlin/org/ragwortbank/core/gateway/ArrivalSystemTest.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/gateway/ArrivalSystemTest.kt
@@ -109,4 +109,13 @@
         assertEquals(ResultCode.NO_CONFIGURATION, early.refusals().single().code)
         assertEquals(Execution.NOT_RUN, early.refusals().single().execution)
     }
+
+    @Test
+    fun `given settings that are read again, then their bounds hold at once`() {
+        gateway.after(2.seconds)
+        val shorter = gateway.tables.settings.copy(keyAuthority = 1.seconds)
+        gateway.tick(GatewayInput.SettingsRead(shorter))
+        gateway.arrive("/book/x")
+        assertEquals(ResultCode.KEYS_UNCONFIRMED, gateway.refusals().single().code)
+    }
 }
--- a/node/src/main/kotlin/org/ragwortbank/node/gateway/GatewayNode.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/gateway/GatewayNode.kt
@@ -70,6 +70,10 @@
         return Ready(settings.name, http, digests.address(), adminAddress)
     }
 
+    /** Puts the bounds of [changed] in force. */
+    fun apply(changed: GatewayNodeSettings) =
+        process.loop.execute { ticker.post(GatewayInput.SettingsRead(changed.gateway)) }
+
     override fun stop() = process.loop.execute {
         calls.stopping = true
         membership.stop()
--- a/node/src/main/kotlin/org/ragwortbank/node/log/Logs.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/log/Logs.kt
@@ -18,6 +18,9 @@
     /** Logger for the HTTP front end. */
     val http: Logger = loggerOf(LogPart.HTTP)
 
+    /** Logger for what is in force. */
+    val config: Logger = loggerOf(LogPart.CONFIG)
+
     /** Logger for starting and stopping. */
     val drain: Logger = loggerOf(LogPart.DRAIN)
 
--- a/standins/src/main/kotlin/org/ragwortbank/standins/fleet/Child.kt
+++ b/standins/src/main/kotlin/org/ragwortbank/standins/fleet/Child.kt
@@ -25,6 +25,11 @@
     /** Asks the process to stop. */
     fun terminate() = process.destroy()
 
+    /** Tells the process that its settings file has changed. */
+    fun hangUp() {
+        ProcessBuilder("kill", "-HUP", pid.toString()).inheritIO().start().waitFor()
+    }
+
     /** Ends the process at once. */
     fun kill() {
         process.destroyForcibly()
--- a/standins/src/test/kotlin/org/ragwortbank/standins/prepared/PreparedPlatformTest.kt
+++ b/standins/src/test/kotlin/org/ragwortbank/standins/prepared/PreparedPlatformTest.kt
@@ -13,13 +13,12 @@
 
 /** A gateway and a placer as processes, against stand-ins of the prepared platform. */
 class PreparedPlatformTest {
-    private val fleet = PreparedFleet(
-        Launcher(
-            productJar = Path.of("..", "cli", "target", "cli-0.1.0-all.jar"),
-            standInsJar = Path.of("target", "classes"),
-            directory = Files.createTempDirectory("ragwortbank-prepared"),
-        ),
+    private val launcher = Launcher(
+        productJar = Path.of("..", "cli", "target", "cli-0.1.0-all.jar"),
+        standInsJar = Path.of("target", "classes"),
+        directory = Files.createTempDirectory("ragwortbank-prepared"),
     )
+    private val fleet = PreparedFleet(launcher)
 
     init {
         assertTrue(fleet.awaitReady(), "the gateway does not serve")
@@ -77,6 +76,17 @@
         assertTrue(Patience.until { fleet.calls.look("regained").succeeded() })
     }
 
+    @Test
+    fun `given a settings file with mistakes, when the process is told to read it again, then it goes on as before`() {
+        val processes = listOf(fleet.gateway, fleet.placer)
+        processes.forEach { it.hangUp() }
+        assertTrue(fleet.calls.look("look-1").succeeded())
+        listOf("gateway.toml", "placer.toml").forEach { launcher.write(it, "name = ") }
+        processes.forEach { it.hangUp() }
+        repeat(5) { assertTrue(fleet.calls.chat("chat-$it", "a1").succeeded()) }
+        assertTrue(processes.all { it.alive })
+    }
+
     @Test
     fun `given metrics pages, then each process serves its counters`() {
         listOf(fleet.gateway, fleet.placer).forEach { process ->
