--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/ArrivalSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/ArrivalSystem.kt
@@ -71,7 +71,7 @@
 
     private fun admit(step: GatewayStep, row: RequestRow, account: ServingAccount?, now: Timestamp): GatewayStep {
         val tables = step.tables
-        val bucket = account?.let { tables.buckets[it.id] }?.refill(now, tables.silentPeers(now), tables.entryCount)
+        val bucket = account?.let { tables.buckets[it.id] }?.refill(now, tables.silences(now), tables.entryCount)
         return when {
             tables.stoppingSince?.let { now - it > tables.settings.drainGrace } == true ->
                 step.refuseNew(row.number, row.call.id, Refusal.notRun(ResultCode.DRAINING, retryAfter = SOON))
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/FleetBucket.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/FleetBucket.kt
@@ -38,12 +38,18 @@
     val ownTotal: Long = 0,
     val peers: PersistentMap<String, PeerUse> = persistentMapOf(),
 ) {
-    /** The bucket at [now], with [silent] entries out of [entries] charged for the time that passed. */
-    fun refill(now: Timestamp, silent: Collection<String>, entries: Int): FleetBucket {
+    /**
+     * The bucket at [now]. Peers that have been silent for longer than they should, as long as [silences] tells, are
+     * charged their share among [entries] for all of that time: nobody knew before that they were cut off.
+     */
+    fun refill(now: Timestamp, silences: Map<String, Duration>, entries: Int): FleetBucket {
         val seconds = (now - updatedAt).toDouble(DurationUnit.SECONDS).coerceAtLeast(0.0)
-        val share = rate * seconds / entries.coerceAtLeast(1)
-        val charged = silent.fold(peers) { all, name -> all.charge(name, share) }
-        val filled = level + rate * seconds - share * silent.size
+        val due = silences.mapValues { (_, silence) ->
+            rate * silence.toDouble(DurationUnit.SECONDS) / entries.coerceAtLeast(1)
+        }
+        val charged = due.entries.fold(peers) { all, (name, tokens) -> all.charge(name, tokens) }
+        val taken = due.entries.sumOf { (name, tokens) -> (tokens - (peers[name]?.charged ?: 0.0)).coerceAtLeast(0.0) }
+        val filled = level + rate * seconds - taken
         return copy(level = filled.coerceAtMost(burst.toDouble()), updatedAt = now, peers = charged)
     }
 
@@ -70,8 +76,8 @@
     fun waitFor(tokens: Long): Duration =
         ((minOf(tokens, burst) - level) / rate.coerceAtLeast(1)).coerceAtLeast(0.0).seconds
 
-    private fun PersistentMap<String, PeerUse>.charge(name: String, tokens: Double): PersistentMap<String, PeerUse> {
+    private fun PersistentMap<String, PeerUse>.charge(name: String, due: Double): PersistentMap<String, PeerUse> {
         val known = this[name] ?: PeerUse(incarnation = 0, total = 0)
-        return put(name, known.copy(charged = known.charged + tokens))
+        return put(name, known.copy(charged = maxOf(known.charged, due)))
     }
 }
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/PeerSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/PeerSystem.kt
@@ -65,8 +65,8 @@
         )
 
     private fun GatewayTables.refilled(now: Timestamp): GatewayTables {
-        val silent = silentPeers(now)
-        return copy(buckets = buckets.mapValues { it.value.refill(now, silent, entryCount) }.toPersistentMap())
+        val silences = silences(now)
+        return copy(buckets = buckets.mapValues { it.value.refill(now, silences, entryCount) }.toPersistentMap())
     }
 
     private companion object {
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/Ruling.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/Ruling.kt
@@ -66,8 +66,9 @@
 /** Whether keys may be accepted: the store has confirmed lately that the configuration is the newest. */
 internal fun GatewayTables.hasKeyAuthority(now: Timestamp): Boolean = confirmedAgo(now) <= settings.keyAuthority
 
-/** Listed entries that have sent no digest for too long. */
-internal fun GatewayTables.silentPeers(now: Timestamp): List<String> =
+/** Listed entries that have sent no digest for too long, with the time since their last one. */
+internal fun GatewayTables.silences(now: Timestamp): Map<String, Duration> =
     peers.values
-        .filter { it.listed && now - (it.heardAt ?: it.seenAt) > settings.peerSilence }
-        .map { it.name }
+        .filter { it.listed }
+        .associate { it.name to now - (it.heardAt ?: it.seenAt) }
+        .filterValues { it > settings.peerSilence }
--- /dev/null
+++ b/core/src/test/kotlin/org/ragwortbank/core/gateway/RateFleetTest.kt
@@ -0,0 +1,67 @@
+package org.ragwortbank.core.gateway
+
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertTrue
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Accounts are held to their rate over the fleet, and get it, whatever happens to single gateways. */
+class RateFleetTest {
+    @Test
+    fun `given far more calls than the rate and random faults, then no window of eight seconds exceeds the bound`() {
+        (1..SEEDS).forEach { seed ->
+            val random = Random(seed)
+            val events = faults(random)
+            val fleet = RateFleet(random, perSecond = 180, events)
+            fleet.run(DAY)
+            val most = fleet.mostWithin(WINDOW)
+            assertTrue(most <= BOUND, "seed $seed, $events: $most tokens in a window, expected at most $BOUND")
+        }
+    }
+
+    @Test
+    fun `given calls below the rate and listings that lapse, then hardly any is refused`() {
+        (1..SEEDS).forEach { seed ->
+            val random = Random(seed)
+            val lapses = (0..3).map { RateEvent(moment(random), it, RateFault.Lapse(4.seconds)) }
+            val fleet = RateFleet(random, perSecond = 40, lapses)
+            fleet.run(DAY)
+            assertTrue(fleet.refused <= fleet.arrived / 100, "seed $seed: ${fleet.refused} of ${fleet.arrived} refused")
+        }
+    }
+
+    @Test
+    fun `given calls below the rate and gateways that start again in turn, then few are refused`() {
+        (1..SEEDS).forEach { seed ->
+            val random = Random(seed)
+            val restarts = (0..3).map { RateEvent(3.seconds + 4.seconds * it, it, RateFault.Restart(2.seconds)) }
+            val fleet = RateFleet(random, perSecond = 40, restarts)
+            fleet.run(DAY)
+            assertTrue(fleet.refused <= fleet.arrived / 20, "seed $seed: ${fleet.refused} of ${fleet.arrived} refused")
+        }
+    }
+
+    private fun faults(random: Random): List<RateEvent> = (1..5).map {
+        val length = 1_500.milliseconds + random.nextInt(4_000).milliseconds
+        val fault = when (random.nextInt(3)) {
+            0 -> RateFault.Restart(length)
+            1 -> RateFault.Lapse(length)
+            else -> RateFault.Cut(length)
+        }
+        RateEvent(moment(random), random.nextInt(RateFleet.GATEWAYS), fault)
+    }
+
+    /** A whole number of ticks. */
+    private fun moment(random: Random): Duration = 2.seconds + 25.milliseconds * random.nextInt(640)
+
+    private companion object {
+        const val SEEDS = 16
+        val DAY = 25.seconds
+        val WINDOW = 8.seconds
+
+        /** Rate and burst over the window, a tenth more, and the slack that the operators allow. */
+        const val BOUND = (RateFleet.RATE * 8 + RateFleet.RATE) * 11 / 10 + 17_000
+    }
+}
