Stay off the list after leaving it; tell once that an engine answers again

The renewal that was due after the stop found the ended lease and took it for a loss. The others then counted the ended process as silent for up to six seconds and charged every account its share. The same logs held up to six lines a second that an engine answers, after orders without a clear answer.

Ruled out: leases that really lapsed (the store was sound).

Change: after a stop nothing is renewed or joined, and a listing that is granted late is given up; a placer tells a loss and a return of its engine by whether questions are answered. Tests: MembershipTest, ReportSystemTest.

--- a/core/src/main/kotlin/org/ragwortbank/core/placer/PlacerTables.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/placer/PlacerTables.kt
@@ -94,7 +94,8 @@
  * A placer runs beside one engine and is the only one that gives it orders.
  *
  * @property upstream the engine's present identity, as the engine or the entries tell it
- * @property report newest report; null before the first and while the engine doesn't answer
+ * @property report newest report; null before the first, while the engine doesn't answer and after an unclear order
+ * @property answers whether the engine answered when it was asked last
  * @property askedAt when a report was last asked for
  * @property awaitingReport whether the answer to that is still to come
  * @property pending order whose answer is awaited; there is at most one at a time
@@ -108,6 +109,7 @@
     val settings: PlacerSettings = PlacerSettings(),
     val upstream: UpstreamId? = null,
     val report: EngineReport? = null,
+    val answers: Boolean = false,
     val askedAt: Timestamp? = null,
     val awaitingReport: Boolean = false,
     val entries: PersistentMap<String, EntryRow> = persistentMapOf(),
--- a/core/src/main/kotlin/org/ragwortbank/core/placer/ReportSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/placer/ReportSystem.kt
@@ -30,14 +30,13 @@
         val tables = step.tables
         val early = tables.settledAt?.let { input.askedAt < it } ?: false
         if (tables.pending != null || early) return step.update { it.copy(awaitingReport = false) }
-        val said = if (step.tables.report == null) step.log(LogPart.PLATFORM, "the engine answers") else step
-        return said.update { it.copy(report = input.report, awaitingReport = false) }
+        val said = if (step.tables.answers) step else step.log(LogPart.PLATFORM, "the engine answers")
+        return said.update { it.copy(report = input.report, awaitingReport = false, answers = true) }
     }
 
     private fun lose(step: PlacerStep, cause: String): PlacerStep {
-        val news = step.tables.report != null
-        val said = if (news) step.log(LogPart.PLATFORM, "the engine does not answer: $cause") else step
-        return said.update { it.copy(report = null, awaitingReport = false) }
+        val said = if (step.tables.answers) step.log(LogPart.PLATFORM, "the engine does not answer: $cause") else step
+        return said.update { it.copy(report = null, awaitingReport = false, answers = false) }
     }
 
     private fun demand(step: PlacerStep, input: PlacerInput.DemandTold, now: Timestamp): PlacerStep {
--- a/core/src/test/kotlin/org/ragwortbank/core/placer/ReportSystemTest.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/placer/ReportSystemTest.kt
@@ -3,6 +3,7 @@
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.persistentSetOf
 import kotlinx.collections.immutable.toPersistentList
+import org.ragwortbank.core.log.LogPart
 import org.ragwortbank.core.tick.Tick
 import org.ragwortbank.core.tick.Timestamp
 import kotlin.test.Test
@@ -15,6 +16,7 @@
     private val schedule = placerSchedule()
     private var now = Timestamp(0) + 10.seconds
     private var tables = PlacerTables("placer-1", incarnation = 1)
+    private var told = 0
 
     @Test
     fun `given an engine that loads its base model, then it is asked often so that the end is known at once`() {
@@ -34,6 +36,16 @@
         assertEquals(2, questionsWithin(250.milliseconds, PlacerInput.ReportFailed("no connection")))
     }
 
+    @Test
+    fun `given an engine that goes silent and comes back, then each is told once`() {
+        tick(PlacerInput.Reported(engine(busy = false), now))
+        assertEquals(1, told)
+        repeat(3) { tick(PlacerInput.ReportFailed("no connection")) }
+        assertEquals(2, told)
+        repeat(3) { tick(PlacerInput.Reported(engine(busy = false), now)) }
+        assertEquals(3, told)
+    }
+
     /** Questions in [time], each followed by [answer]. */
     private fun questionsWithin(time: Duration, answer: PlacerInput): Int {
         val end = now + time
@@ -52,6 +64,7 @@
     private fun tick(vararg inputs: PlacerInput): Boolean {
         val step = schedule.run(Tick(now, inputs.toList().toPersistentList()), tables)
         tables = step.tables
+        told += step.effects.count { it is PlacerEffect.Log && it.line.part == LogPart.PLATFORM }
         return step.effects.any { it == PlacerEffect.AskReport }
     }
 
--- a/node/src/main/kotlin/org/ragwortbank/node/gateway/Membership.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/gateway/Membership.kt
@@ -34,6 +34,14 @@
     private fun renew(lease: Long) = store.renew(lease, ::take)
 
     private fun take(reply: MemberReply) {
+        when {
+            !stopped -> takeRunning(reply)
+            reply is MemberReply.Listed && lease == null -> store.leave(reply.lease) { }
+            else -> Unit
+        }
+    }
+
+    private fun takeRunning(reply: MemberReply) {
         when (reply) {
             is MemberReply.Listed -> listed(reply.lease)
             MemberReply.Expired -> {
@@ -55,8 +63,12 @@
     }
 
     private fun again(pause: Duration) {
-        if (stopped) return
-        loop.schedule({ lease?.let(::renew) ?: join() }, pause.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+        loop.schedule(::goOn, pause.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+    }
+
+    /** A process that has left the list must not come back to it, or the others would count on it after its end. */
+    private fun goOn() {
+        if (!stopped) lease?.let(::renew) ?: join()
     }
 
     private companion object {
--- /dev/null
+++ b/node/src/test/kotlin/org/ragwortbank/node/gateway/MembershipTest.kt
@@ -0,0 +1,59 @@
+package org.ragwortbank.node.gateway
+
+import io.netty.channel.DefaultEventLoop
+import org.ragwortbank.core.serving.Endpoint
+import org.ragwortbank.node.port.MemberReply
+import org.ragwortbank.node.port.StoreClient
+import org.ragwortbank.node.port.StoreReply
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.test.AfterTest
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.time.Duration
+
+class MembershipTest {
+    private val loop = DefaultEventLoop()
+    private val store = CountingStore()
+    private val membership = Membership(loop, store, "gateway-1", Endpoint("127.0.0.1", 1))
+
+    @AfterTest
+    fun `the loop ends`() {
+        loop.shutdownGracefully()
+    }
+
+    @Test
+    fun `given a process that has left the list, when its next renewal is due, then it does not join again`() {
+        loop.submit { membership.start() }.get()
+        loop.submit { membership.stop() }.get()
+        Thread.sleep(PAST_RENEWAL_MILLIS)
+        assertEquals(listOf(1, 0, 1), listOf(store.joined, store.renewed, store.left).map { it.get() })
+    }
+
+    private class CountingStore : StoreClient {
+        val joined = AtomicInteger()
+        val renewed = AtomicInteger()
+        val left = AtomicInteger()
+
+        override fun readAll(done: (StoreReply) -> Unit) = Unit
+
+        override fun readChanges(revision: Long, wait: Duration, done: (StoreReply) -> Unit) = Unit
+
+        override fun join(name: String, endpoint: Endpoint, lifetime: Duration, done: (MemberReply) -> Unit) {
+            joined.incrementAndGet()
+            done(MemberReply.Listed(lease = 1))
+        }
+
+        override fun renew(lease: Long, done: (MemberReply) -> Unit) {
+            renewed.incrementAndGet()
+            done(MemberReply.Expired)
+        }
+
+        override fun leave(lease: Long, done: (MemberReply) -> Unit) {
+            left.incrementAndGet()
+        }
+    }
+
+    private companion object {
+        const val PAST_RENEWAL_MILLIS = 2_500L
+    }
+}
