--- a/cli/src/main/kotlin/org/ragwortbank/cli/Instance.kt
+++ b/cli/src/main/kotlin/org/ragwortbank/cli/Instance.kt
@@ -7,7 +7,7 @@
 import java.nio.file.Path
 import kotlin.system.exitProcess
 
-/** Runs the processes that small instances start often; the command-line library would take a third of their start. */
+/** Runs the processes that small instances start often, without the command-line library, which is slow to load. */
 object Instance {
     /** Runs the role that the first argument names with the settings file that the second names. */
     @JvmStatic
--- a/node/src/main/kotlin/org/ragwortbank/node/log/ProcessLogging.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/log/ProcessLogging.kt
@@ -8,10 +8,7 @@
 import org.apache.logging.log4j.core.config.ConfigurationSource
 import org.apache.logging.log4j.core.layout.PatternLayout
 
-/**
- * One console appender for all loggers, set up directly: looking for Log4j's plugins would take a third of the
- * processor time of a start.
- */
+/** One console appender for all loggers, set up directly: Log4j's configuration builder makes a start slow. */
 internal class ProcessLogging(
     private val level: Level,
     private val format: LogFormat,
