Use only the version before the newest one while a newer one arrives

An engine still held version 1 when version 3 was named; for 2.5 s after that any older version counted as usable, so version 1 came back seven seconds after version 2 had replaced it.

Ruled out: lost or late news of version 2 (the requests went there only after version 3 was heard).

Change: a named version knows the one before it, and only that one may be used meanwhile. Test in RoutingSystemTest, which failed before: engine-1 in place of engine-2.

--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/AdapterStates.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/AdapterStates.kt
@@ -14,7 +14,7 @@
     val named = versions[adapter]
     return when {
         named == null || held >= named.version -> AdapterState.PRESENT
-        now - named.heardAt < settings.staleVersion -> AdapterState.PREVIOUS
+        held >= named.previous && now - named.heardAt < settings.staleVersion -> AdapterState.PREVIOUS
         else -> null
     }
 }
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/ConfigChanges.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/ConfigChanges.kt
@@ -26,7 +26,7 @@
 internal fun GatewayTables.nameVersion(change: StoreChange.VersionNamed, now: Timestamp): GatewayTables {
     val known = versions[change.adapter]
     if (known != null && known.version >= change.version) return this
-    return copy(versions = versions.put(change.adapter, NamedVersion(change.version, now)))
+    return copy(versions = versions.put(change.adapter, NamedVersion(change.version, now, previous = known?.version ?: 0)))
 }
 
 private fun rates(config: ServingConfig): String =
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewayTables.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewayTables.kt
@@ -28,10 +28,15 @@
     val at: Timestamp,
 )
 
-/** The newest version of an adapter, and when this entry heard of it. */
+/**
+ * The newest version of an adapter, and when this entry heard of it.
+ *
+ * @property previous the version that was newest before, which alone may still be used for a while; 0 for any
+ */
 data class NamedVersion(
     val version: Long,
     val heardAt: Timestamp,
+    val previous: Long = 0,
 )
 
 /**
--- a/core/src/test/kotlin/org/ragwortbank/core/gateway/RoutingSystemTest.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/gateway/RoutingSystemTest.kt
@@ -67,6 +67,20 @@
         assertEquals(2, gateway.sent().single().adapterVersion)
     }
 
+    @Test
+    fun `given a third version that was named just now, then only the second is still used, not the first`() {
+        val adapter = AdapterKey(GatewayFixture.MODEL, "a1")
+        gateway.change(StoreChange.VersionNamed(adapter, 2))
+        gateway.after(3.seconds)
+        gateway.tell(first)
+        gateway.tell(second, holds = mapOf("a1" to 2))
+        gateway.change(StoreChange.VersionNamed(adapter, 3))
+        repeat(6) {
+            gateway.arrive("/chat/x", gateway.call("/chat/x", adapter = "a1"))
+            assertEquals(second, gateway.sent().single().upstream)
+        }
+    }
+
     @Test
     fun `given a newer version that was named just now, then the old one is still used meanwhile`() {
         gateway.change(StoreChange.VersionNamed(AdapterKey(GatewayFixture.MODEL, "a1"), 2))
