--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/ConfigChanges.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/ConfigChanges.kt
@@ -26,7 +26,8 @@
 internal fun GatewayTables.nameVersion(change: StoreChange.VersionNamed, now: Timestamp): GatewayTables {
     val known = versions[change.adapter]
     if (known != null && known.version >= change.version) return this
-    return copy(versions = versions.put(change.adapter, NamedVersion(change.version, now, previous = known?.version ?: 0)))
+    val named = NamedVersion(change.version, now, previous = known?.version ?: 0)
+    return copy(versions = versions.put(change.adapter, named))
 }
 
 private fun rates(config: ServingConfig): String =
