--- a/cli/src/main/kotlin/org/ragwortbank/cli/explain/RequestStory.kt
+++ b/cli/src/main/kotlin/org/ragwortbank/cli/explain/RequestStory.kt
@@ -37,7 +37,7 @@
         private fun namesRequest(line: LoggedLine, id: String): Boolean =
             line.message.startsWith("request $id ") || line.message.startsWith("request $id:")
 
-        /** What a process believes of an upstream is told once, often long before the request. */
+        /** Beliefs of that time: of all processes on the request's upstreams, of its own processes on all else. */
         private fun concerns(line: LoggedLine, upstreams: Set<String>, own: List<LoggedLine>): Boolean {
             val near = within(line.time, own.first().time, own.last().time)
             val sameProcess = own.any { it.source == line.source }
--- a/cli/src/main/kotlin/org/ragwortbank/cli/explain/StoryText.kt
+++ b/cli/src/main/kotlin/org/ragwortbank/cli/explain/StoryText.kt
@@ -29,7 +29,7 @@
     val last = own.lastOrNull { it.part == "answer" } ?: return "none is logged: under way still, or lines were dropped"
     val code = Regex("""\b(\d{4}) [A-Z_]+""").find(last.message)?.groupValues?.get(1)?.toInt()
     val meaning = ResultCode.entries.firstOrNull { it.number == code }?.meaning
-    return if (meaning == null) last.message.substringAfter("$id").trim(' ', ':') else "$code: $meaning"
+    return if (meaning == null) last.message.substringAfter(id).trim(' ', ':') else "$code: $meaning"
 }
 
 private fun unreadable(count: Int): String = "$count lines were torn or no log lines"
