Read bounds with fractions, and start with defaults in place of unreadable bounds

DEPLOY.md says that bounds are whole numbers, fractions, or true or false; one that is not in force may be empty. Ruled out: durations (their text may hold a fraction already, now tested). Change: retry_slack is a number; bounds are optional, an unreadable one is logged as an error with key, found and expected, and its default holds; 'check' still rejects it.

--- a/cli/src/main/kotlin/org/ragwortbank/cli/command/CheckCommand.kt
+++ b/cli/src/main/kotlin/org/ragwortbank/cli/command/CheckCommand.kt
@@ -40,12 +40,18 @@
     private var poolsOption: Path? = null
 
     override fun call(): Int {
-        val problems = validateFiles().filterIsInstance<Validated.Invalid>().flatMap { it.problems }
+        val problems = validateFiles().flatMap(::findingsOf)
         if (problems.isNotEmpty()) return reportProblems(problems)
         println("no mistakes")
         return ExitCode.OK.number
     }
 
+    private fun findingsOf(result: Validated<*>): List<String> =
+        when (result) {
+            is Validated.Invalid -> result.problems
+            is Validated.Valid<*> -> result.warnings
+        }
+
     private fun validateFiles(): List<Validated<*>> {
         val entryResults = entryFiles.map(SettingsFile::readEntry) + sidecarFiles.map(SettingsFile::readSidecar)
         val gatewayResults = gatewayFiles.map(SettingsFile::readGateway) + placerFiles.map(SettingsFile::readPlacer)
--- a/cli/src/main/kotlin/org/ragwortbank/cli/command/ProcessRunner.kt
+++ b/cli/src/main/kotlin/org/ragwortbank/cli/command/ProcessRunner.kt
@@ -62,6 +62,7 @@
             is Validated.Valid -> {
                 val createProcess = prepare(settings.value)
                 LogSetup.configure(logLevelOf(settings.value), logFormatOf(settings.value), logTarget)
+                settings.warnings.forEach(SettingsLog::replacedByDefault)
                 runUntilStopped(createProcess())
             }
         }
@@ -81,6 +82,7 @@
             is Validated.Invalid -> settings.problems.forEach(SettingsLog::rejected)
             is Validated.Valid -> {
                 SettingsLog.reloaded()
+                settings.warnings.forEach(SettingsLog::replacedByDefault)
                 applySettings(process, settings.value)
             }
         }
--- a/cli/src/main/kotlin/org/ragwortbank/cli/settings/GatewayReader.kt
+++ b/cli/src/main/kotlin/org/ragwortbank/cli/settings/GatewayReader.kt
@@ -4,6 +4,7 @@
 import org.ragwortbank.cli.toml.address
 import org.ragwortbank.cli.toml.duration
 import org.ragwortbank.cli.toml.int
+import org.ragwortbank.cli.toml.number
 import org.ragwortbank.cli.toml.optionalBoolean
 import org.ragwortbank.cli.toml.string
 import org.ragwortbank.clients.http.Address
@@ -12,18 +13,23 @@
 import org.ragwortbank.node.settings.GatewayNodeSettings
 import org.ragwortbank.node.settings.PlacerNodeSettings
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 private const val MAX_PORT = 65_535
-private const val MAX_RETRY_SLACK = 1_000_000
+private const val MAX_RETRY_SLACK = 1_000_000.0
 private const val MAX_RETRY_PERCENT = 1_000
 private const val HUNDRED_PERCENT = 100.0
 private val portRange = 1..MAX_PORT
-private val retrySlackRange = 0..MAX_RETRY_SLACK
+private val retrySlackRange = 0.0..MAX_RETRY_SLACK
 private val retryPercentRange = 0..MAX_RETRY_PERCENT
 
 /** Part of the `key_withdrawal` bound left for processing after a decision; the rest is the configuration lease. */
 private val KEY_REVOCATION_MARGIN = 200.milliseconds
 
+/** Part of the shorter of the bounds on configuration and leaving upstreams that may pass before the store is read. */
+private const val READ_DELAY_SHARE = 0.375
+private val DEFAULT_STORE_BOUND = 2.seconds
+
 internal fun readGatewayNodeSettings(reader: TomlReader): GatewayNodeSettings {
     val anyLoopbackPort = Address("127.0.0.1", 0)
     return GatewayNodeSettings(
@@ -37,7 +43,7 @@
         storeAddress = reader.address("store_address", default = null),
         isFirstStart = reader.optionalBoolean("first_start") ?: false,
         connectTimeout = reader.duration("connect_timeout", DEFAULT_CONNECT_TIMEOUT),
-        gateway = reader.section("bounds", ::readGatewaySettings),
+        gateway = reader.optionalSection("bounds", ::readGatewaySettings),
         logLevel = reader.section("log") { readLogLevel(it, LogFormat.JSON) },
         logFormat = reader.section("log") { readLogFormat(it, LogFormat.JSON) },
     )
@@ -62,12 +68,15 @@
     val versionSwitchBound = reader.duration("adapter_version", defaults.previousVersionLifetime * 2)
     val stopGrace = reader.duration("stop_grace", defaults.drainTimeout + STOP_GRACE_MARGIN)
     val retryPercent = reader.int("retry_percent", (defaults.retryRatio * HUNDRED_PERCENT).toInt(), retryPercentRange)
+    val configurationBound = reader.duration("configuration", DEFAULT_STORE_BOUND)
+    val leavingUpstreamBound = reader.duration("leaving_upstream", DEFAULT_STORE_BOUND)
     return defaults.copy(
         configurationLease = keyRevocationBound - KEY_REVOCATION_MARGIN,
         previousVersionLifetime = versionSwitchBound / 2,
         drainTimeout = stopGrace - STOP_GRACE_MARGIN,
         retryRatio = retryPercent / HUNDRED_PERCENT,
-        retrySlack = reader.int("retry_slack", defaults.retrySlack, retrySlackRange),
+        retrySlack = reader.number("retry_slack", defaults.retrySlack, retrySlackRange),
+        storeReadDelay = minOf(configurationBound, leavingUpstreamBound) * READ_DELAY_SHARE,
     )
 }
 
--- a/cli/src/main/kotlin/org/ragwortbank/cli/settings/SettingsFile.kt
+++ b/cli/src/main/kotlin/org/ragwortbank/cli/settings/SettingsFile.kt
@@ -33,6 +33,9 @@
     private fun <T> validate(reader: TomlReader, readSettings: (TomlReader) -> T): Validated<T> {
         val value = readSettings(reader)
         val problems = reader.finish()
-        return if (problems.isEmpty()) Validated.Valid(value) else Validated.Invalid(problems.map { it.toString() })
+        return when {
+            problems.isEmpty() -> Validated.Valid(value, reader.warnings.map { it.toString() })
+            else -> Validated.Invalid((problems + reader.warnings).map { it.toString() })
+        }
     }
 }
--- a/cli/src/main/kotlin/org/ragwortbank/cli/toml/TomlReader.kt
+++ b/cli/src/main/kotlin/org/ragwortbank/cli/toml/TomlReader.kt
@@ -22,6 +22,10 @@
     private var knownNames: PersistentSet<String> = persistentSetOf()
     private var problems: PersistentList<TomlProblem> = persistentListOf()
 
+    /** Problems that don't prevent the use of the file, because a default stands in for each unreadable value. */
+    var warnings: PersistentList<TomlProblem> = persistentListOf()
+        private set
+
     private var requestedSettings: PersistentList<TomlSetting> = persistentListOf()
 
     /** The settings that were requested, in order of request. */
@@ -45,16 +49,29 @@
 
     /** Reads the sub-table [name] with [read]; a missing one counts as empty. */
     fun <T> section(name: String, read: (TomlReader) -> T): T {
-        val element = takeElement(name)
-        val sectionTable = element as? TomlTable ?: TomlTable(emptyMap<String, Any>())
-        val sectionReader = TomlReader(file, sectionTable, "$pathPrefix$name.")
-        if (element != null && element !is TomlTable) addProblem(name, "'${displayText(element)}'", "a table")
+        val sectionReader = openSection(name)
         val result = read(sectionReader)
         problems = problems.addAll(sectionReader.finish())
+        warnings = warnings.addAll(sectionReader.warnings)
+        requestedSettings = requestedSettings.addAll(sectionReader.settings)
+        return result
+    }
+
+    /** Reads the sub-table [name], whose values all have defaults, with [read]; its problems count as warnings. */
+    fun <T> optionalSection(name: String, read: (TomlReader) -> T): T {
+        val sectionReader = openSection(name)
+        val result = read(sectionReader)
+        warnings = warnings.addAll(sectionReader.finish())
         requestedSettings = requestedSettings.addAll(sectionReader.settings)
         return result
     }
 
+    private fun openSection(name: String): TomlReader {
+        val element = takeElement(name)
+        if (element != null && element !is TomlTable) addProblem(name, "'${displayText(element)}'", "a table")
+        return TomlReader(file, element as? TomlTable ?: TomlTable(emptyMap<String, Any>()), "$pathPrefix$name.")
+    }
+
     /** Reports every name that was not requested, and returns all problems. */
     fun finish(): List<TomlProblem> {
         table.keys.filter { it !in knownNames }.forEach(::addUnknownName)
--- a/cli/src/main/kotlin/org/ragwortbank/cli/toml/TomlValues.kt
+++ b/cli/src/main/kotlin/org/ragwortbank/cli/toml/TomlValues.kt
@@ -28,6 +28,12 @@
 internal fun TomlReader.int(name: String, default: Int, range: IntRange): Int =
     long(name, default.toLong(), range.first.toLong()..range.last.toLong()).toInt()
 
+/** The number [name] within [range], whole or with a fraction. */
+internal fun TomlReader.number(name: String, default: Double, range: ClosedRange<Double>): Double {
+    val expected = "a number from ${range.start} to ${range.endInclusive}"
+    return value(name, default, expected) { scalarContent(it)?.toDoubleOrNull()?.takeIf(range::contains) } ?: default
+}
+
 /** The duration [name], such as `500ms` or `2s`. */
 internal fun TomlReader.duration(name: String, default: Duration): Duration {
     val parsed = value(name, default, "a duration of 1ms to 1d, such as \"500ms\"") { element ->
--- /dev/null
+++ b/cli/src/test/kotlin/org/ragwortbank/cli/settings/GatewaySettingsTest.kt
@@ -0,0 +1,102 @@
+package org.ragwortbank.cli.settings
+
+import org.ragwortbank.cli.toml.Validated
+import org.ragwortbank.node.settings.GatewayNodeSettings
+import java.nio.file.Files
+import java.nio.file.Path
+import kotlin.io.path.readText
+import kotlin.io.path.writeText
+import kotlin.test.Test
+import kotlin.test.assertContains
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import kotlin.test.assertTrue
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.microseconds
+import kotlin.time.Duration.Companion.milliseconds
+
+class GatewaySettingsTest {
+    private val file = Files.createTempDirectory("ragwortbank-gateway").resolve("settings.toml")
+
+    private fun readWithBounds(bounds: String): Validated<GatewayNodeSettings> {
+        file.writeText("name = \"edge-1\"\nstore_address = \"127.0.0.1:1\"\n[bounds]\n$bounds\n")
+        return SettingsFile.readGateway(file)
+    }
+
+    private fun validWithBounds(bounds: String): Validated.Valid<GatewayNodeSettings> = assertIs(readWithBounds(bounds))
+
+    @Test
+    fun `given a retry slack with a fraction, then it is read`() {
+        val settings = validWithBounds("retry_slack = 44.16666666666667")
+        assertEquals(44.16666666666667, settings.value.gateway.retrySlack)
+        assertEquals(emptyList(), settings.warnings)
+    }
+
+    @Test
+    fun `given a whole retry slack, then it is read`() {
+        assertEquals(106.0, validWithBounds("retry_slack = 106").value.gateway.retrySlack)
+    }
+
+    @Test
+    fun `given bounds on time with a fraction, then they are read`() {
+        val settings = validWithBounds(
+            """
+            key_withdrawal = "5000.5ms"
+            adapter_version = "4166.666666666667ms"
+            stop_grace = "8.5s"
+            configuration = "4000.0ms"
+            leaving_upstream = "3999.5ms"
+            """.trimIndent(),
+        )
+        assertEquals(emptyList(), settings.warnings)
+        val gateway = settings.value.gateway
+        assertEquals(4_800.5.milliseconds, gateway.configurationLease)
+        assertSimilar(2_083.333.milliseconds, gateway.previousVersionLifetime)
+        assertEquals(7_800.milliseconds, gateway.drainTimeout)
+        assertSimilar(1_499.8125.milliseconds, gateway.storeReadDelay)
+    }
+
+    @Test
+    fun `given unreadable bounds, then each is reported with key, found and expected and its default is in force`() {
+        val settings = validWithBounds(
+            "retry_slack = \"many\"\nstop_grace = \"ms\"\nkey_withdrawal = true\nretry_slak = 3",
+        )
+        val defaults = GatewayNodeSettings(placerDigestPort = 1, name = "x", storeAddress = settings.value.storeAddress)
+        assertEquals(defaults.gateway, settings.value.gateway)
+        assertEquals(4, settings.warnings.size)
+        val warnings = settings.warnings.joinToString("\n")
+        assertContains(warnings, "bounds.retry_slack: found 'many', expected a number from 0.0 to 1000000.0")
+        assertContains(warnings, "bounds.stop_grace: found 'ms', expected a duration")
+        assertContains(warnings, "bounds.key_withdrawal: found 'true', expected a duration")
+        assertContains(warnings, "bounds.retry_slak: found an unknown setting")
+    }
+
+    @Test
+    fun `given a missing required setting, then the file is rejected with all findings`() {
+        file.writeText("name = \"edge-1\"\n[bounds]\nretry_slack = \"many\"\n")
+        val problems = assertIs<Validated.Invalid>(SettingsFile.readGateway(file)).problems
+        assertContains(problems[0], "store_address: found nothing")
+        assertContains(problems[1], "bounds.retry_slack")
+    }
+
+    @Test
+    fun `given the deployed template without any bound, then its defaults are in force`() {
+        val template = Path.of("..", "deploy", "gateway.toml").readText()
+        val section = Regex("\\{\\{#[^}]*}}.*?\\{\\{/[^}]*}}", RegexOption.DOT_MATCHES_ALL)
+        val withoutSections = section.replace(template, "")
+        val filled = Regex("\\{\\{[^}]*}}").replace(withoutSections) { match ->
+            when {
+                "port" in match.value -> "7600"
+                "first" in match.value -> "true"
+                match.value == "{{ip}}" -> "127.0.0.1"
+                else -> "127.0.0.1:1"
+            }
+        }
+        file.writeText(filled)
+        val settings = assertIs<Validated.Valid<GatewayNodeSettings>>(SettingsFile.readGateway(file))
+        assertEquals(emptyList(), settings.warnings)
+    }
+
+    private fun assertSimilar(expected: Duration, actual: Duration) =
+        assertTrue((expected - actual).absoluteValue < 1.microseconds, "expected $expected, found $actual")
+}
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewaySettings.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewaySettings.kt
@@ -11,13 +11,16 @@
  * @property previousVersionLifetime time for which an adapter's previous version stays usable after a newer one
  * @property maxLoadWait longest time that a request waits for its adapter to load
  * @property demandDigestInterval time between digests to a placer while nothing changes
- * @property peerDigestInterval time between digests to the other gateways while its totals change
- * @property peerDigestTimeout time after which a gateway that sends no digests is charged its share of each rate
- * @property engineDigestLifetime age above which a placer's digest is ignored
+ * @property engineDigestInterval time between the digests of an engine in a small fleet
+ * @property peerDigestInterval time between digests to the other gateways in a small fleet while its totals change
+ * @property peerDigestTimeout shortest time after which a gateway without digests is charged its share of each rate
+ * @property engineDigestLifetime shortest age above which a placer's digest is ignored
+ * @property rateWindow time over which the operators compare what an account used with its rate
  * @property retryRatio retries allowed per request, over the whole fleet
  * @property retrySlack retries allowed in addition, over the whole fleet
  * @property drainGrace time for which a draining process admits new requests, until callers are routed elsewhere
  * @property drainTimeout time after which a draining process stops even with requests under way
+ * @property storeReadDelay time between a reply of the store and the next read of its changes
  * @property sweepInterval time between checks of deadlines
  */
 data class GatewaySettings(
@@ -25,13 +28,16 @@
     val previousVersionLifetime: Duration = 2_500.milliseconds,
     val maxLoadWait: Duration = 2_500.milliseconds,
     val demandDigestInterval: Duration = 500.milliseconds,
+    val engineDigestInterval: Duration = 400.milliseconds,
     val peerDigestInterval: Duration = 150.milliseconds,
     val peerDigestTimeout: Duration = 1_200.milliseconds,
     val engineDigestLifetime: Duration = 1_500.milliseconds,
+    val rateWindow: Duration = 8.seconds,
     val retryRatio: Double = 0.2,
-    val retrySlack: Int = 50,
+    val retrySlack: Double = 50.0,
     val drainGrace: Duration = 2_500.milliseconds,
     val drainTimeout: Duration = 7.seconds,
+    val storeReadDelay: Duration = 750.milliseconds,
     val sweepInterval: Duration = 20.milliseconds,
 )
 
--- a/node/src/main/kotlin/org/ragwortbank/node/gateway/StoreWatcher.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/gateway/StoreWatcher.kt
@@ -16,11 +16,14 @@
  *
  * One request covers configuration, upstreams, versions and members. Upstreams write so often that a request repeated
  * at once would return after each single write; the delay between requests batches these writes.
+ *
+ * @property readDelay returns the delay between a reply and the next request
  */
 internal class StoreWatcher(
     private val loop: EventLoop,
     private val store: StoreClient,
     private val now: () -> Timestamp,
+    private val readDelay: () -> Duration,
     private val post: (GatewayInput) -> Unit,
 ) {
     private var isStoreUnavailable = false
@@ -41,9 +44,9 @@
                 is StoreReply.FullRead -> {
                     recordSuccess()
                     post(GatewayInput.StoreRead(reply.contents, requestedAt))
-                    schedule(READ_DELAY) { readChanges(reply.revision) }
+                    schedule(readDelay()) { readChanges(reply.revision) }
                 }
-                is StoreReply.Changes, StoreReply.Compacted -> schedule(READ_DELAY, ::readAll)
+                is StoreReply.Changes, StoreReply.Compacted -> schedule(readDelay(), ::readAll)
                 is StoreReply.Failed -> retryAfterFailure(reply.cause, ::readAll)
             }
         }
@@ -56,7 +59,7 @@
                 is StoreReply.Changes -> {
                     recordSuccess()
                     post(GatewayInput.StoreChanged(reply.changes, requestedAt))
-                    schedule(READ_DELAY) { readChanges(reply.revision) }
+                    schedule(readDelay()) { readChanges(reply.revision) }
                 }
                 is StoreReply.FullRead, StoreReply.Compacted -> {
                     Logs.platform.info("the store no longer has the changes since {}, reading all of it", revision)
@@ -83,8 +86,6 @@
     }
 
     private companion object {
-        /** Leaves most of 2 s, the shortest limit on applying changes of leaving upstreams and of the configuration. */
-        val READ_DELAY = 750.milliseconds
         val RETRY_DELAY = 350.milliseconds
         val MAX_CHANGE_WAIT = 1.seconds
     }
