Write log lines in batches, without a ring buffer and a wake-up for each line

Cause: each line woke the logger's thread and was one write; at the start the ring buffer and its factories cost class loading. Change: lines are formatted on the calling thread and written ten times a second by one thread; a million characters may wait, further lines are dropped, counted and reported in the log.

--- a/node/src/main/kotlin/org/ragwortbank/node/log/ProcessLogging.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/log/ProcessLogging.kt
@@ -3,12 +3,12 @@
 import org.apache.logging.log4j.Level
 import org.apache.logging.log4j.core.Layout
 import org.apache.logging.log4j.core.LifeCycle
-import org.apache.logging.log4j.core.appender.ConsoleAppender
 import org.apache.logging.log4j.core.config.AbstractConfiguration
 import org.apache.logging.log4j.core.config.ConfigurationSource
 import org.apache.logging.log4j.core.layout.PatternLayout
+import java.io.FileOutputStream
 
-/** Log4j configuration with one console appender; built directly because Log4j's builder slows the start down. */
+/** Log4j configuration with one appender; built directly because Log4j's builder slows the start down. */
 internal class ProcessLogging(
     private val level: Level,
     private val format: LogFormat,
@@ -24,18 +24,13 @@
     }
 
     override fun doConfigure() {
-        val appender = ConsoleAppender.newBuilder()
-            .setName("console")
-            .setTarget(ConsoleAppender.Target.valueOf(target.appenderTarget))
-            .setLayout(layout())
-            .setConfiguration(this)
-            .build()
+        val appender = BatchAppender(layout(), FileOutputStream(target.descriptor))
         addAppender(appender)
         rootLogger.addAppender(appender, null, null)
         rootLogger.level = level
     }
 
-    private fun layout(): Layout<*> =
+    private fun layout(): Layout<String> =
         when (format) {
             LogFormat.JSON -> JsonLineLayout()
             LogFormat.TEXT -> PatternLayout.newBuilder().withPattern("%d{ISO8601} %-5level %c: %m%n").build()
