--- a/node/src/main/kotlin/org/ragwortbank/node/loop/TickLoop.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/loop/TickLoop.kt
@@ -18,12 +18,13 @@
  * thread blocks.
  */
 class TickLoop<T, I, E>(
-    private val schedule: Schedule<T, I, E>,
+    schedule: Schedule<T, I, E>,
     initial: T,
     private val maxIdleWait: Duration,
     private val observer: TickObserver,
     private val perform: (E, Timestamp) -> Unit,
 ) {
+    private val guarded = GuardedSchedule(schedule, observer)
     private val inbox = LinkedBlockingQueue<I>(INBOX_CAPACITY)
     private val currentTables = AtomicReference(initial)
     private val tickThread = thread(start = false, name = "tick") { run() }
@@ -57,14 +58,14 @@
             inbox.drainTo(this, MAX_FURTHER_INPUTS)
         }
         val startNanos = System.nanoTime()
-        val step = schedule.run(Tick(Timestamp(startNanos), inputs.toPersistentList()), currentTables.get())
+        val step = guarded.run(Tick(Timestamp(startNanos), inputs.toPersistentList()), currentTables.get())
         commit(step, Timestamp(startNanos))
         observer.onTick(inputs.size, System.nanoTime() - startNanos)
     }
 
     private fun commit(step: Step<T, E>, decidedAt: Timestamp) {
         currentTables.set(step.tables)
-        step.effects.forEach { perform(it, decidedAt) }
+        performAll(step.effects, observer) { perform(it, decidedAt) }
     }
 
     private companion object {
--- a/node/src/main/kotlin/org/ragwortbank/node/metrics/NodeMetrics.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/metrics/NodeMetrics.kt
@@ -22,6 +22,9 @@
 
     private val tickInputs = counter("ragwortbank_tick_inputs_total", "Inputs handled by ticks")
 
+    private val tickFailures =
+        counter("ragwortbank_tick_failures_total", "Inputs dropped and effects not performed because of an error")
+
     private val refusals =
         counter("ragwortbank_refusals_total", "Requests without a complete answer", "code", "execution")
 
@@ -41,6 +44,8 @@
         tickInputs.inc(inputs.toLong())
     }
 
+    override fun onTickFailed() = tickFailures.inc()
+
     /** Counts a request that got a complete answer. */
     fun recordAnswered() = answers.inc()
 
