--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/AdmissionSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/AdmissionSystem.kt
@@ -89,20 +89,21 @@
                     Refusal.notRun(ResultCode.DRAINING, retryAfter = MIN_RETRY_AFTER),
                 )
             account == null || bucket == null -> step.log(LogPart.ADMISSION, describe(row)).update { it.put(row) }
-            bucket.admits(row.tokens) ->
+            bucket.admits(row.tokens, now) ->
                 step
                     .log(LogPart.ADMISSION, describe(row) + ", ${row.tokens} tokens, ${bucket.level.toLong()} left")
                     .update { it.copy(buckets = it.buckets.put(account.id, bucket.consume(row.tokens))).put(row) }
-            else -> refuseOverRate(step, row, bucket)
+            else -> refuseOverRate(step, row, bucket, now)
         }
     }
 
     private fun describe(row: RequestRow): String =
         "request ${row.call.id} of ${row.account ?: "nobody"} admitted on route ${row.route.name} to ${row.service}"
 
-    private fun refuseOverRate(step: GatewayStep, row: RequestRow, bucket: FleetBucket): GatewayStep {
-        val detail = "${row.account} requested ${row.tokens} tokens, ${bucket.level.toLong()} available"
-        val wait = bucket.timeUntilAdmitted(row.tokens).coerceAtLeast(MIN_RETRY_AFTER)
+    private fun refuseOverRate(step: GatewayStep, row: RequestRow, bucket: FleetBucket, now: Timestamp): GatewayStep {
+        val available = "${bucket.available(now).toLong()} of ${bucket.level.toLong()} available"
+        val detail = "${row.account} requested ${row.tokens} tokens, $available"
+        val wait = bucket.timeUntilAdmitted(row.tokens, now).coerceAtLeast(MIN_RETRY_AFTER)
         return step.refuseWithoutRow(row.number, row.call.id, Refusal.notRun(ResultCode.RATE_EXCEEDED, detail, wait))
     }
 
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/Authorization.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/Authorization.kt
@@ -69,10 +69,3 @@
 /** Whether keys may be accepted: the store confirmed within the lease that the configuration is the newest. */
 internal fun GatewayTables.hasConfigurationLease(now: Timestamp): Boolean =
     timeSinceConfirmation(now) <= settings.configurationLease
-
-/** Listed gateways without a digest for longer than the time-out, with the time since their last one. */
-internal fun GatewayTables.unresponsivePeers(now: Timestamp): Map<String, Duration> =
-    peers.values
-        .filter { it.isListed }
-        .associate { it.name to now - (it.digestReceivedAt ?: it.addedAt) }
-        .filterValues { it > settings.peerDigestTimeout }
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/DigestIntakeSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/DigestIntakeSystem.kt
@@ -1,5 +1,7 @@
 package org.ragwortbank.core.gateway
 
+import kotlinx.collections.immutable.PersistentMap
+import org.ragwortbank.core.model.AccountId
 import org.ragwortbank.core.serving.Endpoint
 import org.ragwortbank.core.serving.EngineDigest
 import org.ragwortbank.core.serving.PeerDigest
@@ -29,18 +31,48 @@
 
     private fun receive(tables: GatewayTables, digest: PeerDigest, from: Endpoint, now: Timestamp): GatewayTables {
         val prior = tables.peers[digest.sender] ?: PeerRow(digest.sender, from, isListed = false, addedAt = now)
-        val isNextOfSender = digest.incarnation == prior.incarnation && digest.number > prior.number
-        if (!isNextOfSender && digest.incarnation <= prior.incarnation) return tables
-        val row = prior.copy(incarnation = digest.incarnation, number = digest.number, digestReceivedAt = now)
-        val countsFromZero = digest.incarnation > tables.identity.incarnation
-        val buckets = digest.admittedTokens.entries.fold(tables.buckets) { updated, (account, total) ->
-            val bucket = updated[account]?.receiveTotal(digest.sender, digest.incarnation, total, countsFromZero)
-            if (bucket == null) updated else updated.put(account, bucket)
-        }
-        return tables.copy(peers = tables.peers.put(row.name, row), buckets = buckets)
+        val isSameProcess = digest.incarnation == prior.incarnation
+        if (digest.incarnation < prior.incarnation || (isSameProcess && digest.number <= prior.number)) return tables
+        val row = prior.copy(
+            incarnation = digest.incarnation,
+            number = digest.number,
+            digestReceivedAt = now,
+            confirmedAgo = digest.confirmedMillisAgo.milliseconds,
+        )
+        val isComplete = isSameProcess && digest.number - prior.number <= PeerDigest.REPEATS
+        return tables
+            .copy(
+                peers = tables.peers.put(row.name, row),
+                buckets = tables.receiveTotals(digest, isComplete, now),
+                needsFullPeerDigest = tables.needsFullPeerDigest || !isSameProcess,
+            )
             .renewLeaseFrom(digest)
     }
 
+    /**
+     * The buckets after the totals of [digest].
+     *
+     * @param isComplete whether no change can be missing: a total that the digest doesn't name is unchanged then
+     */
+    private fun GatewayTables.receiveTotals(
+        digest: PeerDigest,
+        isComplete: Boolean,
+        now: Timestamp,
+    ): PersistentMap<AccountId, FleetBucket> {
+        val countsFromZero = digest.incarnation > identity.incarnation
+        return buckets.entries.fold(buckets) { updated, (account, bucket) ->
+            val unchanged = bucket.peers[digest.sender]?.takeIf { isComplete }?.admittedTotal
+            val total = digest.admittedTokens[account] ?: unchanged
+            when (total) {
+                null -> updated
+                else -> updated.put(
+                    account,
+                    bucket.receiveTotal(digest.sender, digest.incarnation, total, countsFromZero, now),
+                )
+            }
+        }
+    }
+
     /**
      * Extends the configuration lease by the confirmation of a peer that has the same configuration.
      *
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/FleetBucket.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/FleetBucket.kt
@@ -5,6 +5,7 @@
 import org.ragwortbank.core.serving.ServingAccount
 import org.ragwortbank.core.tick.Timestamp
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.DurationUnit
 
@@ -12,19 +13,49 @@
  * Tokens that another gateway has admitted for an account.
  *
  * @property admittedTotal tokens since the start of [incarnation], from its latest digest
+ * @property reportedAt when that digest arrived; null before the first
+ * @property tokensPerSecond moving average of what it admits per second, from its digests
  * @property charged tokens charged in advance since then, while it was unresponsive
  */
 data class PeerConsumption(
     val incarnation: Long,
     val admittedTotal: Long,
+    val reportedAt: Timestamp? = null,
+    val tokensPerSecond: Double = 0.0,
     val charged: Double = 0.0,
-)
+) {
+    /** Tokens that it has likely admitted since its latest digest; 0 while it is charged for being unresponsive. */
+    fun unreported(now: Timestamp): Double {
+        if (charged > 0 || reportedAt == null) return 0.0
+        val elapsed = (now - reportedAt).coerceIn(Duration.ZERO, MAX_EXTRAPOLATION)
+        return tokensPerSecond * elapsed.toDouble(DurationUnit.SECONDS)
+    }
+
+    /** This consumption after a digest that arrived at [now] reported [total], [consumed] tokens more than before. */
+    fun afterDigest(total: Long, consumed: Double, now: Timestamp): PeerConsumption {
+        val interval = reportedAt?.let { (now - it).coerceAtLeast(MIN_INTERVAL) }
+        val latest = interval?.let { consumed.coerceAtLeast(0.0) / it.toDouble(DurationUnit.SECONDS) } ?: 0.0
+        val average = tokensPerSecond + (latest - tokensPerSecond) * NEWEST_WEIGHT
+        return PeerConsumption(incarnation, total, now, average)
+    }
+
+    private companion object {
+        const val NEWEST_WEIGHT = 0.5
+
+        /** Digests that arrive together after a delay must not look like a high rate. */
+        val MIN_INTERVAL = 100.milliseconds
+
+        /** Longer silences are charged to a gateway as one that is unresponsive. */
+        val MAX_EXTRAPOLATION = 2.seconds
+    }
+}
 
 /**
  * One gateway's replica of an account's token bucket: filled at the fleet's rate, drained by what all gateways admit.
  *
  * Each gateway learns from digests what the others have admitted. Tokens admitted elsewhere before a digest arrives
- * can make the level negative; later refusals make up for them, so that the rate holds over time. An unresponsive
+ * can make the level negative; later refusals make up for them, so that the rate holds over time. Until then, what each
+ * of the others admitted before is expected to go on, so that they do not all admit the same tokens. An unresponsive
  * gateway is charged its share of the rate, and charges all the others in the same way, so both sides of a network
  * partition stay within the rate together.
  *
@@ -56,24 +87,35 @@
         return copy(level = newLevel.coerceAtMost(burst.toDouble()), updatedAt = now, peers = chargedPeers)
     }
 
-    /** Whether a request of [tokens] is admitted; one above the burst is admitted when the bucket is full. */
-    fun admits(tokens: Long): Boolean = level >= minOf(tokens, burst)
+    /** Tokens that may be admitted at [now], less what the other gateways have likely admitted meanwhile. */
+    fun available(now: Timestamp): Double = level - peers.values.sumOf { it.unreported(now) }
+
+    /** Whether a request of [tokens] is admitted at [now]; one above the burst is admitted when the bucket is full. */
+    fun admits(tokens: Long, now: Timestamp): Boolean = available(now) >= minOf(tokens, burst)
 
     /** The bucket after this gateway admitted [tokens]; a negative number returns tokens. */
     fun consume(tokens: Long): FleetBucket = copy(level = level - tokens, ownConsumed = ownConsumed + tokens)
 
     /**
-     * The bucket after a digest of [peer] reported its [admittedTotal].
+     * The bucket after a digest of [peer] that arrived at [now] reported its [admittedTotal].
      *
      * @param countsFromZero whether the first total of an incarnation counts in full, because it started after this
      * gateway; otherwise only what is added to that total later counts
      */
-    fun receiveTotal(peer: String, incarnation: Long, admittedTotal: Long, countsFromZero: Boolean): FleetBucket {
+    fun receiveTotal(
+        peer: String,
+        incarnation: Long,
+        admittedTotal: Long,
+        countsFromZero: Boolean,
+        now: Timestamp,
+    ): FleetBucket {
         val existing = peers[peer]
-        val previousTotal = existing?.takeIf { it.incarnation == incarnation }?.admittedTotal
-        val consumed = (admittedTotal - (previousTotal ?: if (countsFromZero) 0 else admittedTotal)).toDouble()
+        val previous = existing?.takeIf { it.incarnation == incarnation }
+        val previousTotal = previous?.admittedTotal ?: if (countsFromZero) 0 else admittedTotal
+        val consumed = (admittedTotal - previousTotal).toDouble()
         val newLevel = (level - consumed + (existing?.charged ?: 0.0)).coerceAtMost(burst.toDouble())
-        return copy(level = newLevel, peers = peers.put(peer, PeerConsumption(incarnation, admittedTotal)))
+        val before = previous ?: PeerConsumption(incarnation, previousTotal)
+        return copy(level = newLevel, peers = peers.put(peer, before.afterDigest(admittedTotal, consumed, now)))
     }
 
     /** This bucket with the limits of [account]; a level above the new burst is cut to it. */
@@ -85,8 +127,8 @@
         )
 
     /** Time until the bucket, filled at its rate, admits [tokens]. */
-    fun timeUntilAdmitted(tokens: Long): Duration =
-        ((minOf(tokens, burst) - level) / rate.coerceAtLeast(1)).coerceAtLeast(0.0).seconds
+    fun timeUntilAdmitted(tokens: Long, now: Timestamp): Duration =
+        ((minOf(tokens, burst) - available(now)) / rate.coerceAtLeast(1)).coerceAtLeast(0.0).seconds
 
     private fun PersistentMap<String, PeerConsumption>.charge(
         name: String,
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewayEffect.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewayEffect.kt
@@ -1,5 +1,6 @@
 package org.ragwortbank.core.gateway
 
+import kotlinx.collections.immutable.PersistentList
 import org.ragwortbank.core.log.LogLine
 import org.ragwortbank.core.model.AccountId
 import org.ragwortbank.core.result.Refusal
@@ -52,8 +53,8 @@
     /** Send load requests and adapters in use to the placer at [host]. */
     data class SendDemandDigest(val host: String, val digest: DemandDigest) : GatewayEffect
 
-    /** Send the totals of admitted tokens to another gateway. */
-    data class SendPeerDigest(val endpoint: Endpoint, val digest: PeerDigest) : GatewayEffect
+    /** Send the totals of admitted tokens to the other gateways at [endpoints]. */
+    data class SendPeerDigest(val endpoints: PersistentList<Endpoint>, val digest: PeerDigest) : GatewayEffect
 
     /** Write a log line. */
     data class Log(val line: LogLine) : GatewayEffect
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewayTables.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewayTables.kt
@@ -17,6 +17,7 @@
 import org.ragwortbank.core.serving.UpstreamId
 import org.ragwortbank.core.tick.Step
 import org.ragwortbank.core.tick.Timestamp
+import kotlin.time.Duration
 
 /** The tables of a gateway within a tick, with the effects so far. */
 typealias GatewayStep = Step<GatewayTables, GatewayEffect>
@@ -52,7 +53,11 @@
  * @property waiting requests that wait for an upstream, the oldest first
  * @property modelMissingSince since when no engine of a service has had the requested base model resident
  * @property sentDemand latest load requests sent to each placer
- * @property sentPeerTotals totals of admitted tokens last sent to the other gateways, at [peerDigestSentAt]
+ * @property demandSweptAt when the digests to all placers were last checked for being due
+ * @property retriedAt when the requests that wait for a load were last compared with all upstreams
+ * @property sentPeerTotals totals of admitted tokens at the latest digests to the other gateways, the newest first; the
+ *   last of them was sent at [peerDigestSentAt]
+ * @property needsFullPeerDigest whether the next of those digests must name all accounts, for a gateway that knows none
  * @property peerDigestSendTimes when the latest digests to the other gateways were sent, by their numbers
  */
 data class GatewayTables(
@@ -72,8 +77,11 @@
     val peers: PersistentMap<String, PeerRow> = persistentMapOf(),
     val modelMissingSince: PersistentMap<ServiceName, Timestamp> = persistentMapOf(),
     val sentDemand: PersistentMap<UpstreamId, SentDemand> = persistentMapOf(),
+    val demandSweptAt: Timestamp? = null,
+    val retriedAt: Timestamp? = null,
     val peerDigestSentAt: Timestamp? = null,
-    val sentPeerTotals: PersistentMap<AccountId, Long> = persistentMapOf(),
+    val sentPeerTotals: PersistentList<PersistentMap<AccountId, Long>> = persistentListOf(),
+    val needsFullPeerDigest: Boolean = true,
     val peerDigestNumber: Long = 0,
     val peerDigestSendTimes: PersistentMap<Long, Timestamp> = persistentMapOf(),
     val demandDigestNumber: Long = 0,
@@ -104,11 +112,27 @@
 
     /** Listed gateways of the fleet, including this one. */
     val gatewayCount: Int get() = peers.values.count { it.isListed } + 1
+
+    /** Age above which a placer's digest is ignored; several digests of an engine that isn't in use fit in. */
+    val engineDigestLifetime: Duration
+        get() = maxOf(
+            settings.engineDigestLifetime,
+            DigestPacing.idleEngineInterval(settings.engineDigestInterval, upstreams.size) * MAX_MISSED_DIGESTS,
+        )
+
+    private companion object {
+        const val MAX_MISSED_DIGESTS = 3
+    }
 }
 
-/** Load requests last sent to a placer, at [sentAt]. */
+/**
+ * What was last sent to a placer, at [sentAt].
+ *
+ * @property isActive whether this gateway used the engine or waited for it then
+ */
 data class SentDemand(
     val loadRequests: PersistentSet<AdapterKey>,
+    val isActive: Boolean,
     val sentAt: Timestamp,
 )
 
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/MembershipChanges.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/MembershipChanges.kt
@@ -40,7 +40,7 @@
     val existing = peers[change.name]
     val row = existing?.copy(endpoint = change.endpoint, isListed = true)
         ?: PeerRow(change.name, change.endpoint, addedAt = now)
-    return copy(peers = peers.put(change.name, row))
+    return copy(peers = peers.put(change.name, row), needsFullPeerDigest = needsFullPeerDigest || existing == null)
 }
 
 /**
@@ -73,6 +73,7 @@
         if (isInOtherService) upstreamsByService.without(previousService, registration.id) else upstreamsByService
     return copy(
         upstreams = upstreams.put(registration.id, row),
+        sentDemand = if (isSame) sentDemand else sentDemand.remove(registration.id),
         upstreamsByService = updatedServices.put(service, updatedServices[service].orEmptySet().add(registration.id)),
     ).markSuperseded(registration)
 }
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/PeerSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/PeerSystem.kt
@@ -1,6 +1,7 @@
 package org.ragwortbank.core.gateway
 
 import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.toPersistentList
 import kotlinx.collections.immutable.toPersistentMap
 import org.ragwortbank.core.model.AccountId
 import org.ragwortbank.core.serving.DigestStamp
@@ -8,63 +9,89 @@
 import org.ragwortbank.core.tick.Tick
 import org.ragwortbank.core.tick.TickSystem
 import org.ragwortbank.core.tick.Timestamp
-import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.DurationUnit
 
-/** Sends the other gateways the totals that this one has admitted, and charges those that are unresponsive. */
+/**
+ * Sends the other gateways the totals that this one has admitted, and charges those that are unresponsive.
+ *
+ * The interval grows with the fleet. While an account uses its tokens so fast that the others would exceed its rate
+ * before they learn of it, digests are sent as often as in a small fleet.
+ */
 class PeerSystem : TickSystem<GatewayTables, GatewayInput, GatewayEffect> {
-    override fun run(tick: Tick<GatewayInput>, step: GatewayStep): GatewayStep {
-        val tables = step.tables
-        val totals = tables.buckets.mapValues { it.value.ownConsumed }.toPersistentMap()
-        return if (isDigestDue(tables, totals, tick.now)) sendDigests(step, totals, tick.now) else step
+    override fun run(tick: Tick<GatewayInput>, step: GatewayStep): GatewayStep =
+        if (isDigestDue(step.tables, tick.now)) sendDigests(step, tick.now) else step
+
+    private fun isDigestDue(tables: GatewayTables, now: Timestamp): Boolean {
+        val elapsed = now - (tables.peerDigestSentAt ?: return true)
+        return when {
+            elapsed < tables.settings.peerDigestInterval -> false
+            elapsed >= tables.idlePeerInterval -> true
+            elapsed >= tables.busyPeerInterval -> tables.buckets.any { (id, it) -> tables.unsentTokens(id, it) != 0L }
+            else -> tables.buckets.any { (id, it) -> isUrgent(tables, id, it) }
+        }
     }
 
-    private fun isDigestDue(tables: GatewayTables, totals: PersistentMap<AccountId, Long>, now: Timestamp): Boolean {
-        val lastSentAt = tables.peerDigestSentAt ?: return true
-        val isIdle = totals == tables.sentPeerTotals
-        val interval = if (isIdle) tables.settings.peerDigestInterval * IDLE_INTERVAL_FACTOR else busyInterval(tables)
-        return now - lastSentAt >= interval
+    private fun isUrgent(tables: GatewayTables, account: AccountId, bucket: FleetBucket): Boolean {
+        val windowSeconds = tables.settings.rateWindow.toDouble(DurationUnit.SECONDS)
+        val windowTokens = bucket.rate * windowSeconds + bucket.burst
+        return tables.unsentTokens(account, bucket) * tables.gatewayCount > windowTokens * URGENT_SHARE
     }
 
-    /** The interval grows with the fleet, so that the digests that a gateway sends and receives per second do not. */
-    private fun busyInterval(tables: GatewayTables): Duration =
-        tables.settings.peerDigestInterval * maxOf(1.0, tables.gatewayCount / GATEWAYS_AT_FULL_RATE)
+    private fun GatewayTables.unsentTokens(account: AccountId, bucket: FleetBucket): Long =
+        bucket.ownConsumed - (sentPeerTotals.firstOrNull()?.get(account) ?: 0)
 
-    private fun sendDigests(step: GatewayStep, totals: PersistentMap<AccountId, Long>, now: Timestamp): GatewayStep {
+    private fun sendDigests(step: GatewayStep, now: Timestamp): GatewayStep {
         val tables = step.tables
+        val totals = tables.buckets.mapValues { it.value.ownConsumed }.toPersistentMap()
         val digest = PeerDigest(
             sender = tables.identity.name,
             incarnation = tables.identity.incarnation,
             number = tables.peerDigestNumber + 1,
-            admittedTokens = totals,
+            admittedTokens = if (tables.isFullDigestDue) totals else tables.changedTotals(totals),
             configVersion = tables.config?.version ?: 0,
             confirmedMillisAgo = tables.timeSinceConfirmation(now).inWholeMilliseconds,
-            lastReceived = receivedStamps(tables),
+            lastReceived = tables.unconfirmedPeers(),
         )
+        val endpoints = tables.reachablePeers(now).map { it.endpoint }.toPersistentList()
         return step
-            .emitAll(tables.reachablePeers(now).map { GatewayEffect.SendPeerDigest(it.endpoint, digest) })
-            .update { it.refillBuckets(now).recordSent(digest, now) }
+            .emit(GatewayEffect.SendPeerDigest(endpoints, digest))
+            .update { it.refillBuckets(now).recordSent(digest, totals, now) }
     }
 
     /** Includes gateways that are no longer listed but still send digests: they need the totals of the others too. */
     private fun GatewayTables.reachablePeers(now: Timestamp): List<PeerRow> =
         peers.values.filter { row ->
-            row.isListed || row.digestReceivedAt?.let { now - it <= settings.peerDigestTimeout } ?: false
+            row.isListed || row.digestReceivedAt?.let { now - it <= peerTimeout } ?: false
         }
 
-    private fun receivedStamps(tables: GatewayTables): PersistentMap<String, DigestStamp> =
-        tables.peers.values
-            .filter { it.digestReceivedAt != null }
+    private val GatewayTables.isFullDigestDue: Boolean
+        get() = needsFullPeerDigest || (peerDigestNumber + 1) % FULL_DIGEST_PERIOD == 0L
+
+    /** Of [totals], those that have changed in the latest digests, any of which may be lost. */
+    private fun GatewayTables.changedTotals(totals: PersistentMap<AccountId, Long>): PersistentMap<AccountId, Long> =
+        totals.filter { (account, total) -> sentPeerTotals.any { it[account] != total } }.toPersistentMap()
+
+    /** The newest digests received from peers that need others to confirm their configuration. */
+    private fun GatewayTables.unconfirmedPeers(): PersistentMap<String, DigestStamp> =
+        peers.values
+            .filter { it.digestReceivedAt != null && it.confirmedAgo > CONFIRMATION_HELP_AGE }
             .sortedByDescending { it.digestReceivedAt }
             .take(MAX_STAMPS)
             .associate { it.name to DigestStamp(it.incarnation, it.number) }
             .toPersistentMap()
 
-    private fun GatewayTables.recordSent(digest: PeerDigest, now: Timestamp): GatewayTables =
+    private fun GatewayTables.recordSent(
+        digest: PeerDigest,
+        totals: PersistentMap<AccountId, Long>,
+        now: Timestamp,
+    ): GatewayTables =
         copy(
             peerDigestNumber = digest.number,
             peerDigestSendTimes = peerDigestSendTimes.put(digest.number, now).remove(digest.number - MAX_SEND_TIMES),
             peerDigestSentAt = now,
-            sentPeerTotals = digest.admittedTokens,
+            sentPeerTotals = (listOf(totals) + sentPeerTotals).take(PeerDigest.REPEATS).toPersistentList(),
+            needsFullPeerDigest = false,
         )
 
     private fun GatewayTables.refillBuckets(now: Timestamp): GatewayTables {
@@ -73,11 +100,16 @@
     }
 
     private companion object {
-        const val IDLE_INTERVAL_FACTOR = 4
         const val MAX_SEND_TIMES = 32L
+        const val FULL_DIGEST_PERIOD = 8L
+
+        /** Before this age of its confirmation, a gateway has had no cause to doubt the store. */
+        val CONFIRMATION_HELP_AGE = 2_500.milliseconds
+
+        /** Share of an account's tokens in a window of its rate that may be in use without the others' knowledge. */
+        const val URGENT_SHARE = 0.1
 
         /** Keeps a digest within one datagram. */
         const val MAX_STAMPS = 24
-        const val GATEWAYS_AT_FULL_RATE = 12.0
     }
 }
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/RoutingSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/RoutingSystem.kt
@@ -10,21 +10,34 @@
 /** Sends each waiting request to the upstream with the smallest expected delay, or requests a load there. */
 class RoutingSystem(private val cost: UpstreamCost) : TickSystem<GatewayTables, GatewayInput, GatewayEffect> {
     override fun run(tick: Tick<GatewayInput>, step: GatewayStep): GatewayStep =
-        if (step.tables.isCatchingUp(tick.now)) step else routeAll(step, tick.now)
+        if (step.tables.isCatchingUp(tick.now)) step else routeAll(step, tick)
 
-    private fun routeAll(step: GatewayStep, now: Timestamp): GatewayStep =
-        step.tables.waiting
+    /** Requests that wait for a load are compared with all upstreams again after a digest, or after a while. */
+    private fun routeAll(step: GatewayStep, tick: Tick<GatewayInput>): GatewayStep {
+        val now = tick.now
+        if (step.tables.waiting.isEmpty()) return step
+        val isRetryDue = step.tables.retriedAt?.let { now - it >= RETRY_INTERVAL } ?: true ||
+            tick.inputs.any { it is GatewayInput.EngineDigestReceived }
+        return step.tables.waiting
             .mapNotNull { step.tables.requests[it] }
-            .filter { it.deadline > now }
+            .filter { it.deadline > now && (isRetryDue || !it.isWaitingForLoad) }
             .sortedBy { it.priority }
             .fold(step) { result, row -> route(result, row, now) }
+            .update { if (isRetryDue) it.copy(retriedAt = now) else it }
+    }
+
+    private val RequestRow.isWaitingForLoad: Boolean
+        get() = (stage as? RequestStage.Waiting)?.loadingUpstream != null
 
     private fun route(step: GatewayStep, row: RequestRow, now: Timestamp): GatewayStep {
         val members = step.tables.upstreamsByService[row.service].orEmpty()
             .mapNotNull { step.tables.upstreams[it] }
             .filter { it.isAccepting && row.mayTry(it.registration.id) }
-        val available = members.filter { it.isAvailable(now) && it.hasModelFor(row) }
-        val best = available.map { cost.estimate(step.tables, row, it, now) }.minByOrNull { it.expectedMillis }
+        val estimate = cost.estimateFor(step.tables, row, now)
+        val best = members
+            .filter { it.isAvailable(now) && it.hasModelFor(row) }
+            .map(estimate::at)
+            .minByOrNull { it.expectedMillis }
         return when {
             best != null -> sendOrRequestLoad(step.update { it.clearModelMissing(row.service) }, row, best, now)
             members.any { it.hasModelFor(row) } -> step
@@ -93,5 +106,6 @@
         /** Share of the fleet's retry budget that is split among the gateways; the rest covers late digests. */
         const val OWN_SHARE = 0.8
         val RETRY_AFTER = 500.milliseconds
+        val RETRY_INTERVAL = 40.milliseconds
     }
 }
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/UpstreamCost.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/UpstreamCost.kt
@@ -44,10 +44,16 @@
     val expectedMillis: Double,
 )
 
-/** Estimates the time to the first part of an upstream's answer; the upstream with the smallest is chosen. */
+/** Estimates the time to the first part of the answer to one request; the upstream with the smallest is chosen. */
+fun interface DelayEstimate {
+    /** The estimate at [row]. */
+    fun at(row: UpstreamRow): Candidate
+}
+
+/** Compares the upstreams of a service for a request. */
 fun interface UpstreamCost {
-    /** The estimate for [request] at [row]. */
-    fun estimate(tables: GatewayTables, request: RequestRow, row: UpstreamRow, now: Timestamp): Candidate
+    /** Returns the estimate for [request], given the state of the gateway at [now]. */
+    fun estimateFor(tables: GatewayTables, request: RequestRow, now: Timestamp): DelayEstimate
 }
 
 /**
@@ -57,50 +63,57 @@
  * stable share of the adapters and reloads them from its own memory.
  */
 class ExpectedDelay : UpstreamCost {
-    override fun estimate(tables: GatewayTables, request: RequestRow, row: UpstreamRow, now: Timestamp): Candidate {
-        val state = tables.adapterState(request.call.adapterKey, row, now)
-        val hasFreshDigest = row.freshDigest(now, tables.settings.engineDigestLifetime) != null
+    override fun estimateFor(tables: GatewayTables, request: RequestRow, now: Timestamp): DelayEstimate =
+        ExpectedDelayEstimate(tables, request, now)
+}
+
+private class ExpectedDelayEstimate(
+    tables: GatewayTables,
+    private val request: RequestRow,
+    private val now: Timestamp,
+) : DelayEstimate {
+    private val states = AdapterStates(tables, request.call.adapterKey, now)
+    private val adapterHash = RendezvousHash.hashOf(request.call.adapterKey.toString())
+    private val waiting = request.stage as? RequestStage.Waiting
+    private val isEngine = tables.config?.services?.get(request.service)?.engine != null
+
+    override fun at(row: UpstreamRow): Candidate {
+        val state = states.at(row)
         val blockedMillis = when {
             state.isUsable || state == AdapterState.LOADING -> 0.0
-            !hasFreshDigest -> NO_FRESH_DIGEST_MILLIS
+            states.freshDigest(row) == null -> NO_FRESH_DIGEST_MILLIS
             row.digest?.freeSlots == 0 -> NO_FREE_SLOT_MILLIS
             else -> 0.0
         }
-        val loadMillis = loadWaitMillis(state, request, row, now) + blockedMillis
-        val queueWaitMillis = queueMillis(tables, request, row)
-        return Candidate(row, state, loadMillis + queueWaitMillis + row.health.delayMillis)
+        val loadMillis = loadWaitMillis(state, row) + blockedMillis
+        return Candidate(row, state, loadMillis + queueMillis(row) + row.health.delayMillis)
     }
 
-    private fun queueMillis(tables: GatewayTables, request: RequestRow, row: UpstreamRow): Double {
-        val isEngine = tables.config?.services?.get(request.service)?.engine != null
+    private fun queueMillis(row: UpstreamRow): Double {
         val perRequest = if (isEngine) ENGINE_REQUEST_MILLIS else PLAIN_REQUEST_MILLIS
         val overflow = (row.load + 1 - row.registration.slots).coerceAtLeast(0)
         return row.load * perRequest + overflow * OVERFLOW_MILLIS
     }
 
-    private fun loadWaitMillis(state: AdapterState, request: RequestRow, row: UpstreamRow, now: Timestamp): Double {
-        val waiting = request.stage as? RequestStage.Waiting
-        val requestedForMillis = waiting?.loadRequestedAt?.takeIf { waiting.loadingUpstream == row.registration.id }
-            ?.let { (now - it).toDouble(DurationUnit.MILLISECONDS) }
-        return when (state) {
+    private fun loadWaitMillis(state: AdapterState, row: UpstreamRow): Double =
+        when (state) {
             AdapterState.RESIDENT, AdapterState.PREVIOUS_VERSION -> 0.0
             AdapterState.LOADING -> LOADING_MILLIS
             AdapterState.OUTDATED -> OUTDATED_MILLIS
-            AdapterState.CACHED -> CACHED_MILLIS + overdueMillis(requestedForMillis)
-            AdapterState.ABSENT -> ABSENT_MILLIS + preferenceMillis(request, row) + overdueMillis(requestedForMillis)
+            AdapterState.CACHED -> CACHED_MILLIS + overdueMillis(row)
+            AdapterState.ABSENT -> ABSENT_MILLIS + preferenceMillis(row) + overdueMillis(row)
         }
-    }
 
     /** Prefers the upstream that the load was requested from, until it takes longer than usual and is likely stuck. */
-    private fun overdueMillis(requestedForMillis: Double?): Double =
-        when (requestedForMillis) {
-            null -> 0.0
-            else -> (requestedForMillis - USUAL_LOAD_MILLIS).coerceAtLeast(0.0) - REQUESTED_BONUS_MILLIS
-        }
+    private fun overdueMillis(row: UpstreamRow): Double {
+        val requestedAt = waiting?.loadRequestedAt?.takeIf { waiting.loadingUpstream == row.registration.id }
+            ?: return 0.0
+        val requestedForMillis = (now - requestedAt).toDouble(DurationUnit.MILLISECONDS)
+        return (requestedForMillis - USUAL_LOAD_MILLIS).coerceAtLeast(0.0) - REQUESTED_BONUS_MILLIS
+    }
 
-    private fun preferenceMillis(request: RequestRow, row: UpstreamRow): Double {
-        val key = RendezvousHash.hashOf(request.call.adapterKey.toString())
-        val score = RendezvousHash.score(key, row.registration.nameHash)
+    private fun preferenceMillis(row: UpstreamRow): Double {
+        val score = RendezvousHash.score(adapterHash, row.registration.nameHash)
         val rank = 1.0 - (score.toLong() - Int.MIN_VALUE) / SCORE_RANGE
         return rank * PREFERENCE_MILLIS
     }
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/UpstreamRow.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/UpstreamRow.kt
@@ -1,6 +1,7 @@
 package org.ragwortbank.core.gateway
 
 import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.PersistentSet
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.persistentSetOf
 import org.ragwortbank.core.serving.AdapterKey
@@ -51,6 +52,7 @@
  *
  * @property inFlight number of this gateway's requests that are under way there
  * @property inUse how many of those use each adapter
+ * @property usedSinceDigest adapters that this gateway's requests were sent for since its last digest to the placer
  * @property digest latest digest of the placer beside it
  * @property previouslyResident versions of adapters that were resident before; it reloads those faster than others
  * @property reportedLoad latest load report, received at [loadReportedAt]
@@ -61,6 +63,7 @@
     val registration: UpstreamRegistration,
     val inFlight: Int = 0,
     val inUse: PersistentMap<AdapterKey, Int> = persistentMapOf(),
+    val usedSinceDigest: PersistentSet<AdapterKey> = persistentSetOf(),
     val digest: EngineDigest? = null,
     val digestReceivedAt: Timestamp? = null,
     val previouslyResident: PersistentMap<AdapterKey, Long> = persistentMapOf(),
@@ -73,6 +76,9 @@
     /** Whether it accepts new work according to its registration. */
     val isAccepting: Boolean get() = registration.isAccepting && !isSuperseded
 
+    /** Whether this gateway has used an adapter there since its last digest to the placer. */
+    val isInUse: Boolean get() = inUse.isNotEmpty() || usedSinceDigest.isNotEmpty()
+
     /** The latest digest; null if it is older than [lifetime]. */
     fun freshDigest(now: Timestamp, lifetime: Duration): EngineDigest? =
         digest.takeIf { digestReceivedAt != null && now - digestReceivedAt <= lifetime }
@@ -110,7 +116,12 @@
 
     /** This row with a request for [adapter] sent. */
     fun withRequestSent(adapter: AdapterKey?): UpstreamRow =
-        copy(inFlight = inFlight + 1, sentSinceReport = sentSinceReport + 1, inUse = inUse.adjust(adapter, 1))
+        copy(
+            inFlight = inFlight + 1,
+            sentSinceReport = sentSinceReport + 1,
+            inUse = inUse.adjust(adapter, 1),
+            usedSinceDigest = adapter?.let(usedSinceDigest::add) ?: usedSinceDigest,
+        )
 
     /** This row with a request for [adapter] completed. */
     fun withRequestCompleted(adapter: AdapterKey?): UpstreamRow =
--- a/core/src/main/kotlin/org/ragwortbank/core/placer/AdapterSlots.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/placer/AdapterSlots.kt
@@ -6,7 +6,8 @@
 import org.ragwortbank.core.tick.Timestamp
 
 /** Load requests of all gateways. */
-internal fun PlacerTables.loadRequests(): List<LoadRequest> = gateways.values.flatMap { it.demand.loadRequests }
+internal fun PlacerTables.loadRequests(now: Timestamp): List<LoadRequest> =
+    currentDemand(now).flatMap { it.loadRequests }
 
 /** Whether the requested version is neither resident nor loading, while the base model is loaded. */
 internal fun LoadRequest.isUnmet(report: EngineReport): Boolean {
@@ -34,13 +35,10 @@
 
 /** Slots that can take another adapter now: empty ones and those of evictable adapters. */
 internal fun PlacerTables.freeSlots(report: EngineReport, now: Timestamp): Int =
-    (engineSpec()?.let { report.emptySlots(it) } ?: 0) + evictableAdapters(report, now).size
-
-/** The engine's capacity, from the newest digest of a gateway. */
-internal fun PlacerTables.engineSpec(): EngineSpec? = gateways.values.maxByOrNull { it.receivedAt }?.demand?.engine
+    (engine?.let { report.emptySlots(it) } ?: 0) + evictableAdapters(report, now).size
 
 private fun PlacerTables.evictableAdapters(report: EngineReport, now: Timestamp): List<AdapterKey> {
-    val requested = loadRequests().map { it.adapter }.toSet()
+    val requested = loadRequests(now).map { it.adapter }.toSet()
     return report.resident.keys
         .filter { it !in requested && it !in inUse && it !in report.loading }
         .filter { adapter -> lastUsedAt[adapter]?.let { now - it >= settings.minIdleTime } ?: true }
--- a/core/src/main/kotlin/org/ragwortbank/core/placer/CommandSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/placer/CommandSystem.kt
@@ -57,7 +57,7 @@
 
     private fun nextCommand(tables: PlacerTables, now: Timestamp): EngineCommand? {
         val report = tables.report
-        val engine = tables.engineSpec()
+        val engine = tables.engine
         val missingModel = engine?.models?.keys?.firstOrNull()?.takeIf { report?.residentModels?.isEmpty() == true }
         return when {
             report == null || engine == null || tables.isStopping || report.isLoadingModel -> null
@@ -72,7 +72,7 @@
         engine: EngineSpec,
         now: Timestamp,
     ): EngineCommand? {
-        val request = tables.loadRequests().firstOrNull { it.isUnmet(report) } ?: return null
+        val request = tables.loadRequests(now).firstOrNull { it.isUnmet(report) } ?: return null
         val replacesVersion = request.adapter in report.resident
         return when {
             report.loading.size >= tables.settings.maxLoadingAdapters -> null
--- a/core/src/main/kotlin/org/ragwortbank/core/placer/EngineDigestSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/placer/EngineDigestSystem.kt
@@ -1,5 +1,6 @@
 package org.ragwortbank.core.placer
 
+import kotlinx.collections.immutable.toPersistentList
 import org.ragwortbank.core.serving.EngineDigest
 import org.ragwortbank.core.serving.UpstreamId
 import org.ragwortbank.core.tick.Tick
@@ -7,24 +8,46 @@
 import org.ragwortbank.core.tick.Timestamp
 
 /**
- * Sends the engine's state to the gateways: immediately when the resident or loading adapters change, otherwise at
- * regular intervals.
+ * Sends the engine's state to the gateways: to those that use or await an adapter when its state changes, to all when
+ * the base models change, otherwise at the interval that each gateway has asked for.
  */
 class EngineDigestSystem : TickSystem<PlacerTables, PlacerInput, PlacerEffect> {
     override fun run(tick: Tick<PlacerInput>, step: PlacerStep): PlacerStep {
-        val tables = step.tables
-        val report = tables.report
-        val upstream = tables.upstream
-        val previous = tables.lastSentReport
-        val hasChanged = report?.resident != previous?.resident || report?.loading != previous?.loading
-        val isDue = tables.lastSentAt?.let { tick.now - it >= tables.settings.digestInterval } ?: true
+        val report = step.tables.report
+        val upstream = step.tables.upstream
+        if (report == null || upstream == null) return step
+        val recipients = step.tables.gateways.values.filter { isDue(it, report, tick.now) }
+        return if (recipients.isEmpty()) step else send(step, report, upstream, recipients, tick.now)
+    }
+
+    private fun isDue(row: GatewayRow, report: EngineReport, now: Timestamp): Boolean {
+        val sentReport = row.sentReport
+        val sentAt = row.sentAt
         return when {
-            report == null || upstream == null || !(hasChanged || isDue) -> step
-            else -> send(step, report, upstream, tick.now)
+            sentReport == null || sentAt == null || now - sentAt >= row.demand.digestInterval -> true
+            sentReport.residentModels != report.residentModels -> true
+            else -> hasChangedFor(row, sentReport, report) || missedLoad(row, report, sentAt)
         }
     }
 
-    private fun send(step: PlacerStep, report: EngineReport, upstream: UpstreamId, now: Timestamp): PlacerStep {
+    private fun hasChangedFor(row: GatewayRow, sentReport: EngineReport, report: EngineReport): Boolean =
+        sentReport !== report && (row.demand.inUse + row.demand.loadRequests.map { it.adapter }).any {
+            sentReport.resident[it] != report.resident[it] || sentReport.loading[it] != report.loading[it]
+        }
+
+    /** Whether the gateway still requests an adapter that is resident, because the digest that said so was lost. */
+    private fun missedLoad(row: GatewayRow, report: EngineReport, sentAt: Timestamp): Boolean =
+        row.receivedAt > sentAt && row.demand.loadRequests.any { request ->
+            report.resident[request.adapter]?.let { it >= (request.version ?: 0) } ?: false
+        }
+
+    private fun send(
+        step: PlacerStep,
+        report: EngineReport,
+        upstream: UpstreamId,
+        recipients: List<GatewayRow>,
+        now: Timestamp,
+    ): PlacerStep {
         val tables = step.tables
         val digest = EngineDigest(
             upstream = upstream,
@@ -38,8 +61,9 @@
             queuedRequests = report.queuedRequests,
             freeSlots = tables.freeSlots(report, now),
         )
+        val sentRows = recipients.associate { it.name to it.copy(sentReport = report, sentAt = now) }
         return step
-            .emitAll(tables.gateways.values.map { PlacerEffect.SendEngineDigest(it.endpoint, digest) })
-            .update { it.copy(lastSentReport = report, lastSentAt = now, lastDigestNumber = digest.number) }
+            .emit(PlacerEffect.SendEngineDigest(recipients.map { it.endpoint }.toPersistentList(), digest))
+            .update { it.copy(gateways = it.gateways.putAll(sentRows), lastDigestNumber = digest.number) }
     }
 }
--- a/core/src/main/kotlin/org/ragwortbank/core/placer/PlacerMessages.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/placer/PlacerMessages.kt
@@ -1,5 +1,6 @@
 package org.ragwortbank.core.placer
 
+import kotlinx.collections.immutable.PersistentList
 import org.ragwortbank.core.log.LogLine
 import org.ragwortbank.core.serving.DemandDigest
 import org.ragwortbank.core.serving.Endpoint
@@ -61,8 +62,8 @@
         val expectedSequence: Long,
     ) : PlacerEffect
 
-    /** Send the engine's state to a gateway. */
-    data class SendEngineDigest(val endpoint: Endpoint, val digest: EngineDigest) : PlacerEffect
+    /** Send the engine's state to the gateways at [endpoints]. */
+    data class SendEngineDigest(val endpoints: PersistentList<Endpoint>, val digest: EngineDigest) : PlacerEffect
 
     /** Write a log line. */
     data class Log(val line: LogLine) : PlacerEffect
--- a/core/src/main/kotlin/org/ragwortbank/core/placer/PlacerTables.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/placer/PlacerTables.kt
@@ -9,6 +9,7 @@
 import org.ragwortbank.core.serving.AdapterKey
 import org.ragwortbank.core.serving.DemandDigest
 import org.ragwortbank.core.serving.Endpoint
+import org.ragwortbank.core.serving.EngineSpec
 import org.ragwortbank.core.serving.UpstreamId
 import org.ragwortbank.core.tick.Step
 import org.ragwortbank.core.tick.Timestamp
@@ -25,8 +26,8 @@
  * @property reportInterval time between reports while nothing is loading
  * @property loadingReportInterval time between reports while a base model or an adapter is loading
  * @property unresponsiveReportInterval time between report requests while there is no valid report
- * @property digestInterval time between digests to the gateways while nothing changes
- * @property demandLifetime how long a gateway's demand stays valid after its last digest
+ * @property demandLifetime how long a gateway's load requests and adapters in use stay valid after its last digest
+ * @property gatewayLifetime how long a gateway gets digests after its own last one
  * @property minIdleTime how long an adapter must have been unused before it may be evicted
  * @property commandTimeout how long a command may go unanswered
  * @property maxLoadingAdapters largest number of adapters loading at the same time
@@ -35,8 +36,8 @@
     val reportInterval: Duration = 500.milliseconds,
     val loadingReportInterval: Duration = 30.milliseconds,
     val unresponsiveReportInterval: Duration = 100.milliseconds,
-    val digestInterval: Duration = 400.milliseconds,
     val demandLifetime: Duration = 2.seconds,
+    val gatewayLifetime: Duration = 15.seconds,
     val minIdleTime: Duration = 1.seconds,
     val commandTimeout: Duration = 500.milliseconds,
     val maxLoadingAdapters: Int = 4,
@@ -90,12 +91,15 @@
  *
  * @property endpoint where it receives digests
  * @property demand its newest digest, which came at [receivedAt]
+ * @property sentReport report behind the last digest sent to it, at [sentAt]
  */
 data class GatewayRow(
     val name: String,
     val endpoint: Endpoint,
     val demand: DemandDigest,
     val receivedAt: Timestamp,
+    val sentReport: EngineReport? = null,
+    val sentAt: Timestamp? = null,
 )
 
 /**
@@ -104,17 +108,17 @@
  * A placer runs beside one engine and is the only process that sends it commands.
  *
  * @property upstream the engine's current ID, as the gateways' digests name it
+ * @property engine capacity of the engine, from the newest digest that says it
  * @property report newest report; null before the first, while the engine doesn't answer, and after a command that was
  *   not accepted
  * @property isEngineReachable whether the last report request was answered
  * @property reportRequestedAt when a report was last requested
  * @property isAwaitingReport whether that request is still unanswered
- * @property gateways gateways with valid demand, by name
+ * @property gateways gateways that get digests, by name
  * @property pendingCommand command whose answer is awaited; at most one at a time
  * @property lastCommandCompletedAt when the last command was answered or timed out; reports requested earlier may not
  *   reflect it
  * @property lastUsedAt when each adapter was last in use or loaded
- * @property lastSentReport report behind the last digest to the gateways, sent at [lastSentAt]
  * @property inUse adapters that gateways have requests under way for
  */
 data class PlacerTables(
@@ -122,6 +126,7 @@
     val incarnation: Long,
     val settings: PlacerSettings = PlacerSettings(),
     val upstream: UpstreamId? = null,
+    val engine: EngineSpec? = null,
     val report: EngineReport? = null,
     val isEngineReachable: Boolean = false,
     val reportRequestedAt: Timestamp? = null,
@@ -131,14 +136,16 @@
     val lastCommandNumber: Long = 0,
     val lastCommandCompletedAt: Timestamp? = null,
     val lastUsedAt: PersistentMap<AdapterKey, Timestamp> = persistentMapOf(),
-    val lastSentReport: EngineReport? = null,
-    val lastSentAt: Timestamp? = null,
     val lastDigestNumber: Long = 0,
     val inUse: PersistentSet<AdapterKey> = persistentSetOf(),
     val isStopping: Boolean = false,
 ) {
     /** Whether the engine is loading a base model or an adapter. */
     val isLoading: Boolean get() = report != null && (report.isLoadingModel || report.loading.isNotEmpty())
+
+    /** The gateways' newest digests that are recent enough for their load requests and adapters in use to hold. */
+    fun currentDemand(now: Timestamp): List<DemandDigest> =
+        gateways.values.filter { now - it.receivedAt <= settings.demandLifetime }.map { it.demand }
 }
 
 internal fun PlacerStep.log(part: LogPart, message: String): PlacerStep =
--- a/core/src/main/kotlin/org/ragwortbank/core/placer/ReportSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/placer/ReportSystem.kt
@@ -46,29 +46,29 @@
         val isNewer = previous == null || digest.incarnation > previous.incarnation ||
             (digest.incarnation == previous.incarnation && digest.number > previous.number)
         if (!isNewer) return step
-        val row = GatewayRow(digest.sender, input.senderEndpoint, digest, now)
-        val upstream = resolveUpstream(step.tables, digest.upstream)
-        return step.update { it.copy(gateways = it.gateways.put(digest.sender, row), upstream = upstream) }
+        val isSameProcess = previous != null && previous.incarnation == digest.incarnation
+        val known = step.tables.gateways[digest.sender]?.takeIf { isSameProcess }
+        val row = known?.copy(endpoint = input.senderEndpoint, demand = digest, receivedAt = now)
+            ?: GatewayRow(digest.sender, input.senderEndpoint, digest, now)
+        return step
+            .update { it.copy(gateways = it.gateways.put(digest.sender, row), engine = digest.engine ?: it.engine) }
+            .update { it.copy(upstream = it.latestUpstream()) }
     }
 
     /**
      * Gateways learn of a new incarnation from the instance list at different times, so their digests may name
-     * different upstreams. A digest that names another upstream than the current one replaces it; a digest that names
-     * the current one yields to the newest digest of another gateway that names a different one.
+     * different upstreams; the one that started last is the one that runs.
      */
-    private fun resolveUpstream(tables: PlacerTables, reported: UpstreamId): UpstreamId = tables.gateways.values
-        .filter { it.demand.upstream != reported }
-        .maxByOrNull { it.receivedAt }
-        ?.takeIf { tables.upstream == reported }
-        ?.demand?.upstream
-        ?: reported
+    private fun PlacerTables.latestUpstream(): UpstreamId? =
+        gateways.values
+            .maxWithOrNull(compareBy({ it.demand.upstreamStartedMillis }, { it.receivedAt }))
+            ?.demand?.upstream
 
     private fun PlacerTables.updateUsage(now: Timestamp): PlacerTables {
-        val currentRows = gateways.values.filter { now - it.receivedAt <= settings.demandLifetime }
-        val adaptersInUse: PersistentSet<AdapterKey> = currentRows.flatMap { it.demand.inUse }.toPersistentSet()
-        val expired = gateways.keys - currentRows.map { it.name }.toSet()
+        val adaptersInUse: PersistentSet<AdapterKey> = currentDemand(now).flatMap { it.inUse }.toPersistentSet()
+        val expired = gateways.values.filter { now - it.receivedAt > settings.gatewayLifetime }
         return copy(
-            gateways = expired.fold(gateways) { remaining, name -> remaining.remove(name) },
+            gateways = expired.fold(gateways) { remaining, row -> remaining.remove(row.name) },
             inUse = adaptersInUse,
             lastUsedAt = adaptersInUse.fold(lastUsedAt) { times, adapter -> times.put(adapter, now) },
         )
--- a/core/src/main/kotlin/org/ragwortbank/core/serving/Digests.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/serving/Digests.kt
@@ -7,6 +7,8 @@
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.persistentSetOf
 import org.ragwortbank.core.model.AccountId
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 /** A gateway's request to load [version] of an adapter; null for the newest. */
 data class LoadRequest(
@@ -21,19 +23,31 @@
  * @property incarnation incarnation of the sender
  * @property number rises with each digest of [sender]
  * @property upstream the engine, as the instance list names it
+ * @property upstreamStartedMillis start of that engine in Unix milliseconds, as listed; 0 when it isn't known
+ * @property digestInterval time after which [sender] wants the next digest of the engine while nothing changes
  * @property loadRequests adapters that requests are waiting for, longest wait first
  * @property inUse adapters with requests under way from this gateway, or sent since its last digest
- * @property engine capacity of the engine, as configured
+ * @property engine capacity of the engine, as configured; null when an earlier digest has said it
  */
 data class DemandDigest(
     val sender: String,
     val incarnation: Long,
     val number: Long,
     val upstream: UpstreamId,
+    val upstreamStartedMillis: Long = 0,
+    val digestInterval: Duration = DEFAULT_DIGEST_INTERVAL,
     val loadRequests: PersistentList<LoadRequest> = persistentListOf(),
     val inUse: PersistentSet<AdapterKey> = persistentSetOf(),
-    val engine: EngineSpec,
-)
+    val engine: EngineSpec? = null,
+) {
+    /** Whether the gateway uses the engine or waits for it at present. */
+    val isActive: Boolean get() = loadRequests.isNotEmpty() || inUse.isNotEmpty()
+
+    companion object {
+        /** Interval of digests when a gateway doesn't name one. */
+        val DEFAULT_DIGEST_INTERVAL = 400.milliseconds
+    }
+}
 
 /**
  * The state of an engine, sent by its placer.
@@ -64,10 +78,12 @@
 /**
  * The state that a gateway sends to its peers.
  *
- * @property admittedTokens tokens admitted for each account since the start of this incarnation
+ * @property admittedTokens tokens admitted for each account since the start of this incarnation; an account that is
+ *   missing has not changed in this and the [REPEATS] digests before it
  * @property configVersion newest configuration version that the sender has
  * @property confirmedMillisAgo time since the store last confirmed that version to the sender, in milliseconds
- * @property lastReceived newest digest that the sender has received from each peer, by the peer's name
+ * @property lastReceived newest digest that the sender has received from each peer that lacks a confirmation of its
+ *   configuration, by the peer's name
  */
 data class PeerDigest(
     val sender: String,
@@ -77,7 +93,12 @@
     val configVersion: Long = 0,
     val confirmedMillisAgo: Long = 0,
     val lastReceived: PersistentMap<String, DigestStamp> = persistentMapOf(),
-)
+) {
+    companion object {
+        /** Number of digests that repeat an account's total after a change, because any of them may be lost. */
+        const val REPEATS = 3
+    }
+}
 
 /** Identifies one digest of a process. */
 data class DigestStamp(
--- a/core/src/test/kotlin/org/ragwortbank/core/gateway/FleetBucketTest.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/gateway/FleetBucketTest.kt
@@ -14,22 +14,22 @@
     @Test
     fun `given a peer's total, then it counts once however often it is reported`() {
         val updated = bucket
-            .receiveTotal("peer", 1, 150, countsFromZero = true)
-            .receiveTotal("peer", 1, 150, countsFromZero = true)
+            .receiveTotal("peer", 1, 150, countsFromZero = true, start)
+            .receiveTotal("peer", 1, 150, countsFromZero = true, start)
         assertEquals(50.0, updated.level)
     }
 
     @Test
     fun `given a restarted peer, then its new total counts from zero`() {
         val updated = bucket
-            .receiveTotal("peer", 1, 100, countsFromZero = true)
-            .receiveTotal("peer", 2, 60, countsFromZero = true)
+            .receiveTotal("peer", 1, 100, countsFromZero = true, start)
+            .receiveTotal("peer", 2, 60, countsFromZero = true, start)
         assertEquals(40.0, updated.level)
     }
 
     @Test
     fun `given a peer that started before this gateway, then its first total does not count`() {
-        assertEquals(200.0, bucket.receiveTotal("peer", 1, 1_000_000, countsFromZero = false).level)
+        assertEquals(200.0, bucket.receiveTotal("peer", 1, 1_000_000, countsFromZero = false, start).level)
     }
 
     @Test
@@ -37,8 +37,8 @@
         val empty = bucket.consume(200)
         val refilled = empty.refill(start + 4.seconds, mapOf("peer" to 4.seconds), gateways = 2)
         assertEquals(200.0, refilled.level)
-        assertTrue(refilled.admits(200))
-        val corrected = refilled.consume(200).receiveTotal("peer", 1, 200, countsFromZero = true)
+        assertTrue(refilled.admits(200, start + 4.seconds))
+        val corrected = refilled.consume(200).receiveTotal("peer", 1, 200, countsFromZero = true, start)
         assertEquals(0.0, corrected.level)
     }
 
@@ -48,7 +48,7 @@
         val admitted = sides.sumOf { side ->
             (1..40).fold(side to 0L) { (current, sum), second ->
                 val filled = current.refill(start + second.seconds, mapOf("other" to second.seconds), gateways = 2)
-                if (filled.admits(50)) filled.consume(50) to sum + 50 else filled to sum
+                if (filled.admits(50, start + second.seconds)) filled.consume(50) to sum + 50 else filled to sum
             }.second
         }
         assertTrue(admitted <= 40 * 100, "admitted $admitted tokens, expected at most 4000")
@@ -56,7 +56,7 @@
 
     @Test
     fun `given a request above the burst, then it is admitted when the bucket is full`() {
-        assertTrue(bucket.admits(500))
-        assertFalse(bucket.consume(1).admits(500))
+        assertTrue(bucket.admits(500, start))
+        assertFalse(bucket.consume(1).admits(500, start))
     }
 }
--- a/core/src/test/kotlin/org/ragwortbank/core/gateway/PeerSystemTest.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/gateway/PeerSystemTest.kt
@@ -10,6 +10,7 @@
 import kotlin.test.assertEquals
 import kotlin.test.assertFalse
 import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 class PeerSystemTest {
@@ -83,6 +84,65 @@
         assertEquals(1_000.0, bucketLevel())
     }
 
+    @Test
+    fun `given a total that changed, then the next digests repeat it and later ones leave it out until the full one`() {
+        gateway.applyChanges(StoreChange.PeerRegistered("entry-2", peer))
+        sentDigests(16)
+        gateway.confirmConfiguration()
+        gateway.receiveCall("/book/x")
+        val named = sentDigests(16).map { it.admittedTokens.isNotEmpty() }
+        assertTrue(named.take(PeerDigest.REPEATS).all { it }, "digests that name the account: $named")
+        assertTrue(named.count { it } <= PeerDigest.REPEATS + 3, "digests that name the account: $named")
+        assertTrue(named.drop(PeerDigest.REPEATS).any { it }, "digests that name the account: $named")
+    }
+
+    @Test
+    fun `given a gateway that joins, then the next digest names all accounts`() {
+        gateway.applyChanges(StoreChange.PeerRegistered("entry-2", peer))
+        gateway.receiveCall("/book/x")
+        while (sentDigest().admittedTokens.isNotEmpty()) Unit
+        gateway.applyChanges(StoreChange.PeerRegistered("entry-3", Endpoint("10.0.0.8", 7600)))
+        assertEquals(1, sentDigests(1).single().admittedTokens.size)
+    }
+
+    @Test
+    fun `given a digest after a gap that doesn't name an account, then its total counts only when it is named again`() {
+        gateway.applyChanges(StoreChange.PeerRegistered("entry-2", peer))
+        gateway.tick(GatewayInput.PeerDigestReceived(consumption(number = 1, tokens = 100), peer))
+        gateway.advance(3.seconds)
+        assertTrue(tokensChargedToPeer() > 0)
+        val unnamed = consumption(number = 9, tokens = 0).copy(admittedTokens = persistentMapOf())
+        gateway.tick(GatewayInput.PeerDigestReceived(unnamed, peer))
+        assertTrue(tokensChargedToPeer() > 0)
+        gateway.tick(GatewayInput.PeerDigestReceived(consumption(number = 10, tokens = 100), peer))
+        assertEquals(0.0, tokensChargedToPeer())
+    }
+
+    private fun tokensChargedToPeer(): Double =
+        gateway.tables.buckets.values.single().peers.getValue("entry-2").charged
+
+    @Test
+    fun `given peers with a recent and with an old confirmation, then only the latter's digests are acknowledged`() {
+        gateway.applyChanges(StoreChange.PeerRegistered("entry-2", peer), StoreChange.PeerRegistered("entry-3", peer))
+        val confirmed = consumption(number = 4, tokens = 0).copy(confirmedMillisAgo = 900)
+        val unconfirmed = consumption(number = 5, tokens = 0).copy(sender = "entry-3", confirmedMillisAgo = 3_000)
+        gateway.tick(
+            GatewayInput.PeerDigestReceived(confirmed, peer),
+            GatewayInput.PeerDigestReceived(unconfirmed, peer),
+        )
+        assertEquals(mapOf("entry-3" to DigestStamp(2, 5)), sentDigest().lastReceived.toMap())
+    }
+
+    private fun sentDigests(count: Int): List<PeerDigest> {
+        val first = gateway.tables.peerDigestNumber
+        var digests = emptyList<PeerDigest>()
+        while (digests.size < count) {
+            gateway.advance(50.milliseconds)
+            digests = digests + gateway.effects.filterIsInstance<GatewayEffect.SendPeerDigest>().map { it.digest }
+        }
+        return digests.filter { it.number > first }.take(count)
+    }
+
     private fun bucketLevel(): Double = gateway.tables.buckets.values.single().level
 
     private fun consumption(number: Long, tokens: Long) =
--- a/core/src/test/kotlin/org/ragwortbank/core/gateway/RateFleet.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/gateway/RateFleet.kt
@@ -29,22 +29,27 @@
 /** A fault of the gateway with number [gateway] that begins at [at]. */
 internal data class RateEvent(val at: Duration, val gateway: Int, val fault: RateFault)
 
+/** Number of gateways of a [RateFleet], and the rate of its account in tokens per second. */
+internal data class RateFleetSize(val gateways: Int = RateFleet.GATEWAYS, val rate: Long = RateFleet.RATE)
+
 /**
  * Several gateways in virtual time that share one account, with calls at random gateways and digests delayed by a tick.
  *
  * @param callsPerSecond calls per second over the fleet, each of [CALL_TOKENS] tokens
+ * @param size gateways, and rate of the account in tokens per second; its burst is as large
  */
 internal class RateFleet(
     private val random: Random,
     private val callsPerSecond: Int,
     private val events: List<RateEvent>,
+    private val size: RateFleetSize = RateFleetSize(),
 ) {
     private val fixture = GatewayFixture()
     private val schedule = gatewaySchedule()
     private val origin = Timestamp(0) + 1_000.seconds
     private var elapsed = Duration.ZERO
     private var lastCallNumber = 0L
-    private var gateways = (0 until GATEWAYS).map {
+    private var gateways = (0 until size.gateways).map {
         GatewayNode(it, newTables(it, incarnation = 1, isFirstStart = true), incarnation = 1)
     }
     private var admissions = emptyList<Pair<Duration, Long>>()
@@ -57,6 +62,10 @@
     var arrived = 0
         private set
 
+    /** Number of digests that were sent. */
+    var digestsSent = 0L
+        private set
+
     /** Runs the fleet for [time]. */
     fun run(time: Duration) {
         gateways = gateways.map { step(it, listOf(GatewayInput.StoreRead(storeContents(), now()))) }
@@ -86,7 +95,7 @@
             .filter { random.nextDouble() > LOSS }
             .map { GatewayInput.PeerDigestReceived(it.digest, endpointOf(it.from)) }
         val store = if (elapsed.inWholeMilliseconds % STORE_MILLIS == 0L) listOf(storeRead()) else emptyList()
-        val chance = callsPerSecond * STEP_SECONDS / GATEWAYS / CALLS_PER_STEP
+        val chance = callsPerSecond * STEP_SECONDS / size.gateways / CALLS_PER_STEP
         val callCount = (0 until CALLS_PER_STEP).count { random.nextDouble() < chance }
         arrived += callCount
         val calls = (0 until callCount).map {
@@ -109,7 +118,8 @@
             )
         }
         val outbox = result.effects.filterIsInstance<GatewayEffect.SendPeerDigest>()
-            .map { DigestInFlight(gateway.number, it.endpoint.port, it.digest) }
+            .flatMap { sent -> sent.endpoints.map { DigestInFlight(gateway.number, it.port, sent.digest) } }
+        digestsSent += outbox.size
         return gateway.copy(tables = result.tables, answers = answers, outbox = outbox)
     }
 
@@ -124,9 +134,11 @@
     private fun storeRead() = GatewayInput.StoreRead(storeContents(), now())
 
     private fun storeContents() = (
-        listOf(StoreChange.ConfigSet(fixture.config(rate = RATE))) +
+        listOf(StoreChange.ConfigSet(fixture.config(rate = size.rate))) +
             fixture.storeContents().drop(1) +
-            (0 until GATEWAYS).filter { isListed(it) }.map { StoreChange.PeerRegistered("entry-$it", endpointOf(it)) }
+            (0 until size.gateways)
+                .filter { isListed(it) }
+                .map { StoreChange.PeerRegistered("entry-$it", endpointOf(it)) }
         ).toPersistentList()
 
     private fun endpointOf(number: Int) = Endpoint("10.0.1.$number", number)
--- a/core/src/test/kotlin/org/ragwortbank/core/gateway/RateFleetTest.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/gateway/RateFleetTest.kt
@@ -44,6 +44,38 @@
         }
     }
 
+    @Test
+    fun `given many gateways and an account far above its rate, then no window of eight seconds exceeds the bound`() {
+        val size = RateFleetSize(gateways = 33, rate = 200_000)
+        (1..LARGE_FLEET_SEEDS).forEach { seed ->
+            val fleet = RateFleet(Random(seed), callsPerSecond = 1_360, emptyList(), size)
+            fleet.run(RUN_TIME)
+            val maxTokens = fleet.maxTokensWithin(WINDOW)
+            val bound = boundFor(size.rate)
+            assertTrue(maxTokens <= bound, "seed $seed: $maxTokens tokens in a window, expected at most $bound")
+        }
+    }
+
+    @Test
+    fun `given many gateways and an account at nine tenths of its rate, then at most 1 percent is refused`() {
+        val size = RateFleetSize(gateways = 33, rate = 200_000)
+        (1..LARGE_FLEET_SEEDS).forEach { seed ->
+            val fleet = RateFleet(Random(seed), callsPerSecond = 164, emptyList(), size)
+            fleet.run(RUN_TIME)
+            assertTrue(fleet.refused <= fleet.arrived / 100, "seed $seed: ${fleet.refused} of ${fleet.arrived} refused")
+        }
+    }
+
+    @Test
+    fun `given twice as many gateways, then each sends and receives no more than 1,3 times as many digests`() {
+        val perGateway = listOf(24, 48).map { gateways ->
+            val fleet = RateFleet(Random(1), callsPerSecond = 100, emptyList(), RateFleetSize(gateways, rate = 200_000))
+            fleet.run(10.seconds)
+            fleet.digestsSent.toDouble() / gateways
+        }
+        assertTrue(perGateway[1] <= perGateway[0] * 1.3, "sent by each gateway: $perGateway")
+    }
+
     private fun randomFaults(random: Random): List<RateEvent> = (1..5).map {
         val duration = 1_500.milliseconds + random.nextInt(4_000).milliseconds
         val fault = when (random.nextInt(3)) {
@@ -59,10 +91,13 @@
 
     private companion object {
         const val SEEDS = 16
+        const val LARGE_FLEET_SEEDS = 3
         val RUN_TIME = 25.seconds
         val WINDOW = 8.seconds
 
         /** Rate times window plus burst, 10 % more, and 17 000 tokens of slack that the operators allow. */
-        const val BOUND = (RateFleet.RATE * 8 + RateFleet.RATE) * 11 / 10 + 17_000
+        fun boundFor(rate: Long) = (rate * 8 + rate) * 11 / 10 + 17_000
+
+        val BOUND = boundFor(RateFleet.RATE)
     }
 }
--- a/node/src/main/kotlin/org/ragwortbank/node/datagram/DatagramLink.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/datagram/DatagramLink.kt
@@ -46,6 +46,9 @@
         }
     }
 
+    /** Sends [bytes] to each of [destinations]. */
+    fun sendAll(destinations: List<Endpoint>, bytes: ByteArray) = destinations.forEach { send(it, bytes) }
+
     /** Stops listening. */
     fun close() {
         channel.close()
--- /dev/null
+++ b/node/src/main/kotlin/org/ragwortbank/node/datagram/DemandWire.kt
@@ -0,0 +1,52 @@
+package org.ragwortbank.node.datagram
+
+import kotlinx.collections.immutable.toPersistentList
+import kotlinx.collections.immutable.toPersistentMap
+import org.ragwortbank.core.serving.AdapterKey
+import org.ragwortbank.core.serving.DemandDigest
+import org.ragwortbank.core.serving.EngineSpec
+import org.ragwortbank.core.serving.LoadRequest
+import org.ragwortbank.core.serving.ModelSpec
+import org.ragwortbank.core.serving.UpstreamId
+import kotlin.time.Duration.Companion.milliseconds
+
+private fun AdapterKey.toWire(version: Long? = null) = WireAdapter(model, adapter, version)
+
+private fun WireAdapter.toKey() = AdapterKey(model, adapter)
+
+internal fun DemandDigest.toWire() = WireDemand(
+    sender = sender,
+    stamp = WireStamp(incarnation, number),
+    upstream = upstream.value,
+    upstreamStartedMillis = upstreamStartedMillis,
+    digestIntervalMillis = digestInterval.inWholeMilliseconds,
+    loadRequests = loadRequests.map { it.adapter.toWire(it.version) },
+    inUse = inUse.namesByModel(),
+    engine = engine?.toWire(),
+)
+
+private fun EngineSpec.toWire() = WireEngineSpec(
+    models = models.values.map { WireModel(it.name, it.weightsMegabytes, it.adapterMegabytes) },
+    memoryMegabytes = memoryMegabytes,
+    adapterSlots = adapterSlots,
+)
+
+private fun WireEngineSpec.toSpec() = EngineSpec(
+    models = models
+        .associate { it.name to ModelSpec(it.name, it.weightsMegabytes, it.adapterMegabytes) }
+        .toPersistentMap(),
+    memoryMegabytes = memoryMegabytes,
+    adapterSlots = adapterSlots,
+)
+
+internal fun WireDemand.toDigest() = DemandDigest(
+    sender = sender,
+    incarnation = stamp.incarnation,
+    number = stamp.number,
+    upstream = UpstreamId(upstream),
+    upstreamStartedMillis = upstreamStartedMillis,
+    digestInterval = digestIntervalMillis.takeIf { it > 0 }?.milliseconds ?: DemandDigest.DEFAULT_DIGEST_INTERVAL,
+    loadRequests = loadRequests.map { LoadRequest(it.toKey(), it.version) }.toPersistentList(),
+    inUse = inUse.toKeys(),
+    engine = engine?.toSpec(),
+)
--- a/node/src/main/kotlin/org/ragwortbank/node/datagram/DigestCodec.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/datagram/DigestCodec.kt
@@ -1,22 +1,12 @@
 package org.ragwortbank.node.datagram
 
-import kotlinx.collections.immutable.toPersistentList
-import kotlinx.collections.immutable.toPersistentMap
-import kotlinx.collections.immutable.toPersistentSet
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.cbor.Cbor
 import kotlinx.serialization.decodeFromByteArray
 import kotlinx.serialization.encodeToByteArray
-import org.ragwortbank.core.model.AccountId
-import org.ragwortbank.core.serving.AdapterKey
 import org.ragwortbank.core.serving.DemandDigest
-import org.ragwortbank.core.serving.DigestStamp
 import org.ragwortbank.core.serving.EngineDigest
-import org.ragwortbank.core.serving.EngineSpec
-import org.ragwortbank.core.serving.LoadRequest
-import org.ragwortbank.core.serving.ModelSpec
 import org.ragwortbank.core.serving.PeerDigest
-import org.ragwortbank.core.serving.UpstreamId
 import java.nio.ByteBuffer
 import java.util.zip.CRC32
 
@@ -91,82 +81,7 @@
     }
 
     /** "RWB" and the version of the format: the first four bytes of the header, before the checksum. */
-    private const val MAGIC = 0x52574201
+    private const val MAGIC = 0x52574202
     private const val CHECKSUM_OFFSET = 4
     private const val HEADER_BYTES = 8
 }
-
-private fun AdapterKey.toWire(version: Long? = null) = WireAdapter(model, adapter, version)
-
-private fun WireAdapter.toKey() = AdapterKey(model, adapter)
-
-private fun DemandDigest.toWire() = WireDemand(
-    sender = sender,
-    stamp = WireStamp(incarnation, number),
-    upstream = upstream.value,
-    loadRequests = loadRequests.map { it.adapter.toWire(it.version) },
-    inUse = inUse.map { it.toWire() },
-    models = engine.models.values.map { WireModel(it.name, it.weightsMegabytes, it.adapterMegabytes) },
-    memoryMegabytes = engine.memoryMegabytes,
-    adapterSlots = engine.adapterSlots,
-)
-
-private fun WireDemand.toDigest() = DemandDigest(
-    sender = sender,
-    incarnation = stamp.incarnation,
-    number = stamp.number,
-    upstream = UpstreamId(upstream),
-    loadRequests = loadRequests.map { LoadRequest(it.toKey(), it.version) }.toPersistentList(),
-    inUse = inUse.map { it.toKey() }.toPersistentSet(),
-    engine = EngineSpec(
-        models = models
-            .associate { it.name to ModelSpec(it.name, it.weightsMegabytes, it.adapterMegabytes) }
-            .toPersistentMap(),
-        memoryMegabytes = memoryMegabytes,
-        adapterSlots = adapterSlots,
-    ),
-)
-
-private fun EngineDigest.toWire() = WireEngine(
-    upstream = upstream.value,
-    stamp = WireStamp(incarnation, number),
-    resident = resident.map { it.key.toWire(it.value) },
-    loading = loading.map { it.key.toWire(it.value) },
-    inUse = inUse.map { it.toWire() },
-    residentModels = residentModels.toList(),
-    runningRequests = runningRequests,
-    queuedRequests = queuedRequests,
-    freeSlots = freeSlots,
-)
-
-private fun WireEngine.toDigest() = EngineDigest(
-    upstream = UpstreamId(upstream),
-    incarnation = stamp.incarnation,
-    number = stamp.number,
-    resident = resident.associate { it.toKey() to (it.version ?: 0) }.toPersistentMap(),
-    loading = loading.associate { it.toKey() to (it.version ?: 0) }.toPersistentMap(),
-    inUse = inUse.map { it.toKey() }.toPersistentSet(),
-    residentModels = residentModels.toPersistentSet(),
-    runningRequests = runningRequests,
-    queuedRequests = queuedRequests,
-    freeSlots = freeSlots,
-)
-
-private fun PeerDigest.toWire() = WirePeer(
-    sender = sender,
-    stamp = WireStamp(incarnation, number),
-    admittedTokens = admittedTokens.mapKeys { it.key.value },
-    configVersion = configVersion,
-    confirmedMillisAgo = confirmedMillisAgo,
-    lastReceived = lastReceived.mapValues { WireStamp(it.value.incarnation, it.value.number) },
-)
-
-private fun WirePeer.toDigest() = PeerDigest(
-    sender = sender,
-    incarnation = stamp.incarnation,
-    number = stamp.number,
-    admittedTokens = admittedTokens.mapKeys { AccountId(it.key) }.toPersistentMap(),
-    configVersion = configVersion,
-    confirmedMillisAgo = confirmedMillisAgo,
-    lastReceived = lastReceived.mapValues { DigestStamp(it.value.incarnation, it.value.number) }.toPersistentMap(),
-)
--- a/node/src/main/kotlin/org/ragwortbank/node/datagram/WireDigest.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/datagram/WireDigest.kt
@@ -34,27 +34,35 @@
     @SerialName("a") val adapterMegabytes: Double,
 )
 
-/** Encoded form of a demand digest: what a gateway requests of an engine. */
+/** Encoded form of a demand digest: what a gateway requests of an engine; adapters in use by base model. */
 @Serializable
 internal data class WireDemand(
     @SerialName("s") val sender: String,
     @SerialName("t") val stamp: WireStamp,
     @SerialName("u") val upstream: String,
+    @SerialName("b") val upstreamStartedMillis: Long = 0,
+    @SerialName("i") val digestIntervalMillis: Long = 0,
     @SerialName("w") val loadRequests: List<WireAdapter> = emptyList(),
-    @SerialName("o") val inUse: List<WireAdapter> = emptyList(),
+    @SerialName("o") val inUse: Map<String, List<String>> = emptyMap(),
+    @SerialName("e") val engine: WireEngineSpec? = null,
+)
+
+/** Encoded form of an engine's capacity. */
+@Serializable
+internal data class WireEngineSpec(
     @SerialName("m") val models: List<WireModel> = emptyList(),
     @SerialName("r") val memoryMegabytes: Double,
     @SerialName("p") val adapterSlots: Int,
 )
 
-/** Encoded form of an engine digest. */
+/** Encoded form of an engine digest; adapters are listed by name under their base model, versions behind the name. */
 @Serializable
 internal data class WireEngine(
     @SerialName("u") val upstream: String,
     @SerialName("t") val stamp: WireStamp,
-    @SerialName("h") val resident: List<WireAdapter> = emptyList(),
-    @SerialName("c") val loading: List<WireAdapter> = emptyList(),
-    @SerialName("o") val inUse: List<WireAdapter> = emptyList(),
+    @SerialName("h") val resident: Map<String, Map<String, Long>> = emptyMap(),
+    @SerialName("c") val loading: Map<String, Map<String, Long>> = emptyMap(),
+    @SerialName("o") val inUse: Map<String, List<String>> = emptyMap(),
     @SerialName("m") val residentModels: List<String> = emptyList(),
     @SerialName("r") val runningRequests: Int = 0,
     @SerialName("q") val queuedRequests: Int = 0,
--- a/node/src/main/kotlin/org/ragwortbank/node/gateway/GatewayNode.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/gateway/GatewayNode.kt
@@ -8,6 +8,7 @@
 import org.ragwortbank.core.gateway.gatewaySchedule
 import org.ragwortbank.core.serving.ClientLimits
 import org.ragwortbank.core.serving.Endpoint
+import org.ragwortbank.core.serving.EngineDigest
 import org.ragwortbank.node.ListenAddresses
 import org.ragwortbank.node.NodeProcess
 import org.ragwortbank.node.ProcessEventLoop
@@ -24,6 +25,7 @@
 import org.ragwortbank.node.metrics.NodeMetrics
 import org.ragwortbank.node.port.PlatformPorts
 import org.ragwortbank.node.settings.GatewayNodeSettings
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
@@ -44,7 +46,7 @@
         loop = process.loop,
         schedule = gatewaySchedule(),
         initial = GatewayTables(identity, settings.gateway, startedAt = clock.now()),
-        timing = TickTiming(clock::now) { if (it.requests.isEmpty()) IDLE_INTERVAL else BUSY_INTERVAL },
+        timing = TickTiming(clock::now, ::maxTickInterval),
         observer = metrics,
         perform = ::perform,
     )
@@ -54,7 +56,13 @@
     private val httpServer =
         GatewayHttpServer(process.group, { ticker.tables.config?.limits ?: ClientLimits() }, requests)
     private val link = DatagramLink(process.group, ::onDigest)
-    private val storeWatcher = StoreWatcher(process.loop, store, clock::now, ticker::post)
+    private val storeWatcher = StoreWatcher(
+        process.loop,
+        store,
+        clock::now,
+        readDelay = { ticker.tables.settings.storeReadDelay },
+        ticker::post,
+    )
     private lateinit var membership: Membership
 
     override fun start(): ListenAddresses {
@@ -96,7 +104,7 @@
             is GatewayEffect.Send -> requests.send(effect.attempt)
             is GatewayEffect.SendDemandDigest ->
                 link.send(Endpoint(effect.host, settings.placerDigestPort), DigestCodec.encode(effect.digest))
-            is GatewayEffect.SendPeerDigest -> link.send(effect.endpoint, DigestCodec.encode(effect.digest))
+            is GatewayEffect.SendPeerDigest -> link.sendAll(effect.endpoints, DigestCodec.encode(effect.digest))
             is GatewayEffect.Log -> Logs.write(effect.line)
             GatewayEffect.Stopped -> onStopped()
             else -> requests.perform(effect)
@@ -105,12 +113,25 @@
 
     private fun onDigest(digest: ReceivedDigest, sender: Endpoint) {
         when (digest) {
-            is ReceivedDigest.Engine -> ticker.post(GatewayInput.EngineDigestReceived(digest.digest))
-            is ReceivedDigest.Peer -> ticker.post(GatewayInput.PeerDigestReceived(digest.digest, sender))
+            is ReceivedDigest.Engine -> onEngineDigest(digest.digest)
+            is ReceivedDigest.Peer -> ticker.postDeferred(GatewayInput.PeerDigestReceived(digest.digest, sender))
             is ReceivedDigest.Demand, is ReceivedDigest.Malformed -> Unit
         }
     }
 
+    /** An engine's state is only urgent for requests that wait for it. */
+    private fun onEngineDigest(digest: EngineDigest) {
+        val input = GatewayInput.EngineDigestReceived(digest)
+        if (ticker.tables.waiting.isEmpty()) ticker.postDeferred(input) else ticker.post(input)
+    }
+
+    private fun maxTickInterval(tables: GatewayTables): Duration =
+        when {
+            tables.waiting.isNotEmpty() || tables.deferredCalls.isNotEmpty() -> WAITING_INTERVAL
+            tables.requests.isNotEmpty() -> BUSY_INTERVAL
+            else -> IDLE_INTERVAL
+        }
+
     private fun onStopped() {
         Logs.drain.info("gateway {} stopped with {} requests in progress", settings.name, ticker.tables.requests.size)
         storeWatcher.stop()
@@ -144,8 +165,9 @@
     }
 
     private companion object {
-        val BUSY_INTERVAL = 20.milliseconds
-        val IDLE_INTERVAL = 50.milliseconds
+        val WAITING_INTERVAL = 20.milliseconds
+        val BUSY_INTERVAL = 50.milliseconds
+        val IDLE_INTERVAL = 100.milliseconds
     }
 }
 
--- a/node/src/main/kotlin/org/ragwortbank/node/placer/PlacerNode.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/placer/PlacerNode.kt
@@ -63,7 +63,7 @@
             PlacerEffect.RequestReport -> requestReport()
             is PlacerEffect.SendCommand ->
                 engine.send(effect) { ticker.post(PlacerInput.CommandCompleted(effect.number, it)) }
-            is PlacerEffect.SendEngineDigest -> digestLink.send(effect.endpoint, DigestCodec.encode(effect.digest))
+            is PlacerEffect.SendEngineDigest -> digestLink.sendAll(effect.endpoints, DigestCodec.encode(effect.digest))
             is PlacerEffect.Log -> Logs.write(effect.line)
             PlacerEffect.Stopped -> onStopped()
         }
@@ -81,7 +81,9 @@
     }
 
     private fun onDigest(digest: ReceivedDigest, sender: Endpoint) {
-        if (digest is ReceivedDigest.Demand) ticker.post(PlacerInput.DemandDigestReceived(digest.digest, sender))
+        if (digest !is ReceivedDigest.Demand) return
+        val input = PlacerInput.DemandDigestReceived(digest.digest, sender)
+        if (digest.digest.loadRequests.isEmpty()) ticker.postDeferred(input) else ticker.post(input)
     }
 
     private fun onStopped() {
--- a/node/src/test/kotlin/org/ragwortbank/node/datagram/DigestCodecTest.kt
+++ b/node/src/test/kotlin/org/ragwortbank/node/datagram/DigestCodecTest.kt
@@ -19,6 +19,7 @@
 import kotlin.test.assertEquals
 import kotlin.test.assertIs
 import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.milliseconds
 
 class DigestCodecTest {
     private val adapter = AdapterKey("base", "a7")
@@ -27,7 +28,8 @@
     fun `given each kind of digest, then decoding returns what was encoded`() {
         val engine = EngineSpec(persistentMapOf("base" to ModelSpec("base", 70.5, 1.5)), 76.0, 26)
         val loadRequests = persistentListOf(LoadRequest(adapter, null))
-        val demandDigest = DemandDigest("e", 1, 2, UpstreamId("i"), loadRequests, persistentSetOf(adapter), engine)
+        val inUse = persistentSetOf(adapter)
+        val demandDigest = DemandDigest("e", 1, 2, UpstreamId("i"), 9, 700.milliseconds, loadRequests, inUse, engine)
         assertEquals(ReceivedDigest.Demand(demandDigest), DigestCodec.decode(DigestCodec.encode(demandDigest)))
         val resident = persistentMapOf(adapter to 3L)
         val engineDigest = EngineDigest(UpstreamId("i"), 1, 2, resident, runningRequests = 4, queuedRequests = 5)
