End attempts and calls whose server sends bytes without end

Found by looking for it (bytes that are no answer may come without end): interim answers, or the body of another request's answer, were skipped until the deadline of the request that waited; the body of a reply of the store or of an engine's report was collected without a limit, enough to use up a placer's 64 MB within the call's time-out; blank bytes between two requests stayed in the decoder. Change: an attempt fails after 2 MiB without a head of its own; a call after 8 MiB of body; an idle connection to an upstream is closed by any byte, before it is decoded. Retry-After is formatted without java.util.Formatter, which took 12 % of the time of a refusal in a profile.

--- a/clients/src/main/kotlin/org/ragwortbank/clients/http/ResponseCollector.kt
+++ b/clients/src/main/kotlin/org/ragwortbank/clients/http/ResponseCollector.kt
@@ -1,8 +1,9 @@
 package org.ragwortbank.clients.http
 
+import io.netty.handler.codec.TooLongFrameException
 import java.io.ByteArrayOutputStream
 
-/** Collects a response and passes it on when it is complete. */
+/** Collects a response and passes it on when it is complete; one without an end makes the call fail. */
 internal class ResponseCollector(private val done: (HttpReply) -> Unit) : HttpListener {
     private val body = ByteArrayOutputStream()
     private var head: HttpHead? = null
@@ -11,7 +12,13 @@
         this.head = head
     }
 
-    override fun onContent(bytes: ByteArray) = body.writeBytes(bytes)
+    /** Throws [TooLongFrameException] when the body is longer than any reply may be, which ends the exchange. */
+    override fun onContent(bytes: ByteArray) {
+        if (body.size() + bytes.size > MAX_BODY_BYTES) {
+            throw TooLongFrameException("more than $MAX_BODY_BYTES bytes in one reply")
+        }
+        body.writeBytes(bytes)
+    }
 
     override fun onCompleted() {
         val received = head
@@ -22,4 +29,9 @@
     }
 
     override fun onFailure(wasConnected: Boolean, cause: String) = done(HttpReply.Failed(wasConnected, cause))
+
+    private companion object {
+        /** Several values of the largest size that the key-value service stores. */
+        const val MAX_BODY_BYTES = 8_388_608
+    }
 }
--- a/node/src/main/kotlin/org/ragwortbank/node/gateway/HttpAnswerSink.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/gateway/HttpAnswerSink.kt
@@ -16,7 +16,6 @@
 import org.ragwortbank.clients.upstream.HopHeaders
 import org.ragwortbank.core.result.Refusal
 import org.ragwortbank.node.http.ErrorBody
-import java.util.Locale
 import kotlin.time.Duration
 import kotlin.time.DurationUnit
 
@@ -86,5 +85,9 @@
         if (!staysOpen) head.headers().set(HttpHeaderNames.CONNECTION, "close")
     }
 
-    private fun seconds(wait: Duration): String = "%.3f".format(Locale.ROOT, wait.toDouble(DurationUnit.SECONDS))
+    private fun seconds(wait: Duration): String = wait.toString(DurationUnit.SECONDS, FRACTION_DIGITS).removeSuffix("s")
+
+    private companion object {
+        const val FRACTION_DIGITS = 3
+    }
 }
--- a/node/src/main/kotlin/org/ragwortbank/node/gateway/UpstreamConnections.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/gateway/UpstreamConnections.kt
@@ -76,7 +76,8 @@
     private inner class UpstreamChannelInitializer : ChannelInitializer<SocketChannel>() {
         override fun initChannel(channel: SocketChannel) {
             val codec = HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES, false)
-            channel.pipeline().addLast(codec, UpstreamHandler())
+            val handler = UpstreamHandler()
+            channel.pipeline().addLast(ReceivedBytesHandler(handler), codec, handler)
         }
     }
 
--- a/node/src/main/kotlin/org/ragwortbank/node/gateway/UpstreamExchange.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/gateway/UpstreamExchange.kt
@@ -47,6 +47,7 @@
     private var head: HttpResponse? = null
     private var isSkipping = false
     private var skippedAnswers = 0
+    private var bytesBeforeHead = 0L
 
     /**
      * Cancels the request and resets its connection.
@@ -89,6 +90,16 @@
         }
     }
 
+    /**
+     * [count] bytes were received and are about to be decoded. Interim answers and answers to other requests may come
+     * before the answer to this one, but not without end.
+     */
+    fun onBytesReceived(count: Int) {
+        if (head != null) return
+        bytesBeforeHead += count
+        if (bytesBeforeHead > MAX_BYTES_BEFORE_HEAD) onFailure("no answer within $MAX_BYTES_BEFORE_HEAD bytes")
+    }
+
     /** The head of an answer was received. */
     fun onHead(response: HttpResponse) {
         val isInformational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL
@@ -138,6 +149,9 @@
     private companion object {
         const val MAX_SKIPPED_ANSWERS = 3
 
+        /** Room for a whole answer to another request. */
+        const val MAX_BYTES_BEFORE_HEAD = 2_097_152L
+
         /** Guards against an upstream that closes an idle connection while the next request is in flight. */
         val REUSE_MARGIN = 700.milliseconds
         val DEFAULT_REUSE_TIMEOUT = 1.seconds
--- /dev/null
+++ b/node/src/test/kotlin/org/ragwortbank/node/gateway/IdDialect.kt
@@ -0,0 +1,26 @@
+package org.ragwortbank.node.gateway
+
+import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpRequest
+import io.netty.handler.codec.http.HttpResponse
+import org.ragwortbank.core.gateway.AnswerFacts
+import org.ragwortbank.core.gateway.UpstreamAttempt
+import org.ragwortbank.core.serving.ServingCall
+import org.ragwortbank.node.port.RequestDialect
+import kotlin.time.Duration
+
+/** A dialect that forwards all headers, and recognises an answer to another request by its `X-Request-Id`. */
+internal object IdDialect : RequestDialect {
+    override fun decode(request: HttpRequest): ServingCall? = null
+
+    override fun upstreamHeaders(headers: HttpHeaders, attempt: UpstreamAttempt, remaining: Duration): HttpHeaders =
+        headers
+
+    override fun answerFacts(response: HttpResponse) =
+        AnswerFacts(response.status().code(), notRun = false, load = null)
+
+    override fun answersOtherRequest(response: HttpResponse, id: String) =
+        response.headers()["X-Request-Id"]?.let { it != id } ?: false
+
+    override fun keepAliveTimeout(response: HttpResponse): Duration? = null
+}
--- a/node/src/test/kotlin/org/ragwortbank/node/gateway/UpstreamConnectionsTest.kt
+++ b/node/src/test/kotlin/org/ragwortbank/node/gateway/UpstreamConnectionsTest.kt
@@ -2,18 +2,12 @@
 
 import io.netty.buffer.ByteBuf
 import io.netty.handler.codec.http.DefaultFullHttpRequest
-import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpMethod
-import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpVersion
-import org.ragwortbank.core.gateway.AnswerFacts
-import org.ragwortbank.core.gateway.UpstreamAttempt
 import org.ragwortbank.core.serving.Endpoint
-import org.ragwortbank.core.serving.ServingCall
 import org.ragwortbank.core.tick.Timestamp
 import org.ragwortbank.node.ProcessEventLoop
-import org.ragwortbank.node.port.RequestDialect
 import java.net.InetAddress
 import java.net.ServerSocket
 import java.net.SocketException
@@ -22,14 +16,13 @@
 import kotlin.test.Test
 import kotlin.test.assertFailsWith
 import kotlin.test.assertTrue
-import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
 class UpstreamConnectionsTest {
     private val process = ProcessEventLoop()
     private val server = ServerSocket(0, 1, InetAddress.getLoopbackAddress())
     private val connections =
-        UpstreamConnections(process.loop, PassThroughDialect, 2.seconds) { Timestamp(System.nanoTime()) }
+        UpstreamConnections(process.loop, IdDialect, 2.seconds) { Timestamp(System.nanoTime()) }
 
     @AfterTest
     fun stop() {
@@ -64,23 +57,6 @@
         override fun onFailure(cause: String) = Unit
     }
 
-    private object PassThroughDialect : RequestDialect {
-        override fun decode(request: HttpRequest): ServingCall? = null
-
-        override fun upstreamHeaders(
-            headers: HttpHeaders,
-            attempt: UpstreamAttempt,
-            remaining: Duration,
-        ): HttpHeaders = headers
-
-        override fun answerFacts(response: HttpResponse) =
-            AnswerFacts(response.status().code(), notRun = false, load = null)
-
-        override fun answersOtherRequest(response: HttpResponse, id: String) = false
-
-        override fun keepAliveTimeout(response: HttpResponse): Duration? = null
-    }
-
     private companion object {
         const val READ_BUFFER_BYTES = 4_096
         const val READ_TIMEOUT_MILLIS = 20_000
