--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/PeerSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/PeerSystem.kt
@@ -9,9 +9,7 @@
 import org.ragwortbank.core.tick.Tick
 import org.ragwortbank.core.tick.TickSystem
 import org.ragwortbank.core.tick.Timestamp
-import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.DurationUnit
 
 /**
  * Sends the other gateways the totals that this one has admitted, and charges those that are unresponsive.
@@ -21,35 +19,7 @@
  */
 class PeerSystem : TickSystem<GatewayTables, GatewayInput, GatewayEffect> {
     override fun run(tick: Tick<GatewayInput>, step: GatewayStep): GatewayStep =
-        if (isDigestDue(step.tables, tick.now)) sendDigests(step, tick.now) else step
-
-    private fun isDigestDue(tables: GatewayTables, now: Timestamp): Boolean {
-        val elapsed = tables.peerDigestSentAt?.let { now - it }
-        return when {
-            elapsed == null -> true
-            elapsed < tables.settings.peerDigestInterval -> false
-            else -> isDigestDueAfter(elapsed, tables)
-        }
-    }
-
-    private fun isDigestDueAfter(elapsed: Duration, tables: GatewayTables): Boolean {
-        val gatewayCount = tables.gatewayCount
-        return when {
-            elapsed >= tables.settings.idlePeerInterval(gatewayCount) -> true
-            elapsed >= tables.settings.busyPeerInterval(gatewayCount) ->
-                tables.buckets.any { (id, it) -> tables.unsentTokens(id, it) != 0L }
-            else -> tables.buckets.any { (id, it) -> isUrgent(tables, id, it, gatewayCount) }
-        }
-    }
-
-    private fun isUrgent(tables: GatewayTables, account: AccountId, bucket: FleetBucket, gatewayCount: Int): Boolean {
-        val windowSeconds = tables.settings.rateWindow.toDouble(DurationUnit.SECONDS)
-        val windowTokens = bucket.rate * windowSeconds + bucket.burst
-        return tables.unsentTokens(account, bucket) * gatewayCount > windowTokens * URGENT_SHARE
-    }
-
-    private fun GatewayTables.unsentTokens(account: AccountId, bucket: FleetBucket): Long =
-        bucket.ownConsumed - (sentPeerTotals.firstOrNull()?.get(account) ?: 0)
+        if (step.tables.isPeerDigestDue(tick.now)) sendDigests(step, tick.now) else step
 
     private fun sendDigests(step: GatewayStep, now: Timestamp): GatewayStep {
         val tables = step.tables
@@ -116,9 +86,6 @@
         /** Before this age of its confirmation, a gateway has had no cause to doubt the store. */
         val CONFIRMATION_HELP_AGE = 2_500.milliseconds
 
-        /** Share of an account's tokens in a window of its rate that may be in use without the others' knowledge. */
-        const val URGENT_SHARE = 0.1
-
         /** Keeps a digest within one datagram. */
         const val MAX_STAMPS = 24
     }
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/PeerTiming.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/PeerTiming.kt
@@ -1,11 +1,44 @@
 package org.ragwortbank.core.gateway
 
+import org.ragwortbank.core.model.AccountId
 import org.ragwortbank.core.tick.Timestamp
 import kotlin.time.Duration
+import kotlin.time.DurationUnit
 
 private const val IDLE_INTERVAL_FACTOR = 4
 private const val MISSED_DIGESTS_UNTIL_TIMEOUT = 2.5
 
+/** Share of an account's tokens in a window of its rate that may be in use without the others' knowledge. */
+private const val URGENT_SHARE = 0.1
+
+/** Whether the other gateways should learn now what this one has admitted. */
+internal fun GatewayTables.isPeerDigestDue(now: Timestamp): Boolean {
+    val elapsed = peerDigestSentAt?.let { now - it }
+    return when {
+        elapsed == null -> true
+        elapsed < settings.peerDigestInterval -> false
+        else -> isPeerDigestDueAfter(elapsed)
+    }
+}
+
+private fun GatewayTables.isPeerDigestDueAfter(elapsed: Duration): Boolean {
+    val gatewayCount = gatewayCount
+    return when {
+        elapsed >= settings.idlePeerInterval(gatewayCount) -> true
+        elapsed >= settings.busyPeerInterval(gatewayCount) ->
+            buckets.any { (id, bucket) -> unsentTokens(id, bucket) != 0L }
+        else -> buckets.any { (id, bucket) -> isUrgent(id, bucket, gatewayCount) }
+    }
+}
+
+private fun GatewayTables.isUrgent(account: AccountId, bucket: FleetBucket, gatewayCount: Int): Boolean {
+    val windowTokens = bucket.rate * settings.rateWindow.toDouble(DurationUnit.SECONDS) + bucket.burst
+    return unsentTokens(account, bucket) * gatewayCount > windowTokens * URGENT_SHARE
+}
+
+private fun GatewayTables.unsentTokens(account: AccountId, bucket: FleetBucket): Long =
+    bucket.ownConsumed - (sentPeerTotals.firstOrNull()?.get(account) ?: 0)
+
 /** Time between digests to the other gateways while the admitted tokens change slowly. */
 internal fun GatewaySettings.busyPeerInterval(gatewayCount: Int): Duration =
     DigestPacing.peerInterval(peerDigestInterval, gatewayCount)
