Use an adapter's previous version only where no request waits, and for less time

Ruled out: a late read of the store (the gateway knew version 2) and the engine's own load. Change: the previous version counts as usable only at an engine with a free place and without a queue, and for half of what the pause between reads of the store leaves of the bound. Tests: RoutingSystemTest, both new cases fail before. 'a third version' now ends each request before the next, as a full engine is no longer used; it still asks for six.

--- a/cli/src/main/kotlin/org/ragwortbank/cli/settings/GatewayReader.kt
+++ b/cli/src/main/kotlin/org/ragwortbank/cli/settings/GatewayReader.kt
@@ -12,6 +12,7 @@
 import org.ragwortbank.node.log.LogFormat
 import org.ragwortbank.node.settings.GatewayNodeSettings
 import org.ragwortbank.node.settings.PlacerNodeSettings
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -65,18 +66,20 @@
 private fun readGatewaySettings(reader: TomlReader): GatewaySettings {
     val defaults = GatewaySettings()
     val keyRevocationBound = reader.duration("key_withdrawal", defaults.configurationLease + KEY_REVOCATION_MARGIN)
-    val versionSwitchBound = reader.duration("adapter_version", defaults.previousVersionLifetime * 2)
+    val defaultVersionBound = defaults.previousVersionLifetime * 2 + defaults.storeReadDelay
+    val versionSwitchBound = reader.duration("adapter_version", defaultVersionBound)
     val stopGrace = reader.duration("stop_grace", defaults.drainTimeout + STOP_GRACE_MARGIN)
     val retryPercent = reader.int("retry_percent", (defaults.retryRatio * HUNDRED_PERCENT).toInt(), retryPercentRange)
     val configurationBound = reader.duration("configuration", DEFAULT_STORE_BOUND)
     val leavingUpstreamBound = reader.duration("leaving_upstream", DEFAULT_STORE_BOUND)
+    val storeReadDelay = minOf(configurationBound, leavingUpstreamBound) * READ_DELAY_SHARE
     return defaults.copy(
         configurationLease = keyRevocationBound - KEY_REVOCATION_MARGIN,
-        previousVersionLifetime = versionSwitchBound / 2,
+        previousVersionLifetime = ((versionSwitchBound - storeReadDelay) / 2).coerceAtLeast(Duration.ZERO),
         drainTimeout = stopGrace - STOP_GRACE_MARGIN,
         retryRatio = retryPercent / HUNDRED_PERCENT,
         retrySlack = reader.number("retry_slack", defaults.retrySlack, retrySlackRange),
-        storeReadDelay = minOf(configurationBound, leavingUpstreamBound) * READ_DELAY_SHARE,
+        storeReadDelay = storeReadDelay,
     )
 }
 
--- a/cli/src/test/kotlin/org/ragwortbank/cli/settings/GatewaySettingsTest.kt
+++ b/cli/src/test/kotlin/org/ragwortbank/cli/settings/GatewaySettingsTest.kt
@@ -51,7 +51,7 @@
         assertEquals(emptyList(), settings.warnings)
         val gateway = settings.value.gateway
         assertEquals(4_800.5.milliseconds, gateway.configurationLease)
-        assertSimilar(2_083.333.milliseconds, gateway.previousVersionLifetime)
+        assertSimilar((4_166.667 - 1_499.8125).milliseconds / 2, gateway.previousVersionLifetime)
         assertEquals(7_800.milliseconds, gateway.drainTimeout)
         assertSimilar(1_499.8125.milliseconds, gateway.storeReadDelay)
     }
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/AdapterStates.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/AdapterStates.kt
@@ -32,7 +32,7 @@
         val resident = known[adapter] ?: return null
         return when {
             newest == null || resident >= newest.version -> AdapterState.RESIDENT
-            isPreviousUsable && resident >= newest.previous -> AdapterState.PREVIOUS_VERSION
+            isPreviousUsable && resident >= newest.previous && !row.hasQueue -> AdapterState.PREVIOUS_VERSION
             else -> null
         }
     }
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewaySettings.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewaySettings.kt
@@ -25,7 +25,7 @@
  */
 data class GatewaySettings(
     val configurationLease: Duration = 4_800.milliseconds,
-    val previousVersionLifetime: Duration = 2_500.milliseconds,
+    val previousVersionLifetime: Duration = 2_125.milliseconds,
     val maxLoadWait: Duration = 2_500.milliseconds,
     val demandDigestInterval: Duration = 500.milliseconds,
     val engineDigestInterval: Duration = 400.milliseconds,
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/UpstreamRow.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/UpstreamRow.kt
@@ -97,6 +97,9 @@
     /** Estimated number of requests that are running or queued there. */
     val load: Int get() = maxOf(inFlight, (reportedLoad?.let { it.running + it.waiting } ?: 0) + sentSinceReport)
 
+    /** Whether a request that is sent now would likely wait there before it begins to run. */
+    val hasQueue: Boolean get() = load >= registration.slots || (reportedLoad?.waiting ?: 0) > 0
+
     /**
      * This row with [adapter] not resident, until its placer or its next registration reports otherwise; with no base
      * model resident when [adapter] is null.
--- a/core/src/test/kotlin/org/ragwortbank/core/gateway/RoutingSystemTest.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/gateway/RoutingSystemTest.kt
@@ -1,9 +1,11 @@
 package org.ragwortbank.core.gateway
 
+import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.persistentSetOf
 import org.ragwortbank.core.result.Execution
 import org.ragwortbank.core.result.ResultCode
 import org.ragwortbank.core.serving.AdapterKey
+import org.ragwortbank.core.serving.EngineDigest
 import org.ragwortbank.core.serving.StoreChange
 import org.ragwortbank.core.serving.UpstreamId
 import kotlin.test.Test
@@ -17,6 +19,7 @@
     private val gateway = GatewayFixture()
     private val first = UpstreamId("engine-1")
     private val second = UpstreamId("engine-2")
+    private var lastDigestNumber = 1_000L
 
     @Test
     fun `given an adapter that is resident at one engine, then its requests go there`() {
@@ -75,9 +78,11 @@
         gateway.receiveEngineDigest(first)
         gateway.receiveEngineDigest(second, resident = mapOf("a1" to 2))
         gateway.applyChanges(StoreChange.NewestVersionSet(adapter, 3))
+        val idle = AnswerFacts(status = 200, notRun = false, load = ReportedLoad(running = 0, waiting = 0))
         repeat(6) {
-            gateway.receiveCall("/chat/x", gateway.call("/chat/x", adapter = "a1"))
+            val number = gateway.receiveCall("/chat/x", gateway.call("/chat/x", adapter = "a1"))
             assertEquals(second, gateway.sentAttempts().single().upstream)
+            gateway.tick(GatewayInput.AnswerHeadReceived(number, 1, idle), GatewayInput.AnswerCompleted(number, 1))
         }
     }
 
@@ -88,6 +93,38 @@
         assertEquals(null, gateway.sentAttempts().single().adapterVersion)
     }
 
+    @Test
+    fun `given the previous version at an engine whose queue may outlast its grace, then it is not used there`() {
+        gateway.receiveEngineDigest(second, resident = emptyMap())
+        gateway.applyChanges(StoreChange.NewestVersionSet(AdapterKey(GatewayFixture.MODEL, "a1"), 2))
+        gateway.tick(GatewayInput.EngineDigestReceived(digestOf(first, queuedRequests = 1)))
+        gateway.receiveCall("/chat/x", gateway.call("/chat/x", adapter = "a1"))
+        assertTrue(gateway.sentAttempts().isEmpty())
+        gateway.tick(GatewayInput.EngineDigestReceived(digestOf(first, queuedRequests = 0)))
+        assertEquals(first, gateway.sentAttempts().single().upstream)
+    }
+
+    @Test
+    fun `given the previous version at an engine with all places taken, then it is not used there`() {
+        gateway.receiveEngineDigest(second, resident = emptyMap())
+        gateway.applyChanges(StoreChange.NewestVersionSet(AdapterKey(GatewayFixture.MODEL, "a1"), 2))
+        repeat(4) {
+            gateway.receiveCall("/chat/x", gateway.call("/chat/x", adapter = "a1"))
+            assertEquals(first, gateway.sentAttempts().single().upstream)
+        }
+        gateway.receiveCall("/chat/x", gateway.call("/chat/x", adapter = "a1"))
+        assertTrue(gateway.sentAttempts().isEmpty())
+    }
+
+    private fun digestOf(engine: UpstreamId, queuedRequests: Int) = EngineDigest(
+        upstream = engine,
+        incarnation = 1,
+        number = ++lastDigestNumber,
+        resident = persistentMapOf(AdapterKey(GatewayFixture.MODEL, "a1") to 1L),
+        residentModels = persistentSetOf(GatewayFixture.MODEL),
+        queuedRequests = queuedRequests,
+    )
+
     @Test
     fun `given a process that starts after a version was published, then the previous one is not used`() {
         val named = StoreChange.NewestVersionSet(AdapterKey(GatewayFixture.MODEL, "a1"), 2)
