Load first what most requests wait for, and stay with the engine that was asked

Change: a request stays with the engine that it asked for a second, unless the adapter is available or loading elsewhere; digests say how many loads are awaited, which counts against free slots; placers load for the longest waits over 0.8 s, then for the most requests; an idle adapter yields after 0.25 s. Tests: RoutingSystemTest (stays with the engine, counts awaited loads), CommandSystemTest (order of loads).

--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/DemandSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/DemandSystem.kt
@@ -1,10 +1,8 @@
 package org.ragwortbank.core.gateway
 
-import kotlinx.collections.immutable.PersistentSet
 import kotlinx.collections.immutable.persistentSetOf
 import kotlinx.collections.immutable.toPersistentList
 import kotlinx.collections.immutable.toPersistentSet
-import org.ragwortbank.core.serving.AdapterKey
 import org.ragwortbank.core.serving.DemandDigest
 import org.ragwortbank.core.serving.EngineSpec
 import org.ragwortbank.core.serving.LoadRequest
@@ -21,29 +19,36 @@
  */
 class DemandSystem : TickSystem<GatewayTables, GatewayInput, GatewayEffect> {
     override fun run(tick: Tick<GatewayInput>, step: GatewayStep): GatewayStep {
-        val loadRequests = loadRequestsByUpstream(step.tables)
+        val loadRequests = loadRequestsByUpstream(step.tables, tick.now)
         val isSweepDue = step.tables.demandSweptAt?.let { tick.now - it >= SWEEP_INTERVAL } ?: true
         val candidates = if (isSweepDue) step.tables.upstreams.keys else loadRequests.keys
         val sent = candidates.fold(step) { current, id ->
-            sendIfDue(current, id, loadRequests[id].orEmpty().toPersistentSet(), tick.now)
+            sendIfDue(current, id, loadRequests[id].orEmpty(), tick.now)
         }
         return if (isSweepDue) sent.update { it.copy(demandSweptAt = tick.now) } else sent
     }
 
-    private fun loadRequestsByUpstream(tables: GatewayTables): Map<UpstreamId, List<AdapterKey>> =
+    private fun loadRequestsByUpstream(tables: GatewayTables, now: Timestamp): Map<UpstreamId, List<LoadRequest>> =
         tables.waiting
             .mapNotNull { tables.requests[it] }
-            .mapNotNull { row ->
-                val loadingUpstream = (row.stage as? RequestStage.Waiting)?.loadingUpstream
-                val adapter = row.call.adapterKey
-                if (loadingUpstream == null || adapter == null) null else loadingUpstream to adapter
+            .filter { it.loadingUpstream != null && it.call.adapterKey != null }
+            .groupBy { it.loadingUpstream }
+            .entries
+            .mapNotNull { (upstream, rows) -> upstream?.let { it to loadRequests(tables, rows, now) } }
+            .toMap()
+
+    private fun loadRequests(tables: GatewayTables, rows: List<RequestRow>, now: Timestamp): List<LoadRequest> =
+        rows.groupBy { it.call.adapterKey }.entries.mapNotNull { (adapter, waiting) ->
+            adapter?.let {
+                val longestWait = now - waiting.minOf { row -> row.arrivedAt }
+                LoadRequest(it, tables.versions[it]?.version, waiting.size, longestWait)
             }
-            .groupBy({ it.first }, { it.second })
+        }
 
     private fun sendIfDue(
         step: GatewayStep,
         id: UpstreamId,
-        requested: PersistentSet<AdapterKey>,
+        requested: List<LoadRequest>,
         now: Timestamp,
     ): GatewayStep {
         val tables = step.tables
@@ -51,7 +56,7 @@
         val engine = row?.let { tables.config?.services?.get(it.registration.service)?.engine }
         if (engine == null) return step
         val lastSent = tables.sentDemand[id]
-        val hasNew = requested.any { it !in lastSent?.loadRequests.orEmpty() }
+        val hasNew = requested.any { it.adapter !in lastSent?.loadRequests.orEmpty() }
         val isActive = row.isInUse || requested.isNotEmpty() || lastSent?.isActive == true
         val isDue = lastSent == null || now - lastSent.sentAt >= interval(tables, isActive)
         return if (hasNew || isDue) send(step, row, digest(tables, row, engine, requested), now) else step
@@ -66,7 +71,7 @@
         tables: GatewayTables,
         row: UpstreamRow,
         engine: EngineSpec,
-        requested: PersistentSet<AdapterKey>,
+        requested: List<LoadRequest>,
     ) = DemandDigest(
         sender = tables.identity.name,
         incarnation = tables.identity.incarnation,
@@ -74,10 +79,7 @@
         upstream = row.registration.id,
         upstreamStartedMillis = row.registration.startedMillis,
         digestInterval = digestInterval(tables, row.isInUse || requested.isNotEmpty()),
-        loadRequests = requested
-            .take(MAX_LOAD_REQUESTS)
-            .map { LoadRequest(it, tables.versions[it]?.version) }
-            .toPersistentList(),
+        loadRequests = requested.take(MAX_LOAD_REQUESTS).toPersistentList(),
         inUse = row.usedSinceDigest.addAll(row.inUse.keys),
         engine = engine.takeIf { requested.isNotEmpty() || !row.isInUse },
     )
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/RequestRow.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/RequestRow.kt
@@ -60,6 +60,9 @@
         is RequestStage.Relaying -> current.upstream
     }
 
+    /** The upstream that it waits for to load its adapter; null when it doesn't. */
+    val loadingUpstream: UpstreamId? get() = (stage as? RequestStage.Waiting)?.loadingUpstream
+
     /** Whether the request may be sent to [upstream], within the number of upstreams that its route allows. */
     fun mayTry(upstream: UpstreamId): Boolean =
         upstream !in possibleExecutors && (upstream in triedUpstreams || triedUpstreams.size < route.maxAttempts)
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/RoutingSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/RoutingSystem.kt
@@ -6,6 +6,7 @@
 import org.ragwortbank.core.tick.TickSystem
 import org.ragwortbank.core.tick.Timestamp
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /** Sends each waiting request to the upstream with the smallest expected delay, or requests a load there. */
 class RoutingSystem(private val cost: UpstreamCost) : TickSystem<GatewayTables, GatewayInput, GatewayEffect> {
@@ -20,24 +21,19 @@
             tick.inputs.any { it is GatewayInput.EngineDigestReceived }
         return step.tables.waiting
             .mapNotNull { step.tables.requests[it] }
-            .filter { it.deadline > now && (isRetryDue || !it.isWaitingForLoad) }
+            .filter { it.deadline > now && (isRetryDue || it.loadingUpstream == null) }
             .sortedBy { it.priority }
             .fold(step) { result, row -> route(result, row, now) }
             .update { if (isRetryDue) it.copy(retriedAt = now) else it }
     }
 
-    private val RequestRow.isWaitingForLoad: Boolean
-        get() = (stage as? RequestStage.Waiting)?.loadingUpstream != null
-
     private fun route(step: GatewayStep, row: RequestRow, now: Timestamp): GatewayStep {
         val members = step.tables.upstreamsByService[row.service].orEmpty()
             .mapNotNull { step.tables.upstreams[it] }
             .filter { it.isAccepting && row.mayTry(it.registration.id) }
         val estimate = cost.estimateFor(step.tables, row, now)
-        val best = members
-            .filter { it.isAvailable(now) && it.hasModelFor(row) }
-            .map(estimate::at)
-            .minByOrNull { it.expectedMillis }
+        val candidates = members.filter { it.isAvailable(now) && it.hasModelFor(row) }.map(estimate::at)
+        val best = candidates.minByOrNull { it.expectedMillis }?.let { stayIfAlike(row, it, candidates, now) }
         return when {
             best != null -> sendOrRequestLoad(step.update { it.clearModelMissing(row.service) }, row, best, now)
             members.any { it.hasModelFor(row) } -> step
@@ -46,6 +42,21 @@
         }
     }
 
+    /**
+     * Stays with the upstream that was asked for the load unless the adapter is available or loading at [best], or the
+     * load has not begun for long and [best] is much better: what is asked for in two places may be loaded in both.
+     */
+    private fun stayIfAlike(row: RequestRow, best: Candidate, candidates: List<Candidate>, now: Timestamp): Candidate {
+        val asked = candidates.firstOrNull { it.row.registration.id == row.loadingUpstream }
+        val askedAt = (row.stage as? RequestStage.Waiting)?.loadRequestedAt
+        return when {
+            asked == null || askedAt == null -> best
+            best.state.isUsable || best.state == AdapterState.LOADING -> best
+            now - askedAt < MIN_STAY || best.expectedMillis + MIN_SWITCH_GAIN_MILLIS > asked.expectedMillis -> asked
+            else -> best
+        }
+    }
+
     private fun noUpstreamDetail(row: RequestRow): String =
         "no upstream of ${row.service} can run it, tried ${row.triedUpstreams}"
 
@@ -54,8 +65,7 @@
 
     private fun requestLoad(step: GatewayStep, row: RequestRow, best: Candidate, now: Timestamp): GatewayStep {
         val id = best.row.registration.id
-        val stage = row.stage as? RequestStage.Waiting
-        if (stage?.loadingUpstream == id) return step
+        if (row.loadingUpstream == id) return step
         val waitText = "waits for ${row.call.adapterKey} at $id, ${best.state.label}"
         return step
             .log(LogPart.PLACEMENT, "request ${row.call.id} $waitText, ${describe(best, now)}")
@@ -107,5 +117,7 @@
         const val OWN_SHARE = 0.8
         val RETRY_AFTER = 500.milliseconds
         val RETRY_INTERVAL = 40.milliseconds
+        const val MIN_SWITCH_GAIN_MILLIS = 500.0
+        val MIN_STAY = 1.seconds
     }
 }
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/UpstreamCost.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/UpstreamCost.kt
@@ -82,13 +82,21 @@
         val blockedMillis = when {
             state.isUsable || state == AdapterState.LOADING -> 0.0
             states.freshDigest(row) == null -> NO_FRESH_DIGEST_MILLIS
-            row.digest?.freeSlots == 0 -> NO_FREE_SLOT_MILLIS
-            else -> 0.0
+            else -> slotWaitMillis(row)
         }
         val loadMillis = loadWaitMillis(state, row) + blockedMillis
         return Candidate(row, state, loadMillis + queueMillis(row) + row.health.delayMillis)
     }
 
+    /** The wait for a slot behind the other adapters whose load is requested there. */
+    private fun slotWaitMillis(row: UpstreamRow): Double {
+        val digest = row.digest ?: return 0.0
+        val isAsked = request.loadingUpstream == row.registration.id
+        val others = if (isAsked) (digest.requestedLoads - 1).coerceAtLeast(0) else digest.requestedLoads
+        val shortage = others + 1 - digest.freeSlots
+        return if (shortage <= 0) 0.0 else NO_FREE_SLOT_MILLIS + (shortage - 1) * SLOT_WAIT_MILLIS
+    }
+
     private fun queueMillis(row: UpstreamRow): Double {
         val perRequest = if (isEngine) ENGINE_REQUEST_MILLIS else PLAIN_REQUEST_MILLIS
         val overflow = (row.load + 1 - row.registration.slots).coerceAtLeast(0)
@@ -128,6 +136,9 @@
         const val OUTDATED_MILLIS = 2_500.0
         const val NO_FRESH_DIGEST_MILLIS = 4_000.0
         const val NO_FREE_SLOT_MILLIS = 2_500.0
+
+        /** Usual time between two slots of an engine that can be taken. */
+        const val SLOT_WAIT_MILLIS = 600.0
         const val USUAL_LOAD_MILLIS = 600.0
         const val REQUESTED_BONUS_MILLIS = 60.0
         const val PREFERENCE_MILLIS = 2_500.0
--- a/core/src/main/kotlin/org/ragwortbank/core/placer/AdapterSlots.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/placer/AdapterSlots.kt
@@ -4,11 +4,38 @@
 import org.ragwortbank.core.serving.EngineSpec
 import org.ragwortbank.core.serving.LoadRequest
 import org.ragwortbank.core.tick.Timestamp
+import kotlin.time.Duration.Companion.milliseconds
 
 /** Load requests of all gateways. */
 internal fun PlacerTables.loadRequests(now: Timestamp): List<LoadRequest> =
     currentDemand(now).flatMap { it.loadRequests }
 
+/**
+ * The adapters that requests wait for and whose load has not begun, the one to load next first: those that have waited
+ * for long, then those that most requests wait for.
+ */
+internal fun PlacerTables.unmetLoads(report: EngineReport, now: Timestamp): List<LoadRequest> =
+    loadRequests(now)
+        .filter { it.isUnmet(report) }
+        .groupBy { it.adapter }
+        .map { (adapter, requests) -> joined(adapter, requests) }
+        .sortedWith(
+            compareByDescending<LoadRequest> { it.waitingTime >= LONG_WAIT }
+                .thenByDescending { if (it.waitingTime >= LONG_WAIT) 0 else it.requestCount }
+                .thenByDescending { it.waitingTime },
+        )
+
+/** The [requests] of several gateways for one adapter as one, for the newest version that any of them names. */
+private fun joined(adapter: AdapterKey, requests: List<LoadRequest>) = LoadRequest(
+    adapter = adapter,
+    version = requests.mapNotNull { it.version }.maxOrNull(),
+    requestCount = requests.sumOf { it.requestCount },
+    waitingTime = requests.maxOf { it.waitingTime },
+)
+
+/** Requests that have waited this long go before others, so that an adapter with few requests is not starved. */
+private val LONG_WAIT = 800.milliseconds
+
 /** Whether the requested version is neither resident nor loading, while the base model is loaded. */
 internal fun LoadRequest.isUnmet(report: EngineReport): Boolean {
     val residentVersion = report.resident[adapter]
--- a/core/src/main/kotlin/org/ragwortbank/core/placer/CommandSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/placer/CommandSystem.kt
@@ -72,7 +72,7 @@
         engine: EngineSpec,
         now: Timestamp,
     ): EngineCommand? {
-        val request = tables.loadRequests(now).firstOrNull { it.isUnmet(report) } ?: return null
+        val request = tables.unmetLoads(report, now).firstOrNull() ?: return null
         val replacesVersion = request.adapter in report.resident
         return when {
             report.loading.size >= tables.settings.maxLoadingAdapters -> null
--- a/core/src/main/kotlin/org/ragwortbank/core/placer/EngineDigestSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/placer/EngineDigestSystem.kt
@@ -60,6 +60,7 @@
             runningRequests = report.runningRequests,
             queuedRequests = report.queuedRequests,
             freeSlots = tables.freeSlots(report, now),
+            requestedLoads = tables.unmetLoads(report, now).size,
         )
         val sentRows = recipients.associate { it.name to it.copy(sentReport = report, sentAt = now) }
         return step
--- a/core/src/main/kotlin/org/ragwortbank/core/placer/PlacerTables.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/placer/PlacerTables.kt
@@ -37,7 +37,7 @@
     val unresponsiveReportInterval: Duration = 100.milliseconds,
     val demandLifetime: Duration = 2.seconds,
     val gatewayLifetime: Duration = 15.seconds,
-    val minIdleTime: Duration = 1.seconds,
+    val minIdleTime: Duration = 250.milliseconds,
     val maxLoadingAdapters: Int = 4,
 )
 
--- a/core/src/main/kotlin/org/ragwortbank/core/serving/Digests.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/serving/Digests.kt
@@ -10,10 +10,18 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
-/** A gateway's request to load [version] of an adapter; null for the newest. */
+/**
+ * A gateway's request to load an adapter.
+ *
+ * @property version version to load; null for the newest
+ * @property requestCount requests that wait for it
+ * @property waitingTime how long the first of them has waited
+ */
 data class LoadRequest(
     val adapter: AdapterKey,
     val version: Long?,
+    val requestCount: Int = 1,
+    val waitingTime: Duration = Duration.ZERO,
 )
 
 /**
@@ -61,6 +69,7 @@
  * @property runningRequests requests that the engine is serving, of all gateways
  * @property queuedRequests requests waiting at the engine
  * @property freeSlots slots that can take another adapter now, including those of unused adapters
+ * @property requestedLoads adapters that requests of all gateways wait for and whose load has not begun
  */
 data class EngineDigest(
     val upstream: UpstreamId,
@@ -73,6 +82,7 @@
     val runningRequests: Int = 0,
     val queuedRequests: Int = 0,
     val freeSlots: Int = 0,
+    val requestedLoads: Int = 0,
 )
 
 /**
--- a/core/src/test/kotlin/org/ragwortbank/core/gateway/RoutingSystemTest.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/gateway/RoutingSystemTest.kt
@@ -51,6 +51,30 @@
         }
     }
 
+    @Test
+    fun `given engines whose slots come and go, then a waiting request stays with the engine that it asked`() {
+        gateway.receiveEngineDigest(first, freeSlots = 0)
+        gateway.receiveEngineDigest(second, freeSlots = 0)
+        gateway.receiveCall("/chat/x", gateway.call("/chat/x", adapter = "a9"))
+        val asked = gateway.tables.requests.values.single().loadingUpstream
+        repeat(10) {
+            gateway.receiveEngineDigest(listOf(first, second)[it % 2], freeSlots = 0)
+            gateway.advance(50.milliseconds)
+            assertEquals(asked, gateway.tables.requests.values.single().loadingUpstream)
+        }
+    }
+
+    @Test
+    fun `given an engine whose free slot others have asked for, then a load is requested at one with more room`() {
+        val crowded = digestOf(first, queuedRequests = 0).copy(freeSlots = 1, requestedLoads = 3)
+        gateway.tick(GatewayInput.EngineDigestReceived(crowded))
+        gateway.receiveEngineDigest(second, freeSlots = 1)
+        repeat(4) { index ->
+            gateway.receiveCall("/chat/x", gateway.call("/chat/x", adapter = "b$index"))
+            assertEquals(second, gateway.tables.requests.values.last().loadingUpstream)
+        }
+    }
+
     @Test
     fun `given an adapter that is never loaded, then its request is refused as not run after the longest wait`() {
         gateway.receiveCall("/chat/x", gateway.call("/chat/x", adapter = "a9"))
--- a/core/src/test/kotlin/org/ragwortbank/core/placer/CommandSystemTest.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/placer/CommandSystemTest.kt
@@ -1,5 +1,6 @@
 package org.ragwortbank.core.placer
 
+import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.persistentSetOf
 import kotlinx.collections.immutable.toPersistentList
@@ -63,6 +64,32 @@
         assertEquals(EngineCommand.DropAdapter(adapterKey("a1")), commands().single().command)
     }
 
+    @Test
+    fun `given several load requests, then the adapter that most requests wait for is loaded first`() {
+        receiveReport(sequence = 1)
+        val demand = demandDigest(emptyList()).copy(
+            loadRequests = persistentListOf(
+                LoadRequest(adapterKey("a1"), 1, requestCount = 1, waitingTime = 300.milliseconds),
+                LoadRequest(adapterKey("a2"), 1, requestCount = 3, waitingTime = 100.milliseconds),
+            ),
+        )
+        tick(PlacerInput.DemandDigestReceived(demand, gatewayEndpoint))
+        assertEquals(EngineCommand.LoadAdapter(adapterKey("a2"), 1), commands().single().command)
+    }
+
+    @Test
+    fun `given an adapter that a request has waited for too long, then it goes before more popular ones`() {
+        receiveReport(sequence = 1)
+        val demand = demandDigest(emptyList()).copy(
+            loadRequests = persistentListOf(
+                LoadRequest(adapterKey("a2"), 1, requestCount = 3, waitingTime = 100.milliseconds),
+                LoadRequest(adapterKey("a1"), 1, requestCount = 1, waitingTime = 900.milliseconds),
+            ),
+        )
+        tick(PlacerInput.DemandDigestReceived(demand, gatewayEndpoint))
+        assertEquals(EngineCommand.LoadAdapter(adapterKey("a1"), 1), commands().single().command)
+    }
+
     @Test
     fun `given a full engine with every adapter in use, then no adapter is dropped or loaded`() {
         receiveReport(sequence = 1, resident = listOf("a1", "a2"))
--- a/node/src/main/kotlin/org/ragwortbank/node/datagram/DemandWire.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/datagram/DemandWire.kt
@@ -10,9 +10,11 @@
 import org.ragwortbank.core.serving.UpstreamId
 import kotlin.time.Duration.Companion.milliseconds
 
-private fun AdapterKey.toWire(version: Long? = null) = WireAdapter(model, adapter, version)
+private fun LoadRequest.toWire() =
+    WireAdapter(adapter.model, adapter.adapter, version, requestCount, waitingTime.inWholeMilliseconds)
 
-private fun WireAdapter.toKey() = AdapterKey(model, adapter)
+private fun WireAdapter.toRequest() =
+    LoadRequest(AdapterKey(model, adapter), version, requestCount, waitingMillis.milliseconds)
 
 internal fun DemandDigest.toWire() = WireDemand(
     sender = sender,
@@ -20,7 +22,7 @@
     upstream = upstream.value,
     upstreamStartedMillis = upstreamStartedMillis,
     digestIntervalMillis = digestInterval.inWholeMilliseconds,
-    loadRequests = loadRequests.map { it.adapter.toWire(it.version) },
+    loadRequests = loadRequests.map { it.toWire() },
     inUse = inUse.namesByModel(),
     engine = engine?.toWire(),
 )
@@ -46,7 +48,7 @@
     upstream = UpstreamId(upstream),
     upstreamStartedMillis = upstreamStartedMillis,
     digestInterval = digestIntervalMillis.takeIf { it > 0 }?.milliseconds ?: DemandDigest.DEFAULT_DIGEST_INTERVAL,
-    loadRequests = loadRequests.map { LoadRequest(it.toKey(), it.version) }.toPersistentList(),
+    loadRequests = loadRequests.map { it.toRequest() }.toPersistentList(),
     inUse = inUse.toKeys(),
     engine = engine?.toSpec(),
 )
--- a/node/src/main/kotlin/org/ragwortbank/node/datagram/EngineWire.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/datagram/EngineWire.kt
@@ -29,6 +29,7 @@
     runningRequests = runningRequests,
     queuedRequests = queuedRequests,
     freeSlots = freeSlots,
+    requestedLoads = requestedLoads,
 )
 
 internal fun WireEngine.toDigest() = EngineDigest(
@@ -42,4 +43,5 @@
     runningRequests = runningRequests,
     queuedRequests = queuedRequests,
     freeSlots = freeSlots,
+    requestedLoads = requestedLoads,
 )
--- a/node/src/main/kotlin/org/ragwortbank/node/datagram/WireDigest.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/datagram/WireDigest.kt
@@ -18,12 +18,14 @@
     @SerialName("n") val number: Long,
 )
 
-/** An adapter, with its version where one is specified. */
+/** An adapter whose load is requested, with its version where one is specified, and what waits for it. */
 @Serializable
 internal data class WireAdapter(
     @SerialName("m") val model: String,
     @SerialName("a") val adapter: String,
     @SerialName("v") val version: Long? = null,
+    @SerialName("c") val requestCount: Int = 1,
+    @SerialName("w") val waitingMillis: Long = 0,
 )
 
 /** A base model that an engine can serve, with its memory sizes. */
@@ -67,6 +69,7 @@
     @SerialName("r") val runningRequests: Int = 0,
     @SerialName("q") val queuedRequests: Int = 0,
     @SerialName("f") val freeSlots: Int = 0,
+    @SerialName("l") val requestedLoads: Int = 0,
 )
 
 /** Encoded form of a peer digest: tokens that a gateway has admitted. */
