--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/AttemptSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/AttemptSystem.kt
@@ -73,7 +73,7 @@
         val upstream = row.upstream ?: return step
         val sentAt = (row.stage as? RequestStage.Sent)?.sentAt ?: now
         val updated = step.update { tables ->
-            tables.updateUpstream(upstream) { sender -> facts.load?.let { sender.withReportedLoad(it, now) } ?: sender }
+            tables.updateUpstream(upstream) { it.copy(answeredAt = now).withReportedLoad(facts.load, now) }
         }
         return when {
             facts.notRun -> handleRejection(updated, row, facts, now)
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/UpstreamRow.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/UpstreamRow.kt
@@ -57,6 +57,7 @@
  * @property previouslyResident versions of adapters that were resident before; it reloads those faster than others
  * @property reportedLoad latest load report, received at [loadReportedAt]
  * @property sentSinceReport requests sent by this gateway since [loadReportedAt]
+ * @property answeredAt when the latest part of an answer's beginning arrived from it
  * @property isSuperseded whether a later incarnation has the same endpoint, so that this one has terminated
  */
 data class UpstreamRow(
@@ -71,6 +72,7 @@
     val loadReportedAt: Timestamp? = null,
     val sentSinceReport: Int = 0,
     val health: UpstreamHealth = UpstreamHealth(),
+    val answeredAt: Timestamp? = null,
     val isSuperseded: Boolean = false,
 ) {
     /** Whether it accepts new work according to its registration. */
@@ -130,9 +132,9 @@
     fun withRequestCompleted(adapter: AdapterKey?): UpstreamRow =
         copy(inFlight = (inFlight - 1).coerceAtLeast(0), inUse = inUse.adjust(adapter, -1))
 
-    /** This row with [load] as the latest report. */
-    fun withReportedLoad(load: ReportedLoad, now: Timestamp): UpstreamRow =
-        copy(reportedLoad = load, loadReportedAt = now, sentSinceReport = 0)
+    /** This row with [load] as the latest report; unchanged if there is none. */
+    fun withReportedLoad(load: ReportedLoad?, now: Timestamp): UpstreamRow =
+        if (load == null) this else copy(reportedLoad = load, loadReportedAt = now, sentSinceReport = 0)
 
     private fun PersistentMap<AdapterKey, Int>.adjust(
         adapter: AdapterKey?,
--- a/core/src/test/kotlin/org/ragwortbank/core/gateway/RoutingSystemTest.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/gateway/RoutingSystemTest.kt
@@ -223,6 +223,32 @@
         }
     }
 
+    @Test
+    fun `given an engine that takes requests and answers none, then new ones go elsewhere after a while`() {
+        gateway.receiveEngineDigest(second, resident = emptyMap())
+        repeat(4) {
+            gateway.receiveCall("/resume/x", gateway.call("/resume/x", adapter = "a1"))
+            if (it < 3) assertEquals(first, gateway.sentAttempts().single().upstream)
+            gateway.advance(600.milliseconds)
+            gateway.receiveEngineDigest(first)
+            gateway.receiveEngineDigest(second, resident = emptyMap())
+        }
+        assertEquals(second, gateway.tables.requests.values.last().loadingUpstream)
+    }
+
+    @Test
+    fun `given an upstream that answers others while one request waits, then new requests still go there`() {
+        val busy = AnswerFacts(status = 200, notRun = false, load = ReportedLoad(running = 3, waiting = 0))
+        gateway.applyChanges(StoreChange.UpstreamRemoved(UpstreamId("desk-2")))
+        gateway.receiveCall("/look/x")
+        repeat(8) {
+            gateway.advance(300.milliseconds)
+            val number = gateway.receiveCall("/look/x")
+            assertEquals(UpstreamId("desk-1"), gateway.sentAttempts().single().upstream)
+            gateway.tick(GatewayInput.AnswerHeadReceived(number, 1, busy), GatewayInput.AnswerCompleted(number, 1))
+        }
+    }
+
     @Test
     fun `given an upstream that fails, then nothing is sent to it until its back-off ends`() {
         val number = gateway.receiveCall("/book/x")
