Confirm the configuration among many gateways in time

Cause, found by reading: with many gateways digests are up to 1.8 s apart, so one that is cut off from the store asked for its peers' confirmation, and got it, later than its lease of 4.8 s lasts, and refused keys meanwhile. Change: while a gateway's own confirmation, or one that it learned of lately, is older than 2.5 s, its digests are 0.6 s apart as in a small fleet. Tests: PeerSystemTest with 80 gateways, both fail before.

--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/PeerSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/PeerSystem.kt
@@ -9,7 +9,6 @@
 import org.ragwortbank.core.tick.Tick
 import org.ragwortbank.core.tick.TickSystem
 import org.ragwortbank.core.tick.Timestamp
-import kotlin.time.Duration.Companion.milliseconds
 
 /**
  * Sends the other gateways the totals that this one has admitted, and charges those that are unresponsive.
@@ -31,7 +30,7 @@
             admittedTokens = if (tables.isFullDigestDue) totals else tables.changedTotals(totals),
             configVersion = tables.config?.version ?: 0,
             confirmedMillisAgo = tables.timeSinceConfirmation(now).inWholeMilliseconds,
-            lastReceived = tables.unconfirmedPeers(),
+            lastReceived = tables.unconfirmedPeers(now),
         )
         val endpoints = tables.reachablePeers(now).map { it.endpoint }.toPersistentList()
         return step
@@ -53,9 +52,9 @@
         totals.filter { (account, total) -> sentPeerTotals.any { it[account] != total } }.toPersistentMap()
 
     /** The newest digests received from peers that need others to confirm their configuration. */
-    private fun GatewayTables.unconfirmedPeers(): PersistentMap<String, DigestStamp> =
+    private fun GatewayTables.unconfirmedPeers(now: Timestamp): PersistentMap<String, DigestStamp> =
         peers.values
-            .filter { it.digestReceivedAt != null && it.confirmedAgo > CONFIRMATION_HELP_AGE }
+            .filter { it.needsConfirmation(now) }
             .sortedByDescending { it.digestReceivedAt }
             .take(MAX_STAMPS)
             .associate { it.name to DigestStamp(it.incarnation, it.number) }
@@ -83,9 +82,6 @@
         const val MAX_SEND_TIMES = 32L
         const val FULL_DIGEST_PERIOD = 8L
 
-        /** Before this age of its confirmation, a gateway has had no cause to doubt the store. */
-        val CONFIRMATION_HELP_AGE = 2_500.milliseconds
-
         /** Keeps a digest within one datagram. */
         const val MAX_STAMPS = 24
     }
--- a/core/src/test/kotlin/org/ragwortbank/core/gateway/PeerSystemTest.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/gateway/PeerSystemTest.kt
@@ -133,6 +133,29 @@
         assertEquals(mapOf("entry-3" to DigestStamp(2, 5)), sentDigest().lastReceived.toMap())
     }
 
+    @Test
+    fun `given many gateways and an old confirmation, then digests are sent as often as in a small fleet`() {
+        val others = (2..80).map { StoreChange.PeerRegistered("entry-$it", Endpoint("10.0.1.$it", 7600)) }
+        gateway.applyChanges(*others.toTypedArray())
+        gateway.advance(3.seconds)
+        val before = gateway.tables.peerDigestNumber
+        gateway.advance(2.seconds)
+        assertTrue(gateway.tables.peerDigestNumber - before >= 3, "digests in 2 s without the store")
+    }
+
+    @Test
+    fun `given many gateways, one of which has an old confirmation, then it is acknowledged soon`() {
+        val others = (2..80).map { StoreChange.PeerRegistered("entry-$it", Endpoint("10.0.1.$it", 7600)) }
+        gateway.applyChanges(*others.toTypedArray())
+        sentDigests(1)
+        gateway.confirmConfiguration()
+        val needy = consumption(number = 1, tokens = 0).copy(confirmedMillisAgo = 3_000)
+        gateway.tick(GatewayInput.PeerDigestReceived(needy, peer))
+        gateway.advance(700.milliseconds)
+        val digests = gateway.effects.filterIsInstance<GatewayEffect.SendPeerDigest>().map { it.digest }
+        assertTrue(digests.any { "entry-2" in it.lastReceived }, "digests: $digests")
+    }
+
     private fun sentDigests(count: Int): List<PeerDigest> {
         val first = gateway.tables.peerDigestNumber
         var digests = emptyList<PeerDigest>()
