--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewayTables.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewayTables.kt
@@ -55,8 +55,8 @@
  * @property sentDemand latest load requests sent to each placer
  * @property demandSweptAt when the digests to all placers were last checked for being due
  * @property retriedAt when the requests that wait for a load were last compared with all upstreams
- * @property sentPeerTotals totals of admitted tokens at the latest digests to the other gateways, the newest first; the
- *   last of them was sent at [peerDigestSentAt]
+ * @property sentPeerTotals totals of admitted tokens at the latest digests to the other gateways, the newest first,
+ *   which was sent at [peerDigestSentAt]
  * @property needsFullPeerDigest whether the next of those digests must name all accounts, for a gateway that knows none
  * @property peerDigestSendTimes when the latest digests to the other gateways were sent, by their numbers
  */
