--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,5 +1,9 @@
 #!/usr/bin/env bash
 # Plays the case; exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
-cd "$(dirname "${BASH_SOURCE[0]}")/../.." || exit 2
-[ -f target/ragwortbank.jar ] && [ -f target/review/ConfigStorm.class ] || { echo "not built"; exit 2; }
-exec java -Xmx256m -cp target/review ConfigStorm review/3/record.txt
+folder="$(cd "$(dirname "${BASH_SOURCE[0]}")" && pwd)" || exit 2
+cd "$folder/../.." || exit 2
+if [ ! -f target/ragwortbank.jar ] || [ ! -f target/review/DeadlySystemPrompt.class ]; then
+  echo "not built: bash deploy/build, then bash review/build.sh"
+  exit 2
+fi
+exec java -Xmx256m -cp target/review DeadlySystemPrompt "$folder/record.txt"
--- a/review/lab/Lab.java
+++ b/review/lab/Lab.java
@@ -412,6 +412,8 @@
         volatile long born;
         private volatile boolean isUp;
         private int starts;
+        /** Time that a request takes. */
+        int workMs = 85;
         private long sequence;
         private final Semaphore places;
 
