--- a/review/lab/Lab.java
+++ b/review/lab/Lab.java
@@ -492,5 +492,60 @@
         }
     }
 
+    /** A worker of a model service. It answers with a stream of eight events, or crashes as it begins to write one. */
+    abstract static class Engine extends Worker {
+        static final String MODEL = "m0";
+        private final int prefillMs, downMs;
+
+        Engine(int number, int prefillMs, int downMs, Store store) throws IOException {
+            super("i-engine-" + number, "engines", "127.0.0." + (30 + number), 64, store);
+            this.prefillMs = prefillMs;
+            this.downMs = downMs;
+        }
+
+        /** Whether the engine crashes of [request]; called as it begins to write the answer. */
+        abstract boolean crashesOf(Message request);
+
+        @Override String description() {
+            return "\"stage\":\"combined\",\"models\":[{\"name\":\"" + MODEL + "\",\"version\":1,\"adapters\":[]}],";
+        }
+
+        @Override void run(Message m, Map<String, String> headers, OutputStream out) throws IOException {
+            sleep(prefillMs);
+            if (crashesOf(m)) {
+                crashFor(downMs);
+                throw new IOException("crashed");
+            }
+            headers.put("X-Server-Signature", id + "." + headers.get("X-Request-Id"));
+            headers.put("X-Weight-Versions", "1");
+            headers.put("Content-Type", "text/event-stream");
+            headers.put("Transfer-Encoding", "chunked");
+            StringBuilder head = new StringBuilder("HTTP/1.1 200 OK\r\n");
+            headers.forEach((k, v) -> head.append(k).append(": ").append(v).append("\r\n"));
+            out.write(head.append("\r\n").toString().getBytes(StandardCharsets.ISO_8859_1));
+            for (int i = 1; i <= 8; i++) {
+                String event = "id: " + i + "\ndata: some tokens\n\n";
+                String chunk = Integer.toHexString(event.length()) + "\r\n" + event + "\r\n";
+                out.write(chunk.getBytes(StandardCharsets.ISO_8859_1));
+                out.flush();
+                sleep(30);
+            }
+            out.write("0\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1));
+            out.flush();
+        }
+    }
+
+    /** A configuration with a streaming route to engines and one key. */
+    static String engineConfig(String key) {
+        return "{\"version\":1,\"routes\":["
+            + "{\"name\":\"chat\",\"host\":\"site.example\",\"prefix\":\"/chat/\",\"route_type\":\"streaming\","
+            + "\"service\":\"engines\",\"timeout_ms\":12000,\"target_latency_ms\":500,\"gap_target_ms\":300,"
+            + "\"max_attempts\":1,\"priority\":0,\"sticky\":true}],"
+            + "\"services\":[{\"name\":\"engines\",\"engine\":{\"models\":[{\"name\":\"" + Engine.MODEL
+            + "\",\"weights_mb\":72700,\"load_s\":2.9,\"adapters\":3000,\"adapter_mb\":66}],\"weights_mb\":75900,"
+            + "\"adapter_slots\":26}}],\"tenants\":[{\"name\":\"club\",\"api_keys\":[\"" + key + "\"],"
+            + "\"rate_per_s\":1000000,\"burst\":1000000,\"plain_tokens\":200}],\"limits\":{\"idle_timeout_ms\":9000}}";
+    }
+
     static String newId() { return String.format("%016x", ThreadLocalRandom.current().nextLong()); }
 }
