--- a/review/3/DeadlySystemPrompt.java
+++ b/review/3/DeadlySystemPrompt.java
@@ -1,6 +1,4 @@
 import java.io.IOException;
-import java.io.OutputStream;
-import java.nio.charset.StandardCharsets;
 import java.util.*;
 import java.util.concurrent.*;
 
@@ -14,57 +12,27 @@
     static final int ENGINES = 8, SOUND_SESSIONS = 360;
     /** Sound requests since that of a session which then sends deadly ones: about two seconds. */
     static final int SOUND_AGO = 24;
-    static final String KEY = "member-key", MODEL = "m0", DEADLY = "dead0001", SOUND = "50f70001";
+    static final String KEY = "member-key", DEADLY = "dead0001", SOUND = "50f70001";
     static final List<Long> crashes = new CopyOnWriteArrayList<>();
     static final Map<String, Long> sentAt = new ConcurrentHashMap<>();
     static final List<Long> arrivalsSentAt = new CopyOnWriteArrayList<>();
     static volatile int lastSoundSession;
     static int soundServed, soundRefused, soundOther;
 
-    static final class Engine extends Lab.Worker {
+    static final class Engine extends Lab.Engine {
         Engine(int number, Lab.Store store) throws IOException {
-            super("i-engine-" + number, "engines", "127.0.0." + (30 + number), 64, store);
+            super(number, 60, BACK_MS, store);
         }
 
-        @Override String description() {
-            return "\"stage\":\"combined\",\"models\":[{\"name\":\"" + MODEL + "\",\"version\":1,\"adapters\":[]}],";
-        }
-
-        @Override void run(Lab.Message m, Map<String, String> headers, OutputStream out) throws IOException {
+        @Override boolean crashesOf(Lab.Message m) {
+            if (!m.headers.get("X-Prompt-Prefix").startsWith(DEADLY)) return false;
             String request = m.headers.get("X-Request-Id");
-            boolean isDeadly = m.headers.get("X-Prompt-Prefix").startsWith(DEADLY);
-            Lab.sleep(60);
-            if (isDeadly) {
-                arrivalsSentAt.add(sentAt.get(request));
-                if (Lab.TROUBLE) {
-                    crashes.add(Lab.now());
-                    Lab.say("engine " + id + " begins to write an answer to " + request + " and crashes (crash "
-                        + crashes.size() + ")");
-                    crashFor(BACK_MS);
-                    throw new IOException("crashed");
-                }
-            }
-            stream(headers, out);
-        }
-
-        private void stream(Map<String, String> headers, OutputStream out) throws IOException {
-            StringBuilder head = new StringBuilder("HTTP/1.1 200 OK\r\n");
-            headers.put("X-Server-Signature", id + "." + headers.get("X-Request-Id"));
-            headers.put("X-Weight-Versions", "1");
-            headers.put("Content-Type", "text/event-stream");
-            headers.put("Transfer-Encoding", "chunked");
-            headers.forEach((k, v) -> head.append(k).append(": ").append(v).append("\r\n"));
-            out.write(head.append("\r\n").toString().getBytes(StandardCharsets.ISO_8859_1));
-            for (int i = 1; i <= 8; i++) {
-                byte[] event = ("id: " + i + "\ndata: some tokens\n\n").getBytes(StandardCharsets.UTF_8);
-                out.write((Integer.toHexString(event.length) + "\r\n").getBytes(StandardCharsets.ISO_8859_1));
-                out.write(event);
-                out.write("\r\n".getBytes(StandardCharsets.ISO_8859_1));
-                out.flush();
-                Lab.sleep(30);
-            }
-            out.write("0\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1));
-            out.flush();
+            arrivalsSentAt.add(sentAt.get(request));
+            if (!Lab.TROUBLE) return false;
+            crashes.add(Lab.now());
+            Lab.say("engine " + id + " begins to write an answer to " + request + " and crashes (crash " + crashes.size()
+                + ")");
+            return true;
         }
     }
 
@@ -76,14 +44,7 @@
 
     static void play() throws Exception {
         Lab.Store store = new Lab.Store("127.0.0.1");
-        store.put("op/config", "{\"version\":1,\"routes\":["
-            + "{\"name\":\"chat\",\"host\":\"site.example\",\"prefix\":\"/chat/\",\"route_type\":\"streaming\","
-            + "\"service\":\"engines\",\"timeout_ms\":12000,\"target_latency_ms\":500,\"gap_target_ms\":300,"
-            + "\"max_attempts\":1,\"priority\":0,\"sticky\":true}],"
-            + "\"services\":[{\"name\":\"engines\",\"engine\":{\"models\":[{\"name\":\"" + MODEL + "\",\"weights_mb\":72700,"
-            + "\"load_s\":2.9,\"adapters\":3000,\"adapter_mb\":66}],\"weights_mb\":75900,\"adapter_slots\":26}}],"
-            + "\"tenants\":[{\"name\":\"club\",\"api_keys\":[\"" + KEY + "\"],"
-            + "\"rate_per_s\":1000000,\"burst\":1000000,\"plain_tokens\":200}],\"limits\":{\"idle_timeout_ms\":9000}}");
+        store.put("op/config", Lab.engineConfig(KEY));
         for (int i = 1; i <= ENGINES; i++) new Engine(i, store);
         List<Lab.Gateway> gateways = List.of(
             new Lab.Gateway("edge-1", "127.0.0.11", store), new Lab.Gateway("edge-2", "127.0.0.12", store));
@@ -121,7 +82,7 @@
         int status = 0;
         try {
             Lab.Message answer = Lab.Client.call(gateway.address, "POST", "/chat/x", Map.of("Host", "site.example",
-                "X-Request-Id", id, "X-Deadline-Ms", "12000", "Authorization", "Bearer " + KEY, "X-Model", MODEL,
+                "X-Request-Id", id, "X-Deadline-Ms", "12000", "Authorization", "Bearer " + KEY, "X-Model", Engine.MODEL,
                 "X-Token-Usage", "300,40", "X-Prompt-Prefix", first + ":120," + session + ":80," + id.substring(8) + ":100"),
                 "{\"prompt\":\"" + id + "\"}", 12_000);
             status = answer.status;
