--- a/review/1/StopDuringStart.java
+++ b/review/1/StopDuringStart.java
@@ -6,7 +6,7 @@
 
 /** A gateway that was just started again gets a SIGTERM while it starts, after clients have sent it requests. */
 final class StopDuringStart {
-    static final int ROUNDS = 8, LOSS_SLACK_MS = 200, STOP_AFTER_OPEN_MS = 260;
+    static final int ROUNDS = 8, LOSS_SLACK_MS = 200, STOP_AFTER_OPEN_MS = 230;
     static final String KEY = "member-key";
     static int lost, answered;
 
