Handle signals before the callers' port opens

Cause: ProcessRunner set the handlers of TERM and INT after the start had completed, but opened the callers' port first. Until then TERM has the JVM's default effect.

ProcessSignals handles TERM, INT and HUP before anything else, keeps what comes during the start and passes it on once the process runs. The drain counts from the signal, so it still ends before the SIGKILL. It works because there is no moment any more at which the port is open and the default effect is in force.

Related paths: HUP during a start ended the process; a stopping gateway without a configuration ended with requests that it held back; a start that failed after the port had opened left a process that never answered. Placer, entry and sidecar use the same runner.

--- a/cli/src/main/kotlin/org/ragwortbank/cli/command/ExitCode.kt
+++ b/cli/src/main/kotlin/org/ragwortbank/cli/command/ExitCode.kt
@@ -9,4 +9,5 @@
     UNAVAILABLE(number = 4, "The platform did not answer; nothing was changed."),
     UNKNOWN(number = 5, "The platform did not answer after the change was sent; it may have been stored."),
     NOT_IN_FORCE(number = 6, "The change is stored but not yet in force on every instance."),
+    START_FAILED(number = 7, "The process could not start, because one of its addresses can't be used."),
 }
--- a/cli/src/main/kotlin/org/ragwortbank/cli/command/ProcessRunner.kt
+++ b/cli/src/main/kotlin/org/ragwortbank/cli/command/ProcessRunner.kt
@@ -8,11 +8,12 @@
 import org.ragwortbank.node.log.LogFormat
 import org.ragwortbank.node.log.LogSetup
 import org.ragwortbank.node.log.LogTarget
+import org.ragwortbank.node.log.PlatformLog
 import org.ragwortbank.node.log.SettingsLog
 import org.ragwortbank.node.placer.PlacerNode
 import org.ragwortbank.node.settings.GatewayNodeSettings
 import org.ragwortbank.platform.PreparedPlatform
-import sun.misc.Signal
+import java.io.IOException
 import java.nio.file.Path
 
 /** Runs a gateway with the settings file [config] until TERM or INT, and returns the exit code. */
@@ -51,29 +52,45 @@
     private val logTarget: LogTarget = LogTarget.STANDARD_ERROR,
     private val applySettings: (P, S) -> Unit = { _, _ -> },
 ) {
+    private val signals = ProcessSignals(::reloadSettings)
+
     /**
      * Runs a process until it stops, and returns the exit code.
      *
      * [prepare] runs before logging is configured, the function that it returns creates the process afterwards.
      */
-    fun run(prepare: (S) -> () -> P): Int =
-        when (val settings = readSettings()) {
+    fun run(prepare: (S) -> () -> P): Int {
+        signals.handle()
+        return when (val settings = readSettings()) {
             is Validated.Invalid -> reportProblems(settings.problems)
-            is Validated.Valid -> {
-                val createProcess = prepare(settings.value)
-                LogSetup.configure(logLevelOf(settings.value), logFormatOf(settings.value), logTarget)
-                settings.warnings.forEach(SettingsLog::replacedByDefault)
-                runUntilStopped(createProcess())
-            }
+            is Validated.Valid -> if (signals.isStopRequested) ExitCode.OK.number else run(settings, prepare)
+        }
+    }
+
+    private fun run(settings: Validated.Valid<S>, prepare: (S) -> () -> P): Int {
+        val createProcess = prepare(settings.value)
+        LogSetup.configure(logLevelOf(settings.value), logFormatOf(settings.value), logTarget)
+        settings.warnings.forEach(SettingsLog::replacedByDefault)
+        val process = createProcess()
+        val exitCode = if (start(process)) awaitTermination(process) else ExitCode.START_FAILED
+        LogSetup.flush()
+        return exitCode.number
+    }
+
+    /** Starts [process]; false if one of its addresses can't be used. */
+    private fun start(process: P): Boolean =
+        try {
+            println(process.start())
+            true
+        } catch (e: IOException) {
+            PlatformLog.warn("the process can't start: ${e.message}")
+            false
         }
 
-    private fun runUntilStopped(process: P): Int {
-        Signal.handle(Signal("HUP")) { reloadSettings(process) }
-        println(process.start())
-        listOf("TERM", "INT").forEach { name -> Signal.handle(Signal(name)) { process.stop() } }
+    private fun awaitTermination(process: P): ExitCode {
+        signals.passOnTo(process)
         process.awaitTermination()
-        LogSetup.flush()
-        return ExitCode.OK.number
+        return ExitCode.OK
     }
 
     /** Reads the settings file again; if it has problems, the present settings stay in force. */
--- a/core/src/main/kotlin/org/ragwortbank/core/entry/DrainSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/entry/DrainSystem.kt
@@ -8,15 +8,16 @@
 /** Drains the process: accepts requests for a grace period, completes them and hands the buckets over. */
 class DrainSystem : TickSystem<EntryTables, EntryInput, EntryEffect> {
     override fun run(tick: Tick<EntryInput>, step: EntryStep): EntryStep {
-        val stopRequested = tick.inputs.any { it is EntryInput.StopRequested } && !step.tables.stopping
-        val draining = if (stopRequested) beginDrain(step, tick.now) else step
+        val request = tick.inputs.firstNotNullOfOrNull { it as? EntryInput.StopRequested }
+        val isNew = request != null && !step.tables.stopping
+        val draining = if (isNew) beginDrain(step, tick.now - request.requestedAgo) else step
         return if (isDrained(draining.tables, tick.now)) draining.emit(EntryEffect.Stopped) else draining
     }
 
-    private fun beginDrain(step: EntryStep, now: Timestamp): EntryStep =
+    private fun beginDrain(step: EntryStep, requestedAt: Timestamp): EntryStep =
         step
             .log(LogPart.DRAIN, "stop requested with ${step.tables.requests.size} requests under way")
-            .update { it.copy(stoppingSince = now) }
+            .update { it.copy(stoppingSince = requestedAt) }
             .emit(EntryEffect.ReadEpoch)
 
     private fun isDrained(tables: EntryTables, now: Timestamp): Boolean {
--- a/core/src/main/kotlin/org/ragwortbank/core/entry/EntryInput.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/entry/EntryInput.kt
@@ -11,6 +11,7 @@
 import org.ragwortbank.core.model.InstanceName
 import org.ragwortbank.core.model.RequestId
 import org.ragwortbank.core.tick.Timestamp
+import kotlin.time.Duration
 
 /** An event that the systems of an entry react to. */
 sealed interface EntryInput {
@@ -47,6 +48,6 @@
     /** The attempt to record the idempotency key of [request] has a result. */
     data class ClaimDecided(val request: RequestId, val result: ClaimResult) : EntryInput
 
-    /** The process was asked to drain and stop. */
-    data object StopRequested : EntryInput
+    /** The process was asked to drain and stop, [requestedAgo] before this input. */
+    data class StopRequested(val requestedAgo: Duration = Duration.ZERO) : EntryInput
 }
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/DrainSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/DrainSystem.kt
@@ -8,17 +8,23 @@
 /** Stops the process: it admits requests during the drain grace, and stops when all are answered or at the time-out. */
 class DrainSystem : TickSystem<GatewayTables, GatewayInput, GatewayEffect> {
     override fun run(tick: Tick<GatewayInput>, step: GatewayStep): GatewayStep {
-        val isRequested = step.tables.stoppingSince == null && tick.inputs.any { it is GatewayInput.StopRequested }
-        val draining = if (isRequested) beginDrain(step, tick.now) else step
+        val request = tick.inputs.firstNotNullOfOrNull { it as? GatewayInput.StopRequested }
+        val isNew = request != null && step.tables.stoppingSince == null
+        val draining = if (isNew) beginDrain(step, tick.now - request.requestedAgo) else step
         val elapsed = draining.tables.stoppingSince?.let { tick.now - it } ?: return draining
         val settings = draining.tables.settings
-        val isIdle = draining.tables.requests.isEmpty() && elapsed > settings.drainGrace
+        val isIdle = draining.tables.isIdle && elapsed > settings.drainGrace
         val isOver = !draining.tables.isStopped && (isIdle || elapsed > settings.drainTimeout)
         return if (isOver) draining.update { it.copy(isStopped = true) }.emit(GatewayEffect.Stopped) else draining
     }
 
-    private fun beginDrain(step: GatewayStep, now: Timestamp): GatewayStep =
+    private fun beginDrain(step: GatewayStep, requestedAt: Timestamp): GatewayStep =
         step
-            .log(LogPart.DRAIN, "stop requested with ${step.tables.requests.size} requests under way")
-            .update { it.copy(stoppingSince = now) }
+            .log(LogPart.DRAIN, "stop requested with ${describeWork(step.tables)}")
+            .update { it.copy(stoppingSince = requestedAt) }
+
+    private fun describeWork(tables: GatewayTables): String =
+        "${tables.requests.size} requests under way and ${tables.deferredCalls.size} deferred"
+
+    private val GatewayTables.isIdle: Boolean get() = requests.isEmpty() && deferredCalls.isEmpty()
 }
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewayInput.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewayInput.kt
@@ -8,6 +8,7 @@
 import org.ragwortbank.core.serving.ServingCall
 import org.ragwortbank.core.serving.StoreChange
 import org.ragwortbank.core.tick.Timestamp
+import kotlin.time.Duration
 
 /**
  * The head of an upstream's answer.
@@ -60,6 +61,6 @@
     /** The settings were reloaded. */
     data class SettingsReloaded(val settings: GatewaySettings) : GatewayInput
 
-    /** A stop of the process was requested. */
-    data object StopRequested : GatewayInput
+    /** A stop of the process was requested, [requestedAgo] before this input. */
+    data class StopRequested(val requestedAgo: Duration = Duration.ZERO) : GatewayInput
 }
--- a/core/src/main/kotlin/org/ragwortbank/core/sidecar/SidecarDrainSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/sidecar/SidecarDrainSystem.kt
@@ -12,15 +12,16 @@
  */
 class SidecarDrainSystem : TickSystem<SidecarTables, SidecarInput, SidecarEffect> {
     override fun run(tick: Tick<SidecarInput>, step: SidecarStep): SidecarStep {
-        val isNewStopRequest = tick.inputs.any { it is SidecarInput.StopRequested } && !step.tables.isStopping
-        val updated = if (isNewStopRequest) startDrain(step, tick.now) else step
+        val request = tick.inputs.firstNotNullOfOrNull { it as? SidecarInput.StopRequested }
+        val isNew = request != null && !step.tables.isStopping
+        val updated = if (isNew) startDrain(step, tick.now - request.requestedAgo) else step
         return if (isDrainOver(updated.tables, tick.now)) updated.emit(SidecarEffect.Stopped) else updated
     }
 
-    private fun startDrain(step: SidecarStep, now: Timestamp): SidecarStep =
+    private fun startDrain(step: SidecarStep, requestedAt: Timestamp): SidecarStep =
         step
             .log(LogPart.DRAIN, "stop requested with ${step.tables.runs.size} runs under way")
-            .update { it.copy(stoppingSince = now) }
+            .update { it.copy(stoppingSince = requestedAt) }
 
     private fun isDrainOver(tables: SidecarTables, now: Timestamp): Boolean {
         val drainStartedAt = tables.stoppingSince ?: return false
--- a/core/src/main/kotlin/org/ragwortbank/core/sidecar/SidecarInput.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/sidecar/SidecarInput.kt
@@ -7,6 +7,7 @@
 import org.ragwortbank.core.model.AdapterRef
 import org.ragwortbank.core.model.ResponseHead
 import org.ragwortbank.core.model.Usage
+import kotlin.time.Duration
 
 /** An external event that a sidecar handles. */
 sealed interface SidecarInput {
@@ -49,6 +50,6 @@
     /** The key-value service issued the fencing token of this sidecar. */
     data class FencingTokenReceived(val fencingToken: Long) : SidecarInput
 
-    /** The process was asked to drain and stop. */
-    data object StopRequested : SidecarInput
+    /** The process was asked to drain and stop, [requestedAgo] before this input. */
+    data class StopRequested(val requestedAgo: Duration = Duration.ZERO) : SidecarInput
 }
--- a/core/src/test/kotlin/org/ragwortbank/core/entry/AdmissionSystemTest.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/entry/AdmissionSystemTest.kt
@@ -77,7 +77,7 @@
 
     @Test
     fun `given a stop request, then requests are accepted for the grace period and refused afterwards`() {
-        entry.tick(EntryInput.StopRequested)
+        entry.tick(EntryInput.StopRequested())
         entry.receiveCall(entry.call())
         assertEquals(1, entry.dispatches().size)
         assertRefusedNotRun(ResultCode.DRAINING) { entry.advance(2.seconds, EntryInput.CallArrived(entry.call())) }
--- a/experiments/src/main/kotlin/org/ragwortbank/experiments/fleet/EventSystem.kt
+++ b/experiments/src/main/kotlin/org/ragwortbank/experiments/fleet/EventSystem.kt
@@ -23,7 +23,7 @@
                 tables.updateProcess(event.address) { it.copy(suspendedUntil = tables.now + event.duration) }
             is FleetEvent.Isolate -> isolate(tables, event)
             is FleetEvent.RequestStop ->
-                tables.updateProcess(event.address) { it.copy(inbox = it.inbox.add(EntryInput.StopRequested)) }
+                tables.updateProcess(event.address) { it.copy(inbox = it.inbox.add(EntryInput.StopRequested())) }
             is FleetEvent.PartitionPair -> partition(tables, event)
             is FleetEvent.ChangeAgreement -> tables.changeAgreement(event.account)
             is FleetEvent.StoreOutage -> interruptStore(tables, event, event.duration)
--- a/node/src/main/kotlin/org/ragwortbank/node/entry/EntryNode.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/entry/EntryNode.kt
@@ -41,6 +41,7 @@
 import org.ragwortbank.node.wire.toEntryMessage
 import org.ragwortbank.node.wire.toWire
 import java.util.concurrent.atomic.AtomicLong
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -70,7 +71,7 @@
         ListenAddresses(settings.name, httpAddress, peerAddress, adminAddress)
     }
 
-    override fun stop() = loop.post(EntryInput.StopRequested)
+    override fun stop(requestedAgo: Duration) = loop.post(EntryInput.StopRequested(requestedAgo))
 
     override fun awaitTermination() = runtime.awaitTermination()
 
--- a/node/src/main/kotlin/org/ragwortbank/node/gateway/GatewayNode.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/gateway/GatewayNode.kt
@@ -92,10 +92,12 @@
     fun apply(changed: GatewayNodeSettings) =
         process.loop.execute { ticker.post(GatewayInput.SettingsReloaded(changed.gateway)) }
 
-    override fun stop() = process.loop.execute {
-        requests.isStopping = true
-        membership.stop()
-        ticker.post(GatewayInput.StopRequested)
+    override fun stop(requestedAgo: Duration) = process.loop.execute {
+        if (!requests.isStopping) {
+            requests.isStopping = true
+            membership.stop()
+            ticker.post(GatewayInput.StopRequested(requestedAgo))
+        }
     }
 
     override fun awaitTermination() = process.awaitTermination()
--- a/node/src/main/kotlin/org/ragwortbank/node/placer/PlacerNode.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/placer/PlacerNode.kt
@@ -24,6 +24,7 @@
 import org.ragwortbank.node.port.PlatformPorts
 import org.ragwortbank.node.port.ReportReply
 import org.ragwortbank.node.settings.PlacerNodeSettings
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
 /** A placer process: sends commands to its engine, and digests of the engine's state to the gateways. */
@@ -54,7 +55,7 @@
         return ListenAddresses(settings.name, null, digestEndpoint.address(), adminAddress)
     }
 
-    override fun stop() = process.loop.execute { ticker.post(PlacerInput.StopRequested) }
+    override fun stop(requestedAgo: Duration) = process.loop.execute { ticker.post(PlacerInput.StopRequested) }
 
     override fun awaitTermination() = process.awaitTermination()
 
--- a/node/src/main/kotlin/org/ragwortbank/node/sidecar/SidecarNode.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/sidecar/SidecarNode.kt
@@ -39,6 +39,7 @@
 import org.ragwortbank.node.wire.toCommand
 import org.ragwortbank.node.wire.toWire
 import java.util.concurrent.atomic.AtomicReference
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -63,7 +64,7 @@
         ListenAddresses(settings.name, null, peerAddress, adminAddress)
     }
 
-    override fun stop() = loop.post(SidecarInput.StopRequested)
+    override fun stop(requestedAgo: Duration) = loop.post(SidecarInput.StopRequested(requestedAgo))
 
     override fun awaitTermination() = runtime.awaitTermination()
 
--- a/standins/src/main/kotlin/org/ragwortbank/standins/fleet/Launcher.kt
+++ b/standins/src/main/kotlin/org/ragwortbank/standins/fleet/Launcher.kt
@@ -17,8 +17,12 @@
     private val productJar: Path,
     private val standInsClassPath: Path,
     val directory: Path,
-    private val usesOptimizingCompiler: Boolean = false,
+    usesOptimizingCompiler: Boolean = false,
 ) {
+    private val javaCommand: List<String> =
+        listOf(javaBinary, "-Xms16m", "-Xmx96m", "-XX:+UseSerialGC") +
+            if (usesOptimizingCompiler) listOf() else FIRST_TIER_ONLY
+
     init {
         directory.createDirectories()
     }
@@ -31,6 +35,10 @@
     fun startInstance(name: String, role: String, settings: Path, flags: List<String> = emptyList()): ChildProcess =
         start(name, flags + listOf("-cp", productJar.toString(), INSTANCE_MAIN, role, settings.toString()))
 
+    /** Starts an instance like [startInstance] and returns at once, while it starts. */
+    fun beginInstance(name: String, role: String, settings: Path): Process =
+        launch(name, listOf("-cp", productJar.toString(), INSTANCE_MAIN, role, settings.toString()))
+
     /** Starts a stand-in and waits until it is ready. */
     fun startStandIn(name: String, arguments: List<String>): ChildProcess {
         val classPath = standInsClassPath.toString() + File.pathSeparator + productJar
@@ -39,7 +47,7 @@
 
     /** Runs a command of the product and waits until it exits. */
     fun runCommand(arguments: List<String>): CommandResult {
-        val process = ProcessBuilder(javaCommand() + listOf("-jar", productJar.toString()) + arguments)
+        val process = ProcessBuilder(javaCommand + listOf("-jar", productJar.toString()) + arguments)
             .redirectError(ProcessBuilder.Redirect.appendTo(logFile("commands")))
             .start()
         val output = process.inputStream.bufferedReader().readText()
@@ -54,11 +62,8 @@
     }
 
     private fun start(name: String, arguments: List<String>): ChildProcess {
+        val process = launch(name, arguments)
         val outputFile = logFile("$name-output")
-        val process = ProcessBuilder(javaCommand() + arguments)
-            .redirectError(ProcessBuilder.Redirect.appendTo(logFile(name)))
-            .redirectOutput(outputFile)
-            .start()
         Polling.until { findReadyLine(outputFile) != null || !process.isAlive }
         val readyLine = findReadyLine(outputFile)
         if (readyLine == null) {
@@ -68,15 +73,17 @@
         return ChildProcess(name, process, readyLine)
     }
 
+    private fun launch(name: String, arguments: List<String>): Process =
+        ProcessBuilder(javaCommand + arguments)
+            .redirectError(ProcessBuilder.Redirect.appendTo(logFile(name)))
+            .redirectOutput(logFile("$name-output"))
+            .start()
+
     private fun findReadyLine(outputFile: File): String? =
         outputFile.useLines { lines -> lines.firstOrNull { it.startsWith("ready ") } }
 
     private fun logFile(name: String): File = directory.resolve("$name.log").toFile()
 
-    private fun javaCommand(): List<String> =
-        listOf(javaBinary, "-Xms16m", "-Xmx96m", "-XX:+UseSerialGC") +
-            if (usesOptimizingCompiler) listOf() else FIRST_TIER_ONLY
-
     private companion object {
         val FIRST_TIER_ONLY = listOf("-XX:TieredStopAtLevel=1")
         const val INSTANCE_MAIN = "org.ragwortbank.cli.Instance"
--- a/standins/src/main/kotlin/org/ragwortbank/standins/fleet/Polling.kt
+++ b/standins/src/main/kotlin/org/ragwortbank/standins/fleet/Polling.kt
@@ -8,12 +8,12 @@
     private val timeout = 20.seconds
     private const val POLL_MILLIS = 50L
 
-    /** Polls until [condition] holds, and returns whether it did before the timeout. */
-    fun until(condition: () -> Boolean): Boolean {
+    /** Polls every [pollMillis] until [condition] holds, and returns whether it did before the timeout. */
+    fun until(pollMillis: Long = POLL_MILLIS, condition: () -> Boolean): Boolean {
         val start = TimeSource.Monotonic.markNow()
         while (start.elapsedNow() < timeout) {
             if (condition()) return true
-            Thread.sleep(POLL_MILLIS)
+            Thread.sleep(pollMillis)
         }
         return false
     }
