Take a placer's fencing token from what its engine counts

Cause: the token was the time of day at the start of the process. Nothing makes that rise over restarts: a placer keeps nothing, and the clock may be set back between two starts. Ruled out: commands of the earlier process that arrive late (the two processes' tokens are the wrong way round by their values alone), and two placers at one engine (one process a machine).

Now the token is the engine's start plus the number of orders that it had accepted when the process first read its report; both come with each report. A later process never reads less, and a later incarnation of the engine starts later by more milliseconds than the earlier one can have accepted orders. No clock of ours and no call of the store is involved, so it holds while the store is away. Weighed: a token from the store (no order while it is down, two calls a start), one echoed by gateways (lost when all are started again together).

The token is in the log line of each command.

Test that failed before, with the process's start as the token: CommandSystemTest, "given a placer that is started again with its clock set back, then its fencing token is not lower".

--- a/core/src/main/kotlin/org/ragwortbank/core/placer/CommandSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/placer/CommandSystem.kt
@@ -86,12 +86,14 @@
         val tables = step.tables
         val report = tables.report
         val upstream = tables.upstream
-        if (report == null || upstream == null) return step
+        val fence = tables.fence
+        if (report == null || upstream == null || fence == null) return step
         val number = tables.lastCommandNumber + 1
-        val state = "at sequence ${report.commandSequence} with ${report.resident.size} resident adapters"
+        val state = "at sequence ${report.commandSequence} with ${report.resident.size} resident adapters, " +
+            "fencing token ${fence.token}"
         return step
             .log(LogPart.PLACEMENT, "command $number to $upstream $state: $command")
-            .emit(PlacerEffect.SendCommand(upstream, command, number, report.commandSequence))
+            .emit(PlacerEffect.SendCommand(upstream, command, number, report.commandSequence, fence.token))
             .update { it.copy(pendingCommand = PendingCommand(command, number), lastCommandNumber = number) }
     }
 }
--- a/core/src/main/kotlin/org/ragwortbank/core/placer/PlacerMessages.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/placer/PlacerMessages.kt
@@ -54,12 +54,14 @@
      *
      * @property number identifies the command among those of this process
      * @property expectedSequence command sequence at which the engine may execute it
+     * @property fencingToken never lower than that of an earlier command to this incarnation of the engine
      */
     data class SendCommand(
         val upstream: UpstreamId,
         val command: EngineCommand,
         val number: Long,
         val expectedSequence: Long,
+        val fencingToken: Long,
     ) : PlacerEffect
 
     /** Send the engine's state to the gateways at [endpoints]. */
--- a/core/src/main/kotlin/org/ragwortbank/core/placer/PlacerTables.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/placer/PlacerTables.kt
@@ -46,6 +46,7 @@
  *
  * @property resident versions of the adapters that can be used
  * @property loading versions of the adapters being loaded; 0 where the version isn't known
+ * @property startedMillis start of this incarnation of the engine in Unix milliseconds; 0 when it doesn't say
  * @property commandSequence number of commands that the engine has accepted since its start
  * @property isLoadingModel whether the engine is executing a command for a base model
  * @property runningRequests requests that the engine is serving, of all gateways
@@ -55,6 +56,7 @@
     val residentModels: PersistentSet<String>,
     val resident: PersistentMap<AdapterKey, Long>,
     val loading: PersistentMap<AdapterKey, Long>,
+    val startedMillis: Long,
     val commandSequence: Long,
     val isLoadingModel: Boolean,
     val runningRequests: Int,
@@ -106,6 +108,7 @@
  *
  * @property upstream the engine's current ID, as the gateways' digests name it
  * @property engine capacity of the engine, from the newest digest that says it
+ * @property fence fencing token of the commands to the engine; null before its first report
  * @property report newest report; null before the first, while the engine doesn't answer, and after a command that was
  *   not accepted
  * @property isEngineReachable whether the last report request was answered
@@ -124,6 +127,7 @@
     val settings: PlacerSettings = PlacerSettings(),
     val upstream: UpstreamId? = null,
     val engine: EngineSpec? = null,
+    val fence: CommandFence? = null,
     val report: EngineReport? = null,
     val isEngineReachable: Boolean = false,
     val reportRequestedAt: Timestamp? = null,
--- a/core/src/main/kotlin/org/ragwortbank/core/placer/ReportSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/placer/ReportSystem.kt
@@ -31,7 +31,10 @@
         val isOutdated = tables.lastCommandCompletedAt?.let { input.requestedAt < it } ?: false
         if (tables.pendingCommand != null || isOutdated) return step.update { it.copy(isAwaitingReport = false) }
         val logged = if (tables.isEngineReachable) step else step.log(LogPart.PLATFORM, "the engine answers")
-        return logged.update { it.copy(report = input.report, isAwaitingReport = false, isEngineReachable = true) }
+        val fence = tables.fence?.after(input.report) ?: CommandFence.of(input.report)
+        return logged.update {
+            it.copy(report = input.report, fence = fence, isAwaitingReport = false, isEngineReachable = true)
+        }
     }
 
     private fun recordReportFailure(step: PlacerStep, cause: String): PlacerStep {
--- a/core/src/test/kotlin/org/ragwortbank/core/placer/CommandSystemTest.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/placer/CommandSystemTest.kt
@@ -52,6 +52,41 @@
         assertEquals(8, commands().single().expectedSequence)
     }
 
+    // Guards against fencing tokens that go back when the clock was set back before a placer was started again.
+    @Test
+    fun `given a placer that is started again with its clock set back, then its fencing token is not lower`() {
+        restartPlacer(incarnation = 358_266)
+        receiveReport(sequence = 7)
+        requestLoad("a1")
+        val earlierToken = commands().single().fencingToken
+        restartPlacer(incarnation = 357_965)
+        receiveReport(sequence = 8)
+        requestLoad("a2")
+        assertTrue(commands().single().fencingToken >= earlierToken)
+    }
+
+    @Test
+    fun `given an engine that is started again, then the fencing token rises and stays until the next start`() {
+        receiveReport(sequence = 900)
+        requestLoad("a1")
+        val earlierToken = commands().single().fencingToken
+        tick(PlacerInput.CommandCompleted(commands().single().number, CommandOutcome.REFUSED))
+        tickAfter(1.seconds, PlacerInput.ReportReceived(engineReport(0).copy(startedMillis = 3_000), now + 1.seconds))
+        val laterToken = commands().single().fencingToken
+        assertTrue(laterToken > earlierToken)
+        tick(PlacerInput.CommandCompleted(commands().single().number, CommandOutcome.ACCEPTED))
+        requestLoad("a2")
+        assertEquals(laterToken, commands().single().fencingToken)
+    }
+
+    @Test
+    fun `given an engine that doesn't say when it started, when its sequence falls, then the fencing token follows`() {
+        tick(PlacerInput.ReportReceived(engineReport(40).copy(startedMillis = 0), now))
+        assertEquals(41, tables.fence?.token)
+        tickAfter(1.seconds, PlacerInput.ReportReceived(engineReport(0).copy(startedMillis = 0), now + 1.seconds))
+        assertEquals(1, tables.fence?.token)
+    }
+
     @Test
     fun `given a full engine, then the least recently used adapter is dropped first`() {
         receiveReport(sequence = 1, resident = listOf("a1", "a2"))
@@ -125,6 +160,11 @@
         assertEquals(1, effects.count { it is PlacerEffect.RequestReport })
     }
 
+    private fun restartPlacer(incarnation: Long) {
+        now += 3.seconds
+        tables = PlacerTables("placer-1", incarnation)
+    }
+
     private fun receiveReport(sequence: Long, resident: List<String> = emptyList()) =
         tick(PlacerInput.ReportReceived(engineReport(sequence, resident), now))
 
@@ -138,6 +178,7 @@
         residentModels = persistentSetOf("base"),
         resident = resident.associate { adapterKey(it) to 1L }.toPersistentMap(),
         loading = persistentMapOf(),
+        startedMillis = 1_000,
         commandSequence = sequence,
         isLoadingModel = false,
         runningRequests = 0,
--- a/core/src/test/kotlin/org/ragwortbank/core/placer/EngineDigestSystemTest.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/placer/EngineDigestSystemTest.kt
@@ -118,6 +118,7 @@
         residentModels = persistentSetOf("base"),
         resident = resident.associate { AdapterKey("base", it) to 1L }.toPersistentMap(),
         loading = persistentMapOf(),
+        startedMillis = 1_000,
         commandSequence = 1,
         isLoadingModel = false,
         runningRequests = 0,
--- a/core/src/test/kotlin/org/ragwortbank/core/placer/ReportSystemTest.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/placer/ReportSystemTest.kt
@@ -74,6 +74,7 @@
         residentModels = persistentSetOf(),
         resident = persistentMapOf(),
         loading = persistentMapOf(),
+        startedMillis = 1_000,
         commandSequence = 1,
         isLoadingModel = isLoadingModel,
         runningRequests = 0,
--- a/standins/src/main/kotlin/org/ragwortbank/standins/prepared/WorkerState.kt
+++ b/standins/src/main/kotlin/org/ragwortbank/standins/prepared/WorkerState.kt
@@ -37,6 +37,7 @@
     /** Encodes the state as the response to a report call. */
     fun toReportJson(): String = buildJsonObject {
         put("busy", isModelLoading)
+        put("born", 1)
         put("sequence", sequence)
         put("active", runningRequests)
         put("queued", 0)
