Accept digests of a process whose clock was set back before its start

Receivers ordered the processes of one name by the time of day at their start and dropped all digests of one with an earlier start. After a clock was set back, a restarted gateway's demand loaded no adapter, its use of the accounts' rates was not counted, and a restarted placer's engine showed no adapters.

DigestStamp orders digests in one place for the three receivers: a lower incarnation counts as a later process once the known one has been silent for a second, longer than datagrams are on their way. A late datagram that is taken for a restart is made up for by the next digest of the living process. The totals of a gateway that is known to have restarted count from zero.

Tests that failed before: ReportSystemTest and PeerSystemTest, "given a gateway that restarts with its clock set back, ...".

--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/DigestIntakeSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/DigestIntakeSystem.kt
@@ -2,12 +2,14 @@
 
 import kotlinx.collections.immutable.PersistentMap
 import org.ragwortbank.core.model.AccountId
+import org.ragwortbank.core.serving.DigestStamp
 import org.ragwortbank.core.serving.Endpoint
 import org.ragwortbank.core.serving.EngineDigest
 import org.ragwortbank.core.serving.PeerDigest
 import org.ragwortbank.core.tick.Tick
 import org.ragwortbank.core.tick.TickSystem
 import org.ragwortbank.core.tick.Timestamp
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
 /** Applies the digests of placers and of other gateways; duplicates and outdated digests change nothing. */
@@ -23,16 +25,17 @@
 
     private fun receive(tables: GatewayTables, digest: EngineDigest, now: Timestamp): GatewayTables =
         tables.updateUpstream(digest.upstream) { row ->
-            val prior = row.digest
-            val isDuplicate = prior != null && digest.incarnation == prior.incarnation && digest.number <= prior.number
-            val isOutdated = prior != null && digest.incarnation < prior.incarnation
-            if (isDuplicate || isOutdated) row else row.withDigest(digest, now)
+            val silence = row.digestReceivedAt?.let { now - it } ?: Duration.ZERO
+            val isNewer = row.digest?.let { digest.stamp.isNewerThan(it.stamp, silence) } ?: true
+            if (isNewer) row.withDigest(digest, now) else row
         }
 
     private fun receive(tables: GatewayTables, digest: PeerDigest, from: Endpoint, now: Timestamp): GatewayTables {
         val prior = tables.peers[digest.sender] ?: PeerRow(digest.sender, from, isListed = false, addedAt = now)
+        val silence = prior.digestReceivedAt?.let { now - it } ?: Duration.ZERO
+        if (!digest.stamp.isNewerThan(DigestStamp(prior.incarnation, prior.number), silence)) return tables
         val isSameProcess = digest.incarnation == prior.incarnation
-        if (digest.incarnation < prior.incarnation || (isSameProcess && digest.number <= prior.number)) return tables
+        val isRestarted = !isSameProcess && prior.digestReceivedAt != null
         val row = prior.copy(
             incarnation = digest.incarnation,
             number = digest.number,
@@ -43,7 +46,7 @@
         return tables
             .copy(
                 peers = tables.peers.put(row.name, row),
-                buckets = tables.receiveTotals(digest, isComplete, now),
+                buckets = tables.receiveTotals(digest, isComplete, isRestarted, now),
                 needsFullPeerDigest = tables.needsFullPeerDigest || !isSameProcess,
             )
             .renewLeaseFrom(digest)
@@ -53,13 +56,15 @@
      * The buckets after the totals of [digest].
      *
      * @param isComplete whether no change can be missing: a total that the digest doesn't name is unchanged then
+     * @param isRestarted whether an earlier process of the sender is known, so that its total has grown from zero since
      */
     private fun GatewayTables.receiveTotals(
         digest: PeerDigest,
         isComplete: Boolean,
+        isRestarted: Boolean,
         now: Timestamp,
     ): PersistentMap<AccountId, FleetBucket> {
-        val countsFromZero = digest.incarnation > identity.incarnation
+        val countsFromZero = isRestarted || digest.incarnation > identity.incarnation
         return buckets.entries.fold(buckets) { updated, (account, bucket) ->
             val unchanged = bucket.peers[digest.sender]?.takeIf { isComplete }?.admittedTotal
             val total = digest.admittedTokens[account] ?: unchanged
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewaySettings.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewaySettings.kt
@@ -44,7 +44,7 @@
 /**
  * Identity of a gateway process.
  *
- * @property incarnation distinguishes the processes that run under one name; a later one has a higher number
+ * @property incarnation start of the process in Unix milliseconds by its own clock
  * @property isFirstStart whether the whole system starts for the first time
  */
 data class GatewayIdentity(
--- a/core/src/main/kotlin/org/ragwortbank/core/placer/ReportSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/placer/ReportSystem.kt
@@ -45,12 +45,10 @@
 
     private fun receiveDemand(step: PlacerStep, input: PlacerInput.DemandDigestReceived, now: Timestamp): PlacerStep {
         val digest = input.digest
-        val previous = step.tables.gateways[digest.sender]?.demand
-        val isNewer = previous == null || digest.incarnation > previous.incarnation ||
-            (digest.incarnation == previous.incarnation && digest.number > previous.number)
+        val previous = step.tables.gateways[digest.sender]
+        val isNewer = previous?.let { digest.stamp.isNewerThan(it.demand.stamp, now - it.receivedAt) } ?: true
         if (!isNewer) return step
-        val isSameProcess = previous != null && previous.incarnation == digest.incarnation
-        val known = step.tables.gateways[digest.sender]?.takeIf { isSameProcess }
+        val known = previous?.takeIf { it.demand.incarnation == digest.incarnation }
         val row = known?.copy(endpoint = input.senderEndpoint, demand = digest, receivedAt = now)
             ?: GatewayRow(digest.sender, input.senderEndpoint, digest, now)
         return step
--- a/core/src/main/kotlin/org/ragwortbank/core/serving/Digests.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/serving/Digests.kt
@@ -50,6 +50,9 @@
     val inUse: PersistentSet<AdapterKey> = persistentSetOf(),
     val engine: EngineSpec? = null,
 ) {
+    /** Identifies this digest. */
+    val stamp: DigestStamp get() = DigestStamp(incarnation, number)
+
     /** Whether the gateway uses the engine or waits for it at present. */
     val isActive: Boolean get() = loadRequests.isNotEmpty() || inUse.isNotEmpty()
 
@@ -85,7 +88,10 @@
     val queuedRequests: Int = 0,
     val freeSlots: Int = 0,
     val requestedLoads: Int = 0,
-)
+) {
+    /** Identifies this digest. */
+    val stamp: DigestStamp get() = DigestStamp(incarnation, number)
+}
 
 /**
  * The state that a gateway sends to its peers.
@@ -113,14 +119,11 @@
     val clearedTraits: PersistentMap<CrashTrait, Duration> = persistentMapOf(),
     val blocks: PersistentSet<CrashTrait> = persistentSetOf(),
 ) {
+    /** Identifies this digest. */
+    val stamp: DigestStamp get() = DigestStamp(incarnation, number)
+
     companion object {
         /** Number of digests that repeat an account's total after a change, because any of them may be lost. */
         const val REPEATS = 3
     }
 }
-
-/** Identifies one digest of a process. */
-data class DigestStamp(
-    val incarnation: Long,
-    val number: Long,
-)
--- a/core/src/test/kotlin/org/ragwortbank/core/gateway/PeerSystemTest.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/gateway/PeerSystemTest.kt
@@ -84,6 +84,20 @@
         assertEquals(1_000.0, bucketLevel())
     }
 
+    // Guards against a restarted gateway whose digests, and so its use of all accounts, are ignored for good.
+    @Test
+    fun `given a gateway that restarts with its clock set back, then its totals count from zero`() {
+        val before = consumption(number = 9, tokens = 100).copy(incarnation = 5_000)
+        val after = consumption(number = 1, tokens = 50).copy(incarnation = 3_000)
+        gateway.tick(GatewayInput.PeerDigestReceived(before, peer))
+        gateway.advance(10.seconds)
+        gateway.tick(GatewayInput.PeerDigestReceived(after, peer))
+        gateway.tick(GatewayInput.PeerDigestReceived(after.copy(number = 2), peer))
+        assertEquals(3_000, gateway.tables.peers.getValue("entry-2").incarnation)
+        assertEquals(50, gateway.tables.buckets.values.single().peers.getValue("entry-2").admittedTotal)
+        assertEquals(950.0, bucketLevel())
+    }
+
     @Test
     fun `given a total that changed, then the next digests repeat it and later ones leave it out until the full one`() {
         gateway.applyChanges(StoreChange.PeerRegistered("entry-2", peer))
--- a/core/src/test/kotlin/org/ragwortbank/core/placer/ReportSystemTest.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/placer/ReportSystemTest.kt
@@ -4,6 +4,9 @@
 import kotlinx.collections.immutable.persistentSetOf
 import kotlinx.collections.immutable.toPersistentList
 import org.ragwortbank.core.log.LogPart
+import org.ragwortbank.core.serving.DemandDigest
+import org.ragwortbank.core.serving.Endpoint
+import org.ragwortbank.core.serving.UpstreamId
 import org.ragwortbank.core.tick.Tick
 import org.ragwortbank.core.tick.Timestamp
 import kotlin.test.Test
@@ -48,6 +51,20 @@
         assertEquals(3, reachabilityLogLines)
     }
 
+    // Guards against a restarted gateway that gets no adapter loaded, because its demand is ignored for good.
+    @Test
+    fun `given a gateway that restarts with its clock set back, then its demand counts after a silence`() {
+        val before = DemandDigest("entry-1", incarnation = 5_000, number = 9, upstream = UpstreamId("engine-1"))
+        val after = before.copy(incarnation = 3_000, number = 1)
+        tick(PlacerInput.DemandDigestReceived(before, gatewayEndpoint))
+        now += 300.milliseconds
+        tick(PlacerInput.DemandDigestReceived(after, gatewayEndpoint))
+        assertEquals(before, tables.gateways.getValue("entry-1").demand)
+        now += 1.seconds
+        tick(PlacerInput.DemandDigestReceived(after, gatewayEndpoint))
+        assertEquals(after, tables.gateways.getValue("entry-1").demand)
+    }
+
     /** The number of report requests within [duration], each answered with [reply]. */
     private fun reportRequestsWithin(duration: Duration, reply: PlacerInput): Int {
         val end = now + duration
@@ -83,5 +100,6 @@
 
     private companion object {
         val TICK_INTERVAL = 10.milliseconds
+        val gatewayEndpoint = Endpoint("10.0.0.1", 7600)
     }
 }
