Let a broader trait take the place of narrower ones that crashes had in common

Cause: of traits that explain the same crashes the narrowest is taken, which is right for a part behind sound ones; but the crashes that it explained were closed, so that the broader part never gathered evidence. Evidence: CrashingRequestTest with a part that sessions share blocks one application or session after the other before the change. Ruled out: lost reports, a sound answer that cleared the part.

Now explained crashes stay as evidence. A broader trait replaces narrower ones when it may have caused all of their crashes and two more, five at least; the narrower blocks are lifted at each gateway and dropped from the store. Sound answers go on clearing explained crashes, which keeps parts that sound requests share from taking a session's place.

--- a/core/src/main/kotlin/org/ragwortbank/core/crash/CauseSearch.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/crash/CauseSearch.kt
@@ -12,34 +12,55 @@
  * A trait is taken for a cause when several crashes, apart in time and on different hosts, had requests with it, and
  * none with it was answered since the first of them.
  *
- * @property open crashes whose cause is unknown, in order of time
- * @property all these and the other latest crashes
+ * Of several traits that explain the same crashes the narrowest is taken, which may be too narrow. A broader one then
+ * takes its place when it explains later crashes as well as all of those.
+ *
+ * @property settled crashes of which all gateways have reported what they know, in order of time
+ * @property table these and the other latest crashes
  * @property hostCounts number of hosts of each service
  */
 internal class CauseSearch(
-    private val open: List<CrashRow>,
-    private val all: Collection<CrashRow>,
+    private val settled: List<CrashRow>,
+    private val table: CrashTable,
     private val hostCounts: Map<ServiceName, Int>,
 ) {
-    /** The narrowest trait that is a cause; null if there is none. */
-    fun find(): Cause? {
-        if (open.size < CAUSE_CRASHES) return null
-        return open
-            .flatMap { row -> row.possibleCauses.map { it to row } }
-            .groupBy({ it.first }, { it.second })
-            .filter { (trait, crashes) -> isCause(trait, crashes) }
-            .map { (trait, crashes) -> causeOf(trait, crashes) }
-            .minWithOrNull(compareBy({ it.breadth }, { it.requestCount }))
+    private val open = settled.filter { it.isOpen }
+
+    /** The trait that is a cause, first one that replaces others, then the narrowest; null if there is none. */
+    fun find(): Cause? =
+        open
+            .flatMap { it.possibleCauses }
+            .distinct()
+            .mapNotNull(::causeOf)
+            .minWithOrNull(compareBy({ it.replaced.isEmpty() }, { it.breadth }, { it.requestCount }))
+
+    /** [trait] as a cause; null if the crashes that it may have caused are not enough to take it for one. */
+    private fun causeOf(trait: CrashTrait): Cause? {
+        val unexplained = open.filter { it.mayBeCausedBy(trait) }
+        val replaced = table.replacedBy(trait)
+        val crashes = (unexplained + settled.filter { it.explanation in replaced }).sortedBy { it.at }
+        return when {
+            isReplacement(unexplained, crashes) && isCause(trait, crashes) ->
+                causeOf(trait, crashes).copy(replaced = replaced)
+            isCause(trait, unexplained) -> causeOf(trait, unexplained)
+            else -> null
+        }
     }
 
-    /** Whether [crashes], all those of [open] that [trait] may have caused, are enough to take it for their cause. */
+    /** Whether [crashes] are more than their [unexplained] part, and enough to take a broader trait for their cause. */
+    private fun isReplacement(unexplained: List<CrashRow>, crashes: List<CrashRow>): Boolean =
+        crashes.size > unexplained.size && countApart(unexplained) >= REPLACEMENT_CRASHES &&
+            countApart(crashes) >= MAX_CAUSE_CRASHES
+
+    /** Whether [crashes], in order of time, are enough to take [trait] for their cause. */
     private fun isCause(trait: CrashTrait, crashes: List<CrashRow>): Boolean {
+        if (crashes.size < CAUSE_CRASHES) return false
         val service = crashes.first().place.service
-        val meanwhile = open.filter {
+        val meanwhile = (open + crashes).distinct().filter {
             it.place.service == service && it.at >= crashes.first().at && it.at <= crashes.last().at
         }
         val count = countApart(crashes)
-        val share = count.toDouble() / countApart(meanwhile)
+        val share = count.toDouble() / countApart(meanwhile.sortedBy { it.at })
         val isStorm = hostsLostUntil(crashes.last().at, service) > (hostCounts[service] ?: 0) * STORM_SHARE
         return isEnough(count, share, isStorm) && crashes.distinctBy { it.place }.size >= CAUSE_HOSTS &&
             (trait is CrashTrait.Repeat || requestsWith(trait, crashes).fingerprints.size >= CAUSE_REQUESTS)
@@ -56,7 +77,7 @@
 
     /** Hosts of [service] on which upstreams crashed shortly before [time], for whatever cause. */
     private fun hostsLostUntil(time: Timestamp, service: ServiceName): Int =
-        all
+        table.rows.values
             .filter { it.place.service == service && it.at <= time && time - it.at <= STORM_TIME }
             .distinctBy { it.place }
             .size
@@ -83,6 +104,9 @@
         const val MAX_CAUSE_CRASHES = 5
         const val CAUSE_REQUESTS = 2
 
+        /** One further crash may have a reason of its own. */
+        const val REPLACEMENT_CRASHES = 2
+
         /** Share of the crashes meanwhile, so that a few of many that have another cause are not enough. */
         const val CAUSE_SHARE = 0.4
         const val CAUSE_SHARE_IN_STORM = 0.8
--- a/core/src/main/kotlin/org/ragwortbank/core/crash/CrashRow.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/crash/CrashRow.kt
@@ -13,7 +13,8 @@
  * @property suspects requests that were lost there, by all gateways
  * @property ownSuspects those of this gateway, last added to at [ownChangedAt]
  * @property cleared traits of which a later request was answered, so that they didn't cause the crash
- * @property isOpen whether the cause is unknown; false once it is found, or when the upstream turns out to run on
+ * @property explanation the trait that was taken for the cause; null while the cause is unknown
+ * @property isDismissed whether the upstream turned out to run on, so that this is no crash
  */
 data class CrashRow(
     val crash: UpstreamCrash,
@@ -23,13 +24,24 @@
     val ownSuspects: PersistentMap<CrashTrait, SuspectRequests> = persistentMapOf(),
     val ownChangedAt: Timestamp? = null,
     val cleared: PersistentSet<CrashTrait> = persistentSetOf(),
-    val isOpen: Boolean = true,
+    val explanation: CrashTrait? = null,
+    val isDismissed: Boolean = false,
 ) {
-    /** Whether [trait] may be the cause. */
-    fun mayBeCausedBy(trait: CrashTrait): Boolean = isOpen && trait in suspects && trait !in cleared
+    /** Whether the cause is searched for. */
+    val isOpen: Boolean get() = explanation == null && !isDismissed
+
+    /** Whether [trait] may be the cause, also in place of the one that was found. */
+    fun mayBeCausedBy(trait: CrashTrait): Boolean = !isDismissed && trait in suspects && trait !in cleared
 
     /** Traits that may be the cause. */
-    val possibleCauses: Set<CrashTrait> get() = if (isOpen) suspects.keys - cleared else emptySet()
+    val possibleCauses: Set<CrashTrait> get() = if (isDismissed) emptySet() else suspects.keys - cleared
+
+    /** Whether [trait] is broader than the one that was found and may be the cause as well. */
+    fun isBetterExplainedBy(trait: CrashTrait): Boolean {
+        val found = explanation?.let { suspects[it] }
+        val other = suspects[trait]
+        return found != null && other != null && mayBeCausedBy(trait) && other.breadth > found.breadth
+    }
 
     /** This row with [added] among the suspects, seen by this gateway itself if [isOwn]. */
     fun withSuspects(
--- a/core/src/main/kotlin/org/ragwortbank/core/crash/CrashTable.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/crash/CrashTable.kt
@@ -12,11 +12,12 @@
 /**
  * The latest crashes of upstreams, and the requests that may have caused them.
  *
- * Each crash has one cause: those that a found cause explains count against no other trait.
+ * Each crash has one cause: those that a found cause explains count against no other trait. They stay as evidence for a
+ * broader one, which would explain later crashes too.
  */
 data class CrashTable(val rows: PersistentMap<UpstreamCrash, CrashRow> = persistentMapOf()) {
-    /** Whether the cause of any crash is still searched for. */
-    val hasOpenRows: Boolean get() = rows.values.any { it.isOpen }
+    /** Whether any crash may still turn out to have another cause than is known. */
+    val hasEvidence: Boolean get() = rows.values.any { !it.isDismissed }
 
     /** This table with the row of [crash] replaced by the result of [change], which gets a new row if there is none. */
     fun update(crash: UpstreamCrash, place: CrashPlace, at: Timestamp, change: (CrashRow) -> CrashRow): CrashTable {
@@ -29,7 +30,7 @@
     /** This table after a request with [traits] was answered, up to [until] at least without a crash. */
     fun clear(traits: Collection<CrashTrait>, until: Timestamp): CrashTable =
         rows.values
-            .filter { row -> row.isOpen && row.at <= until && traits.any(row::mayBeCausedBy) }
+            .filter { row -> row.at <= until && traits.any(row::mayBeCausedBy) }
             .fold(this) { table, row ->
                 CrashTable(table.rows.put(row.crash, row.copy(cleared = row.cleared.addAll(traits))))
             }
@@ -37,16 +38,29 @@
     /** This table after [crash] turned out to be none, because the upstream has answered at [now]. */
     fun dismissIfAlive(crash: UpstreamCrash, now: Timestamp): CrashTable {
         val row = rows[crash]?.takeIf { it.isOpen && now - it.at in SIGN_OF_LIFE } ?: return this
-        return CrashTable(rows.put(crash, row.copy(isOpen = false)))
+        return CrashTable(rows.put(crash, row.copy(isDismissed = true)))
     }
 
-    /** This table with all crashes that [trait] may have caused explained. */
-    fun explainedBy(trait: CrashTrait): CrashTable =
-        CrashTable(
-            rows.values
-                .filter { it.mayBeCausedBy(trait) }
-                .fold(rows) { kept, row -> kept.put(row.crash, row.copy(isOpen = false)) },
-        )
+    /**
+     * This table with all crashes that [trait] may have caused explained by it, if their cause was unknown or is one of
+     * the traits that it replaces.
+     */
+    fun explainedBy(trait: CrashTrait): CrashTable {
+        val replaced = replacedBy(trait)
+        val explained = rows.values.filter { it.mayBeCausedBy(trait) && (it.isOpen || it.explanation in replaced) }
+        if (explained.isEmpty()) return this
+        return CrashTable(explained.fold(rows) { kept, row -> kept.put(row.crash, row.copy(explanation = trait)) })
+    }
+
+    /** Traits that were taken for causes and all of whose crashes the broader [trait] explains as well. */
+    fun replacedBy(trait: CrashTrait): Set<CrashTrait> =
+        rows.values
+            .filter { it.explanation != null && !it.isDismissed }
+            .groupBy { it.explanation }
+            .filterValues { explained -> explained.all { it.isBetterExplainedBy(trait) } }
+            .keys
+            .filterNotNull()
+            .toSet()
 
     /** This table without the crashes that are too long ago. */
     fun withoutExpired(now: Timestamp): CrashTable {
@@ -65,8 +79,8 @@
      * @param hostCounts number of hosts of each service
      */
     fun cause(now: Timestamp, settleTime: Duration, hostCounts: Map<ServiceName, Int>): Cause? {
-        val open = rows.values.filter { it.isOpen && now - it.at >= settleTime }.sortedBy { it.at }
-        return CauseSearch(open, rows.values, hostCounts).find()
+        val settled = rows.values.filter { !it.isDismissed && now - it.at >= settleTime }.sortedBy { it.at }
+        return CauseSearch(settled, this, hostCounts).find()
     }
 
     private fun withoutOldest(): PersistentMap<UpstreamCrash, CrashRow> =
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/BlockSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/BlockSystem.kt
@@ -1,5 +1,6 @@
 package org.ragwortbank.core.gateway
 
+import kotlinx.collections.immutable.toPersistentMap
 import org.ragwortbank.core.crash.BlockRow
 import org.ragwortbank.core.crash.CrashTrait
 import org.ragwortbank.core.hash.RendezvousHash
@@ -73,6 +74,9 @@
 
 private const val MAX_BLOCKS = 256
 
+/** Calls of the store and digests that were made before a block was replaced have arrived after this time. */
+private val REPLACEMENT_MEMORY = 10.seconds
+
 /** The block that [row] falls under; null when it may run. */
 internal fun GatewayTables.blockOf(row: RequestRow): BlockRow? =
     if (blocks.isEmpty()) null else crashTraits(row).firstNotNullOfOrNull { blocks[it] }
@@ -85,17 +89,40 @@
         retryAfter = (BLOCK_LIFETIME - (now - since)).coerceAtLeast(MIN_RETRY_AFTER),
     )
 
-/** Refuses requests with [trait] from now on. */
+/** Whether no further trait can be blocked. */
+internal val GatewayTables.isBlockTableFull: Boolean get() = blocks.size >= MAX_BLOCKS
+
+/** Refuses requests with [trait] from now on, and no longer those with narrower traits that it explains as well. */
 internal fun GatewayStep.addBlock(trait: CrashTrait, isOwn: Boolean, now: Timestamp): GatewayStep {
-    if (trait in tables.blocks || tables.blocks.size >= MAX_BLOCKS) return this
+    if (trait in tables.blocks || tables.isBlockTableFull) return this
     val block = BlockRow(trait, now, isOwn)
-    return update { it.copy(blocks = it.blocks.put(trait, block), crashes = it.crashes.explainedBy(trait)) }
+    val replaced = tables.crashes.replacedBy(trait)
+    return replaced.fold(this) { step, narrower -> step.replaceBlock(narrower, now) }
+        .update { it.copy(blocks = it.blocks.put(trait, block), crashes = it.crashes.explainedBy(trait)) }
 }
 
+/** Lets requests with [trait] run again, and keeps digests and late writes of the store from blocking them anew. */
+private fun GatewayStep.replaceBlock(trait: CrashTrait, now: Timestamp): GatewayStep =
+    liftBlock(trait).update { tables ->
+        val recent = tables.replacedBlocks.filterValues { now - it < REPLACEMENT_MEMORY }.toPersistentMap()
+        tables.copy(replacedBlocks = recent.put(trait, now))
+    }
+
+/** Whether a broader trait has lately taken the place of [trait]. */
+internal fun GatewayTables.isReplaced(trait: CrashTrait, now: Timestamp): Boolean =
+    replacedBlocks[trait]?.let { now - it < REPLACEMENT_MEMORY } ?: false
+
 /** Refuses requests with [trait], because the store says so. */
 internal fun GatewayStep.storeBlock(trait: CrashTrait, now: Timestamp): GatewayStep {
     val existing = tables.blocks[trait]
-    if (existing?.isStored == true) return this
+    return when {
+        existing?.isStored == true -> this
+        tables.isReplaced(trait, now) -> emit(GatewayEffect.DropBlock(trait))
+        else -> addStoredBlock(existing, trait, now)
+    }
+}
+
+private fun GatewayStep.addStoredBlock(existing: BlockRow?, trait: CrashTrait, now: Timestamp): GatewayStep {
     val added = if (existing != null) this else log(LogPart.CRASHES, "requests with $trait are refused, by the store")
     return added.addBlock(trait, isOwn = false, now).update { tables ->
         val block = tables.blocks[trait]
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/CrashGossip.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/CrashGossip.kt
@@ -35,7 +35,7 @@
 /** What this gateway itself saw of the latest crashes. */
 internal fun GatewayTables.crashReports(now: Timestamp): PersistentList<CrashReport> =
     crashes.rows.values
-        .filter { row -> row.isOpen && row.ownChangedAt?.let { now - it <= gossipTime } ?: false }
+        .filter { row -> !row.isDismissed && row.ownChangedAt?.let { now - it <= gossipTime } ?: false }
         .sortedByDescending { it.at }
         .take(MAX_REPORTS)
         .map { row ->
@@ -85,7 +85,8 @@
     if (hasNone) return this
     val reported = digest.crashes.fold(this) { step, report -> step.update { it.receiveReport(report, now) } }
     val cleared = reported.update { it.receiveClearedTraits(digest.clearedTraits, now) }
-    return digest.blocks.filter { it !in tables.blocks }.fold(cleared) { step, trait ->
+    val unknown = digest.blocks.filter { it !in tables.blocks && !tables.isReplaced(it, now) }
+    return unknown.fold(cleared) { step, trait ->
         step
             .log(LogPart.CRASHES, "requests with $trait are refused, as gateway ${digest.sender} reports")
             .addBlock(trait, isOwn = false, now)
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/CrashSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/CrashSystem.kt
@@ -24,7 +24,7 @@
 class CrashSystem : TickSystem<GatewayTables, GatewayInput, GatewayEffect> {
     override fun run(tick: Tick<GatewayInput>, step: GatewayStep): GatewayStep {
         val received = tick.inputs.fold(step) { current, input -> receive(current, input, tick.now) }
-        if (!received.tables.crashes.hasOpenRows) return received
+        if (!received.tables.crashes.hasEvidence) return received
         return findCause(received.update { it.sweep(tick.now) }, tick.now)
     }
 
@@ -75,19 +75,21 @@
         return requests.values
             .filter { it.isProven(now) }
             .fold(this) { tables, row -> tables.clearTraits(row, now) }
-            .closeExplained()
+            .explainByBlocks()
             .let { it.copy(crashesSweptAt = now, crashes = it.crashes.withoutExpired(now)) }
     }
 
-    private fun GatewayTables.closeExplained(): GatewayTables =
+    private fun GatewayTables.explainByBlocks(): GatewayTables =
         copy(crashes = blocks.keys.fold(crashes) { table, trait -> table.explainedBy(trait) })
 
     private fun findCause(step: GatewayStep, now: Timestamp): GatewayStep {
         val isDue = step.tables.causeDueAt?.let { it <= now } ?: false
         if (!isDue) return step
         val cause = step.tables.crashes.cause(now, step.tables.settleTime, step.tables.hostCounts())
-        val searched = step.update { it.copy(causeDueAt = it.nextCauseSearch(now)) }
-        return if (cause == null) searched else searched.blockCause(cause, now)
+        return when (cause) {
+            null -> step.update { it.copy(causeDueAt = it.nextCauseSearch(now)) }
+            else -> step.blockCause(cause, now).update { it.copy(causeDueAt = now + SWEEP_INTERVAL) }
+        }
     }
 
     private fun GatewayTables.hostCounts(): Map<ServiceName, Int> =
@@ -97,11 +99,22 @@
             .eachCount()
 
     private fun GatewayStep.blockCause(cause: Cause, now: Timestamp): GatewayStep =
-        log(LogPart.CRASHES, describe(cause)).addBlock(cause.trait, isOwn = true, now)
+        when {
+            cause.trait in tables.blocks -> this
+            tables.isBlockTableFull -> log(LogPart.CRASHES, "no room to refuse requests with ${cause.trait}")
+            else ->
+                cause.replaced
+                    .fold(log(LogPart.CRASHES, describe(cause))) { step, trait ->
+                        step.emit(GatewayEffect.DropBlock(trait))
+                    }
+                    .addBlock(cause.trait, isOwn = true, now)
+        }
 
-    private fun describe(cause: Cause): String =
-        "requests with ${cause.trait} are refused from now on: upstreams ${cause.upstreams} crashed of " +
-            "${cause.requestCount} different ones, and none was answered meanwhile"
+    private fun describe(cause: Cause): String {
+        val replaced = if (cause.replaced.isEmpty()) "" else ", in place of those with ${cause.replaced}"
+        return "requests with ${cause.trait} are refused from now on$replaced: upstreams ${cause.upstreams} crashed " +
+            "of ${cause.requestCount} different ones, and none was answered meanwhile"
+    }
 
     private companion object {
         val SWEEP_INTERVAL = 50.milliseconds
@@ -134,7 +147,7 @@
 
 private fun GatewayTables.clearTraits(row: RequestRow, now: Timestamp): GatewayTables {
     val beganAt = (row.stage as? RequestStage.Relaying)?.beganAt
-    if (beganAt == null || !crashes.hasOpenRows) return this
+    if (beganAt == null || !crashes.hasEvidence) return this
     val until = minOf(now, beganAt + PROOF_TIME)
     return withClearedTraits(crashTraits(row), until, now)
 }
@@ -157,6 +170,6 @@
 /** An upstream that answers has not crashed. */
 private fun GatewayTables.recordSignOfLife(row: RequestRow, now: Timestamp): GatewayTables {
     val registration = row.upstream?.let { upstreams[it] }?.registration
-    if (registration == null || !crashes.hasOpenRows) return this
+    if (registration == null || !crashes.hasEvidence) return this
     return copy(crashes = crashes.dismissIfAlive(UpstreamCrash(registration.id, registration.startedMillis), now))
 }
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/CrashTraits.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/CrashTraits.kt
@@ -36,4 +36,4 @@
 
 /** Whether several crashes may have been caused by requests like [row], so that it isn't sent again. */
 internal fun GatewayTables.isSuspect(row: RequestRow): Boolean =
-    crashes.hasOpenRows && crashes.isSuspect(crashTraits(row))
+    crashes.hasEvidence && crashes.isSuspect(crashTraits(row))
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewayTables.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewayTables.kt
@@ -67,6 +67,7 @@
  * @property clearedTraits traits that answers here have cleared, with the time up to which they have
  * @property traitsClearedAt when a trait was last added to these
  * @property blocks traits whose requests are refused
+ * @property replacedBlocks traits whose requests were refused before a broader trait took their place, and when it did
  * @property peerDigestSendTimes when the latest digests to the other gateways were sent, by their numbers
  */
 data class GatewayTables(
@@ -97,6 +98,7 @@
     val clearedTraits: PersistentMap<CrashTrait, Timestamp> = persistentMapOf(),
     val traitsClearedAt: Timestamp? = null,
     val blocks: PersistentMap<CrashTrait, BlockRow> = persistentMapOf(),
+    val replacedBlocks: PersistentMap<CrashTrait, Timestamp> = persistentMapOf(),
     val peerDigestNumber: Long = 0,
     val peerDigestSendTimes: PersistentMap<Long, Timestamp> = persistentMapOf(),
     val demandDigestNumber: Long = 0,
--- a/core/src/test/kotlin/org/ragwortbank/core/gateway/CrashFleet.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/gateway/CrashFleet.kt
@@ -27,6 +27,9 @@
     /** Holds [CrashFleet.DEADLY_PART] between sound parts; no two are alike. */
     DEADLY_PART,
 
+    /** Begins with [CrashFleet.DEADLY_PART], followed by a sound part of a session that sends several such requests. */
+    DEADLY_FIRST_PART,
+
     /** The same request again and again, of which each engine dies. */
     DEADLY_REPEAT,
 }
@@ -35,6 +38,8 @@
  * What is played on a [CrashFleet].
  *
  * @property deadlyShare share of the requests from [deadlyFrom] on that are of [deadlyKind]
+ * @property requestsPerSession deadly requests that one session sends before the next one does
+ * @property hasApplications whether a part that some sessions share stands before that of a session
  * @property crashes times at which an engine, by its number, ends for another reason
  * @property restarts times at which a gateway, by its number, restarts with empty tables
  * @property keepsBlocks whether the store keeps what gateways ask it to
@@ -47,6 +52,8 @@
     val deadlyKind: CallKind = CallKind.DEADLY_PART,
     val deadlyShare: Double = 0.05,
     val deadlyFrom: Duration = 4.seconds,
+    val requestsPerSession: Int = 3,
+    val hasApplications: Boolean = false,
     val crashes: List<Pair<Duration, Int>> = emptyList(),
     val restarts: List<Pair<Duration, Int>> = emptyList(),
     val keepsBlocks: Boolean = true,
@@ -164,15 +171,30 @@
     }
 
     private fun call(kind: CallKind): ServingCall {
-        val subject = if (kind == CallKind.SOUND) random.nextInt(SUBJECTS) else RARE_SUBJECT
-        val parts = listOf(FIRST_PART, PromptPartId("subject-$subject"))
+        val parts = promptParts(kind).toPersistentList()
         val fingerprint = if (kind == CallKind.DEADLY_REPEAT) 1L else random.nextLong()
         return fixture.call("/chat/x", tokens = 1).copy(
-            sharedPromptParts = (if (kind == CallKind.DEADLY_PART) parts + DEADLY_PART else parts).toPersistentList(),
+            sharedPromptParts = parts,
             fingerprint = RequestFingerprint(fingerprint),
         )
     }
 
+    private fun promptParts(kind: CallKind): List<PromptPartId> =
+        when (kind) {
+            CallKind.SOUND -> listOf(FIRST_PART, subject(random.nextInt(SUBJECTS)))
+            CallKind.DEADLY_PART -> listOf(FIRST_PART, subject(RARE_SUBJECT), DEADLY_PART)
+            CallKind.DEADLY_FIRST_PART -> listOf(DEADLY_PART) + sessionParts()
+            CallKind.DEADLY_REPEAT -> listOf(FIRST_PART, subject(RARE_SUBJECT))
+        }
+
+    private fun sessionParts(): List<PromptPartId> {
+        val session = calls.values.count { it.kind == CallKind.DEADLY_FIRST_PART } / plan.requestsPerSession
+        val application = PromptPartId("application-${session / SESSIONS_PER_APPLICATION}")
+        return listOfNotNull(application.takeIf { plan.hasApplications }, subject(session % SUBJECTS))
+    }
+
+    private fun subject(number: Int) = PromptPartId("subject-$number")
+
     private fun step(gateway: CrashGateway, inputs: List<GatewayInput>): CrashGateway {
         val result = schedule.run(Tick(now(), inputs.toPersistentList()), gateway.tables)
         val stepped = gateway.copy(
@@ -189,6 +211,7 @@
             is GatewayEffect.SaveBlock -> gateway.also {
                 if (plan.keepsBlocks) storedBlocks = storedBlocks + effect.trait
             }
+            is GatewayEffect.DropBlock -> gateway.also { storedBlocks = storedBlocks - effect.trait }
             is GatewayEffect.CancelAttempt -> gateway.also {
                 running = running.filterNot { it.number == effect.number && it.attempt == effect.attempt }
             }
@@ -285,6 +308,7 @@
         private const val STORE_MILLIS = 750L
         private const val SUBJECTS = 180
         private const val RARE_SUBJECT = 7
+        private const val SESSIONS_PER_APPLICATION = 2
         private const val ENGINE_PORT = 80
         private const val ENGINE_SLOTS = 64
         private const val UNLIMITED_RATE = 1_000_000L
--- a/core/src/test/kotlin/org/ragwortbank/core/gateway/CrashSystemTest.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/gateway/CrashSystemTest.kt
@@ -195,6 +195,23 @@
         assertTrue(gateway.sentAttempts().isEmpty())
     }
 
+    // Guards against sound sessions that stay blocked after the part that harms was found.
+    @Test
+    fun `given a broader block in place of a narrower one, then digests and late writes don't bring that back`() {
+        addPeer()
+        val narrow = CrashTrait.PromptPart(PromptPartId("narrow"))
+        loseOne("wide", "narrow")
+        block("narrow")
+        gateway.advance(100.milliseconds)
+        block("wide")
+        assertTrue(narrow !in gateway.tables.blocks)
+        receiveBlock("narrow", number = 1)
+        assertTrue(narrow !in gateway.tables.blocks)
+        block("narrow")
+        assertTrue(GatewayEffect.DropBlock(narrow) in gateway.effects)
+        assertTrue(narrow !in gateway.tables.blocks)
+    }
+
     /** Loses a request for the adapter that all engines have; its fingerprint and its prompt are its own. */
     private fun loseForAdapter() {
         val own = nextFingerprint()
@@ -202,10 +219,10 @@
         gateway.tick(lost(gateway.receiveCall("/chat/x", call)))
     }
 
-    private fun loseOne(part: String) = gateway.tick(lost(receive(part)))
+    private fun loseOne(vararg parts: String) = gateway.tick(lost(receive(*parts)))
 
-    private fun receive(part: String): RequestNumber {
-        val call = gateway.call("/chat/x").copy(sharedPromptParts = parts(part), fingerprint = nextFingerprint())
+    private fun receive(vararg parts: String): RequestNumber {
+        val call = gateway.call("/chat/x").copy(sharedPromptParts = parts(*parts), fingerprint = nextFingerprint())
         return gateway.receiveCall("/chat/x", call)
     }
 
--- a/core/src/test/kotlin/org/ragwortbank/core/gateway/CrashingRequestTest.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/gateway/CrashingRequestTest.kt
@@ -58,6 +58,23 @@
     fun `given engines that answer some deadly requests, then at most three of them arrive after five ends`() =
         assertKeptAway(CrashPlan(answeredShare = 0.1))
 
+    // Guards against blocking one session after the other instead of the part of which engines end in all of them.
+    @Test
+    fun `given a deadly part that sessions share, then at most three such requests arrive after five ends`() =
+        sharedPartPlans.forEach { assertKeptAway(it) }
+
+    @Test
+    fun `given a deadly part that sessions share, then it takes the place of the sessions that were blocked`() {
+        val expected = setOf<CrashTrait>(CrashTrait.PromptPart(CrashFleet.DEADLY_PART))
+        sharedPartPlans.forEach { plan ->
+            (1..SEEDS).forEach { seed ->
+                val fleet = played(plan, seed)
+                val isVerdictDue = fleet.ends.size > MAX_ENDS_BEFORE_VERDICT
+                if (isVerdictDue) assertEquals(expected, fleet.blocked, "$plan, seed $seed")
+            }
+        }
+    }
+
     @Test
     fun `given one request that comes again and again, then at most three repeats arrive after three ends`() =
         assertKeptAway(CrashPlan(deadlyKind = CallKind.DEADLY_REPEAT), ends = 3)
@@ -100,6 +117,15 @@
         CrashFleet(Random(seed), plan).also { it.run(RUN_TIME) }
 
     private companion object {
+        /** Deadly requests from nine a second to one every two seconds. */
+        val sharedPartPlans = listOf(
+            CrashPlan(deadlyShare = 0.15),
+            CrashPlan(),
+            CrashPlan(deadlyShare = 0.01),
+            CrashPlan(deadlyShare = 0.01, hasApplications = true),
+            CrashPlan(deadlyShare = 0.01, keepsBlocks = false, digestLoss = 0.2),
+        ).map { it.copy(deadlyKind = CallKind.DEADLY_FIRST_PART) }
+        const val MAX_ENDS_BEFORE_VERDICT = 7
         const val SEEDS = 8
         const val MAX_ARRIVALS = 3
         val CONTACT_TIME = 3.seconds
