Give every request a final answer before a planned stop is over

Cause: admission and routing ignored how much time the stop has left, and at the drain timeout the process ended with what was under way. Evidence: the tests below, in which no refusal is decided before Stopped.

A request that still waits 3 s before the timeout is refused as not run; at the timeout each gets the answer that is true: not run, outcome unknown, or a closed connection where the answer had begun.

--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/AdmissionSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/AdmissionSystem.kt
@@ -84,7 +84,7 @@
         val bucket = account?.let { tables.buckets[it.id] }
             ?.refill(now, tables.unresponsivePeers(now), tables.gatewayCount)
         return when {
-            tables.stoppingSince?.let { now - it > tables.settings.drainGrace } == true ->
+            tables.stoppingSince?.let { now - it > tables.settings.admissionAfterStop } == true ->
                 step.refuseWithoutRow(
                     row.number,
                     row.call.id,
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewaySettings.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewaySettings.kt
@@ -39,7 +39,17 @@
     val drainTimeout: Duration = 7.seconds,
     val storeReadDelay: Duration = 750.milliseconds,
     val sweepInterval: Duration = 20.milliseconds,
-)
+) {
+    /** Time after a stop request after which nothing more is sent, since its answer would likely be cut off. */
+    val lastSendAfterStop: Duration get() = (drainTimeout - USUAL_ANSWER_TIME).coerceAtLeast(Duration.ZERO)
+
+    /** Time after a stop request for which new requests are admitted. */
+    val admissionAfterStop: Duration get() = minOf(drainGrace, lastSendAfterStop)
+
+    private companion object {
+        val USUAL_ANSWER_TIME = 3.seconds
+    }
+}
 
 /**
  * Identity of a gateway process.
--- a/core/src/test/kotlin/org/ragwortbank/core/gateway/DrainSystemTest.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/gateway/DrainSystemTest.kt
@@ -30,6 +30,44 @@
         assertTrue(hasStopped())
     }
 
+    // Guards against requests that are cut off without an answer at the end of a planned stop.
+    @Test
+    fun `given a request that still waits late in the drain, then it is refused as not run while that is true`() {
+        gateway.receiveCall("/chat/x", gateway.call("/chat/x", adapter = "a9"))
+        gateway.tick(GatewayInput.StopRequested(requestedAgo = gateway.tables.settings.lastSendAfterStop))
+        gateway.advance(100.milliseconds)
+        val refusal = gateway.refusals().single()
+        assertEquals(ResultCode.DRAINING to Execution.NOT_RUN, refusal.code to refusal.execution)
+        assertTrue(gateway.tables.requests.isEmpty())
+    }
+
+    @Test
+    fun `given requests under way at the drain timeout, then each gets a final answer before the process stops`() {
+        val begun = gateway.receiveCall("/chat/x", gateway.call("/chat/x", adapter = "a1"))
+        val sent = gateway.receiveCall("/book/x")
+        gateway.tick(GatewayInput.AnswerHeadReceived(begun, 1, AnswerFacts(status = 200, notRun = false, load = null)))
+        gateway.tick(GatewayInput.StopRequested(requestedAgo = gateway.tables.settings.drainTimeout))
+        gateway.advance(100.milliseconds)
+        val outcomes = gateway.refusals().map { it.code to it.execution }
+        val expected = setOf(
+            ResultCode.ANSWER_BROKEN to Execution.RAN,
+            ResultCode.OUTCOME_UNKNOWN to Execution.UNKNOWN,
+        )
+        assertEquals(expected, outcomes.toSet())
+        assertTrue(gateway.effects.contains(GatewayEffect.CancelAttempt(sent, 1)))
+        assertTrue(hasStopped())
+        assertTrue(gateway.tables.requests.isEmpty())
+    }
+
+    @Test
+    fun `given a short time for a stop, then requests are admitted only while they can be answered in it`() {
+        val short = gateway.tables.settings.copy(drainTimeout = 4.seconds)
+        gateway.tick(GatewayInput.SettingsReloaded(short), GatewayInput.StopRequested())
+        gateway.advance(1_100.milliseconds)
+        gateway.receiveCall("/book/x")
+        assertEquals(ResultCode.DRAINING, gateway.refusals().single().code)
+    }
+
     // Guards against calls that a stopping gateway without a configuration holds back and never answers.
     @Test
     fun `given a call that waits for the first configuration, then the process stops after it is refused as not run`() {
