Give an upstream that was just started its share of the requests, not all

Cause: an upstream of which nothing is known counted as one that answers without any delay. While traffic is light, the delay decides, so that the engine that a request has just crashed was the next choice again. Evidence: RoutingSystemTest, before: of three engines that answered after 100 ms, the one that was started again gets the next request.

It now counts as fast as the others of its service on average, and of equals the one that has run for longest is chosen.

Test that failed before: RoutingSystemTest, "given an engine that was started again, then it gets its share and not all that comes".

--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/MembershipChanges.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/MembershipChanges.kt
@@ -66,7 +66,7 @@
     val previous = existing?.registration
     val isSame = previous != null && previous.startedMillis == registration.startedMillis && previous.service == service
     val row =
-        if (isSame) existing.copy(registration = registration) else UpstreamRow(registration, existing?.inFlight ?: 0)
+        if (isSame) existing.copy(registration = registration) else newUpstream(registration, existing?.inFlight ?: 0)
     val previousService = previous?.service
     val isInOtherService = previousService != null && previousService != service
     val updatedServices =
@@ -78,6 +78,19 @@
     ).markSuperseded(registration)
 }
 
+/**
+ * An upstream of which nothing is known yet. It counts as fast as the others of its service, so that it gets its share
+ * of the requests: if it crashed of some, they must not all go back to it.
+ */
+private fun GatewayTables.newUpstream(registration: UpstreamRegistration, inFlight: Int): UpstreamRow {
+    val known = upstreams.values
+        .filter { it.registration.service == registration.service && it.registration.id != registration.id }
+        .map { it.health.delayMillis }
+        .filter { it > 0 }
+    val delayMillis = if (known.isEmpty()) 0.0 else known.average()
+    return UpstreamRow(registration, inFlight, health = UpstreamHealth(delayMillis = delayMillis))
+}
+
 /** Of the upstreams at one endpoint, all but the one that started last have terminated, whether listed or not. */
 private fun GatewayTables.markSuperseded(registration: UpstreamRegistration): GatewayTables {
     val sameEndpoint = upstreams.values.filter { it.registration.endpoint == registration.endpoint }
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/RoutingSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/RoutingSystem.kt
@@ -33,7 +33,7 @@
             .filter { it.isAccepting && row.mayTry(it.registration.id) }
         val estimate = cost.estimateFor(step.tables, row, now)
         val candidates = members.filter { it.isAvailable(now) && it.hasModelFor(row) }.map(estimate::at)
-        val best = candidates.minByOrNull { it.expectedMillis }?.let { stayIfAlike(row, it, candidates, now) }
+        val best = candidates.minWithOrNull(bestFirst)?.let { stayIfAlike(row, it, candidates, now) }
         return when {
             best != null -> sendOrRequestLoad(step.update { it.clearModelMissing(row.service) }, row, best, now)
             members.any { it.hasModelFor(row) } -> step
@@ -113,6 +113,9 @@
     }
 
     private companion object {
+        /** Of equals the one that has run for longest, not one that may have crashed just now. */
+        val bestFirst = compareBy<Candidate>({ it.expectedMillis }, { it.row.registration.startedMillis })
+
         /** Share of the fleet's retry budget that is split among the gateways; the rest covers late digests. */
         const val OWN_SHARE = 0.8
         val RETRY_AFTER = 500.milliseconds
--- a/core/src/test/kotlin/org/ragwortbank/core/gateway/RoutingSystemTest.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/gateway/RoutingSystemTest.kt
@@ -10,6 +10,7 @@
 import org.ragwortbank.core.serving.UpstreamId
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertNotEquals
 import kotlin.test.assertTrue
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -30,6 +31,26 @@
         }
     }
 
+    // Guards against requests that crash engines and go back to one host again and again, where nothing is learned.
+    @Test
+    fun `given an engine that was started again, then it gets its share and not all that comes`() {
+        val third = gateway.registration("engine-3", GatewayFixture.ENGINES)
+        gateway.applyChanges(StoreChange.UpstreamRegistered(third))
+        gateway.receiveEngineDigest(third.id)
+        repeat(6) { answerOne() }
+        gateway.applyChanges(StoreChange.UpstreamRegistered(third.copy(startedMillis = 9)))
+        gateway.receiveEngineDigest(third.id)
+        gateway.receiveCall("/chat/x")
+        assertNotEquals(third.id, gateway.sentAttempts().single().upstream)
+    }
+
+    private fun answerOne() {
+        val number = gateway.receiveCall("/chat/x")
+        val idle = AnswerFacts(status = 200, notRun = false, load = ReportedLoad(running = 0, waiting = 0))
+        gateway.advance(100.milliseconds, GatewayInput.AnswerHeadReceived(number, 1, idle))
+        gateway.tick(GatewayInput.AnswerCompleted(number, 1))
+    }
+
     @Test
     fun `given an adapter that is resident nowhere, then one engine loads it and gets the request after that`() {
         gateway.receiveCall("/chat/x", gateway.call("/chat/x", adapter = "a9"))
