Heed what upstreams say of themselves in their answers: leaving, quiet

Neither was read: only the store's registration counted, which may be late, and a 503 kept requests away for 100 ms.

The dialect decodes both into a notice, the relay posts it when the head arrives, so that it also counts when the rest never comes, and UpstreamNoticeSystem applies it in the same tick, before anything is routed. A notice belongs to one incarnation: it stays when the store lists that as up or loses and lists it again, and ends with a later one. An answer to an earlier request doesn't end a quiet time. When all upstreams of a service want quiet, requests are refused at once as not run until the soonest of them, spread by half a second.

Tests: UpstreamNoticeSystemTest, AttemptRelayTest, PlatformDialectTest; before, there was nothing that they could call.

--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewayEffect.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewayEffect.kt
@@ -10,11 +10,13 @@
 import org.ragwortbank.core.serving.PeerDigest
 import org.ragwortbank.core.serving.RequestNumber
 import org.ragwortbank.core.serving.UpstreamId
+import org.ragwortbank.core.serving.UpstreamIncarnation
 import org.ragwortbank.core.tick.Timestamp
 
 /**
  * One attempt to run a request at an upstream.
  *
+ * @property startedMillis start of this incarnation of the upstream, as it is registered
  * @property account client account of the request; null on a public route
  * @property priority rank, where 0 is the most urgent
  * @property adapterVersion version of the adapter that must serve it; null for whichever is resident
@@ -24,12 +26,16 @@
     val number: RequestNumber,
     val attemptNumber: Int,
     val upstream: UpstreamId,
+    val startedMillis: Long,
     val endpoint: Endpoint,
     val account: AccountId?,
     val priority: Int,
     val adapterVersion: Long?,
     val deadline: Timestamp,
-)
+) {
+    /** The incarnation of the upstream that it is meant for. */
+    val incarnation: UpstreamIncarnation get() = UpstreamIncarnation(upstream, startedMillis)
+}
 
 /** An action that the systems of a gateway decided on. */
 sealed interface GatewayEffect {
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewayInput.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewayInput.kt
@@ -7,6 +7,7 @@
 import org.ragwortbank.core.serving.RequestNumber
 import org.ragwortbank.core.serving.ServingCall
 import org.ragwortbank.core.serving.StoreChange
+import org.ragwortbank.core.serving.UpstreamIncarnation
 import org.ragwortbank.core.tick.Timestamp
 import kotlin.time.Duration
 
@@ -15,11 +16,24 @@
  *
  * @property notRun whether the upstream states that it has not run the request and never will
  * @property load load that the upstream reported with the answer; null if it reported none
+ * @property notice what the upstream says of itself; null if it says nothing
  */
 data class AnswerFacts(
     val status: Int,
     val notRun: Boolean,
     val load: ReportedLoad?,
+    val notice: UpstreamNotice? = null,
+)
+
+/**
+ * What an upstream says of itself in the head of an answer, whatever the answer is.
+ *
+ * @property isLeaving whether it is about to stop and wants no more requests
+ * @property quietTime time for which it wants no requests; null if it sets none
+ */
+data class UpstreamNotice(
+    val isLeaving: Boolean = false,
+    val quietTime: Duration? = null,
 )
 
 /** An event at a gateway since its last tick. */
@@ -43,6 +57,9 @@
     /** The head of an attempt's answer arrived. */
     data class AnswerHeadReceived(val number: RequestNumber, val attempt: Int, val facts: AnswerFacts) : GatewayInput
 
+    /** An upstream said something of itself with an answer that may still be incomplete. */
+    data class UpstreamNoticeReceived(val from: UpstreamIncarnation, val notice: UpstreamNotice) : GatewayInput
+
     /** The answer of an attempt arrived completely and was relayed to the caller. */
     data class AnswerCompleted(val number: RequestNumber, val attempt: Int) : GatewayInput
 
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewaySchedule.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewaySchedule.kt
@@ -11,6 +11,7 @@
             SettingsSystem(),
             StoreSystem(),
             DigestIntakeSystem(),
+            UpstreamNoticeSystem(),
             CrashSystem(),
             AttemptSystem(),
             AdmissionSystem(),
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewayTables.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewayTables.kt
@@ -18,6 +18,7 @@
 import org.ragwortbank.core.serving.ServingCall
 import org.ragwortbank.core.serving.ServingConfig
 import org.ragwortbank.core.serving.UpstreamId
+import org.ragwortbank.core.serving.UpstreamIncarnation
 import org.ragwortbank.core.tick.Step
 import org.ragwortbank.core.tick.Timestamp
 import kotlin.time.Duration
@@ -51,6 +52,7 @@
  * @property config newest configuration; null before the first
  * @property confirmedAt when the latest request to the store was made whose reply confirmed [config]
  * @property upstreamsByService upstreams of each service
+ * @property leavingUpstreams upstreams that have said in an answer that they leave, and when they did
  * @property deferredCalls calls that arrived before the first configuration or right after a suspension of the process
  * @property catchUpUntil until when nothing is sent, because the process was suspended before
  * @property waiting requests that wait for an upstream, the oldest first
@@ -80,6 +82,7 @@
     val upstreamsByService: PersistentMap<ServiceName, PersistentSet<UpstreamId>> = persistentMapOf(),
     val versions: PersistentMap<AdapterKey, NewestVersion> = persistentMapOf(),
     val requests: PersistentMap<RequestNumber, RequestRow> = persistentMapOf(),
+    val leavingUpstreams: PersistentMap<UpstreamIncarnation, Timestamp> = persistentMapOf(),
     val deferredCalls: PersistentList<DeferredCall> = persistentListOf(),
     val waiting: PersistentSet<RequestNumber> = persistentSetOf(),
     val buckets: PersistentMap<AccountId, FleetBucket> = persistentMapOf(),
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/MembershipChanges.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/MembershipChanges.kt
@@ -88,7 +88,12 @@
         .map { it.health.delayMillis }
         .filter { it > 0 }
     val delayMillis = if (known.isEmpty()) 0.0 else known.average()
-    return UpstreamRow(registration, inFlight, health = UpstreamHealth(delayMillis = delayMillis))
+    return UpstreamRow(
+        registration = registration,
+        inFlight = inFlight,
+        health = UpstreamHealth(delayMillis = delayMillis),
+        isLeaving = isKnownToLeave(registration.incarnation),
+    )
 }
 
 /** Of the upstreams at one endpoint, all but the one that started last have terminated, whether listed or not. */
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/RoutingSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/RoutingSystem.kt
@@ -36,6 +36,7 @@
         val best = candidates.minWithOrNull(bestFirst)?.let { stayIfAlike(row, it, candidates, now) }
         return when {
             best != null -> sendOrRequestLoad(step.update { it.clearModelMissing(row.service) }, row, best, now)
+            members.isNotEmpty() && members.all { it.isQuiet(now) } -> step.refuseWhileQuiet(row, members, now)
             members.any { it.hasModelFor(row) } -> step
             step.tables.isModelLoading(row, members) -> step.refuseWhileModelLoads(row, now)
             else -> step.fail(row, ResultCode.NO_UPSTREAM, noUpstreamDetail(row), RETRY_AFTER)
@@ -84,6 +85,7 @@
             number = row.number,
             attemptNumber = sent.attemptCount,
             upstream = registration.id,
+            startedMillis = registration.startedMillis,
             endpoint = registration.endpoint,
             account = row.account,
             priority = row.priority,
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/UpstreamRow.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/UpstreamRow.kt
@@ -58,6 +58,8 @@
  * @property reportedLoad latest load report, received at [loadReportedAt]
  * @property sentSinceReport requests sent by this gateway since [loadReportedAt]
  * @property answeredAt when the latest part of an answer's beginning arrived from it
+ * @property isLeaving whether it has said in an answer that it is about to stop
+ * @property quietUntil until when it wants no requests, as it has said in an answer; null if it hasn't
  * @property isSuperseded whether a later incarnation has the same endpoint, so that this one has terminated
  */
 data class UpstreamRow(
@@ -73,10 +75,12 @@
     val sentSinceReport: Int = 0,
     val health: UpstreamHealth = UpstreamHealth(),
     val answeredAt: Timestamp? = null,
+    val isLeaving: Boolean = false,
+    val quietUntil: Timestamp? = null,
     val isSuperseded: Boolean = false,
 ) {
-    /** Whether it accepts new work according to its registration. */
-    val isAccepting: Boolean get() = registration.isAccepting && !isSuperseded
+    /** Whether it accepts new work according to its registration and to itself. */
+    val isAccepting: Boolean get() = registration.isAccepting && !isSuperseded && !isLeaving
 
     /** Whether this gateway has used an adapter there since its last digest to the placer. */
     val isInUse: Boolean get() = inUse.isNotEmpty() || usedSinceDigest.isNotEmpty()
@@ -86,7 +90,11 @@
         digest.takeIf { digestReceivedAt != null && now - digestReceivedAt <= lifetime }
 
     /** Whether new work may be sent now. */
-    fun isAvailable(now: Timestamp): Boolean = isAccepting && (health.blockedUntil?.let { it <= now } ?: true)
+    fun isAvailable(now: Timestamp): Boolean =
+        isAccepting && !isQuiet(now) && (health.blockedUntil?.let { it <= now } ?: true)
+
+    /** Whether it has asked not to get requests now. */
+    fun isQuiet(now: Timestamp): Boolean = quietUntil?.let { now < it } ?: false
 
     /** This row with [received] as the latest digest of the placer. */
     fun withDigest(received: EngineDigest, now: Timestamp): UpstreamRow {
--- a/core/src/main/kotlin/org/ragwortbank/core/serving/UpstreamRegistration.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/serving/UpstreamRegistration.kt
@@ -26,6 +26,9 @@
     val residentModels: PersistentSet<String>,
     val resident: PersistentMap<AdapterKey, Long>,
 ) {
+    /** The start of the upstream that registered. */
+    val incarnation: UpstreamIncarnation get() = UpstreamIncarnation(id, startedMillis)
+
     /** Hash of [id] for rendezvous hashing. */
     val nameHash: Long = RendezvousHash.hashOf(id.value)
 }
--- a/node/src/main/kotlin/org/ragwortbank/node/gateway/AttemptRelay.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/gateway/AttemptRelay.kt
@@ -6,7 +6,7 @@
 import org.ragwortbank.core.gateway.AnswerFacts
 import org.ragwortbank.core.gateway.AttemptFailure
 import org.ragwortbank.core.gateway.GatewayInput
-import org.ragwortbank.core.serving.RequestNumber
+import org.ragwortbank.core.gateway.UpstreamAttempt
 
 /**
  * Relays the answer of one attempt at an upstream to the caller.
@@ -16,8 +16,7 @@
  * upstream.
  */
 internal class AttemptRelay(
-    private val number: RequestNumber,
-    private val attemptNumber: Int,
+    private val attempt: UpstreamAttempt,
     private val sink: AnswerSink,
     private val answerFacts: (HttpResponse) -> AnswerFacts,
     private val budget: BufferBudget,
@@ -33,10 +32,14 @@
     /** The HTTP exchange of this attempt. */
     lateinit var exchange: UpstreamExchange
 
-    override fun onNotSent(cause: String) = post(GatewayInput.AttemptNotSent(number, attemptNumber, cause))
+    override fun onNotSent(cause: String) =
+        post(GatewayInput.AttemptNotSent(attempt.number, attempt.attemptNumber, cause))
 
+    /** What the upstream says of itself counts at once, also if the rest of the answer never comes. */
     override fun onHead(response: HttpResponse) {
         head = response
+        val notice = answerFacts(response).notice ?: return
+        post(GatewayInput.UpstreamNoticeReceived(attempt.incarnation, notice))
     }
 
     override fun onContent(content: ByteBuf) {
@@ -62,7 +65,7 @@
 
     override fun onFailure(cause: AttemptFailure) {
         buffered.release()
-        post(GatewayInput.AttemptFailed(number, attemptNumber, cause))
+        post(GatewayInput.AttemptFailed(attempt.number, attempt.attemptNumber, cause))
     }
 
     /** Writes the buffered part of the answer to the caller and relays the rest as it arrives. */
@@ -85,14 +88,14 @@
 
     private fun completeAnswer() {
         sink.complete()
-        post(GatewayInput.AnswerCompleted(number, attemptNumber))
+        post(GatewayInput.AnswerCompleted(attempt.number, attempt.attemptNumber))
     }
 
     private fun postHead() {
         val response = head
         if (isHeadPosted || response == null) return
         isHeadPosted = true
-        post(GatewayInput.AnswerHeadReceived(number, attemptNumber, answerFacts(response)))
+        post(GatewayInput.AnswerHeadReceived(attempt.number, attempt.attemptNumber, answerFacts(response)))
     }
 
     private fun isEventStream(): Boolean =
--- a/node/src/main/kotlin/org/ragwortbank/node/gateway/RequestRegistry.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/gateway/RequestRegistry.kt
@@ -65,8 +65,7 @@
     /** Sends the request of [attempt] to its upstream. */
     fun send(attempt: UpstreamAttempt) {
         val call = openRequests[attempt.number] ?: return
-        val relay =
-            AttemptRelay(attempt.number, attempt.attemptNumber, call.sink, dialect::answerFacts, answerBudget, post)
+        val relay = AttemptRelay(attempt, call.sink, dialect::answerFacts, answerBudget, post)
         val message = upstreamRequest(
             call.request,
             dialect.upstreamHeaders(call.request.headers, attempt, attempt.deadline - now()),
--- a/node/src/test/kotlin/org/ragwortbank/node/gateway/AttemptRelayTest.kt
+++ b/node/src/test/kotlin/org/ragwortbank/node/gateway/AttemptRelayTest.kt
@@ -6,9 +6,11 @@
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpVersion
 import org.ragwortbank.core.gateway.GatewayInput
+import org.ragwortbank.core.gateway.UpstreamAttempt
 import org.ragwortbank.core.result.Refusal
 import org.ragwortbank.core.serving.Endpoint
 import org.ragwortbank.core.serving.RequestNumber
+import org.ragwortbank.core.serving.UpstreamId
 import org.ragwortbank.core.tick.Timestamp
 import org.ragwortbank.node.ProcessEventLoop
 import java.net.InetAddress
@@ -20,6 +22,7 @@
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertIs
+import kotlin.test.assertTrue
 import kotlin.time.Duration.Companion.seconds
 
 class AttemptRelayTest {
@@ -113,14 +116,35 @@
         assertEquals(emptyList(), sink.events)
     }
 
+    @Test
+    fun `given an answer that is broken off after its head, then what the upstream says of itself counts`() {
+        send()
+        val head = "HTTP/1.1 500 No\r\nX-Request-Id: r1\r\nX-Leaving: 1\r\nContent-Length: 8\r\n\r\n"
+        server.accept().use { it.answer(head + "bo") }
+        assertTrue(assertIs<GatewayInput.UpstreamNoticeReceived>(nextInput()).notice.isLeaving)
+        assertIs<GatewayInput.AttemptFailed>(nextInput())
+    }
+
     private fun send(budget: BufferBudget = BufferBudget()): AttemptRelay {
         val endpoint = Endpoint(server.inetAddress.hostAddress, server.localPort)
         val request = DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/")
-        val relay = AttemptRelay(RequestNumber(1), 1, sink, IdDialect::answerFacts, budget, inputs::add)
+        val relay = AttemptRelay(attempt(endpoint), sink, IdDialect::answerFacts, budget, inputs::add)
         process.run { relay.exchange = connections.send(endpoint, "r1", request, relay) }
         return relay
     }
 
+    private fun attempt(endpoint: Endpoint) = UpstreamAttempt(
+        number = RequestNumber(1),
+        attemptNumber = 1,
+        upstream = UpstreamId("u1"),
+        startedMillis = 0,
+        endpoint = endpoint,
+        account = null,
+        priority = 0,
+        adapterVersion = null,
+        deadline = Timestamp(0),
+    )
+
     private fun relayStream(head: String, first: String, rest: String) {
         val relay = send()
         server.accept().use { upstream ->
--- a/node/src/test/kotlin/org/ragwortbank/node/gateway/IdDialect.kt
+++ b/node/src/test/kotlin/org/ragwortbank/node/gateway/IdDialect.kt
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.HttpResponse
 import org.ragwortbank.core.gateway.AnswerFacts
 import org.ragwortbank.core.gateway.UpstreamAttempt
+import org.ragwortbank.core.gateway.UpstreamNotice
 import org.ragwortbank.core.serving.ServingCall
 import org.ragwortbank.node.port.RequestDialect
 import kotlin.time.Duration
@@ -17,7 +18,10 @@
         headers
 
     override fun answerFacts(response: HttpResponse) =
-        AnswerFacts(response.status().code(), notRun = false, load = null)
+        AnswerFacts(response.status().code(), notRun = false, load = null, notice = notice(response))
+
+    private fun notice(response: HttpResponse): UpstreamNotice? =
+        if ("X-Leaving" in response.headers()) UpstreamNotice(isLeaving = true) else null
 
     override fun answersOtherRequest(response: HttpResponse, id: String) =
         response.headers()["X-Request-Id"]?.let { it != id } ?: false
