Don't count answered requests against upstreams that report no load

The gateways' logs show why: engines that run nothing stand at "load 10" and more, the one that was just started again at 0.

Cause: the requests sent since the last report of load were added up and only a report set them back. Where none comes, as without a placer and without load in the answers, an upstream's load grew by each request that it ever answered, and a new one was always the emptiest.

Of the requests sent since the last report only those still under way count.

Test that failed before: RoutingSystemTest, "given an engine that was started again, then it gets its share and not all that comes", with no load reported.

--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/UpstreamRow.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/UpstreamRow.kt
@@ -105,7 +105,10 @@
     }
 
     /** Estimated number of requests that are running or queued there. */
-    val load: Int get() = maxOf(inFlight, (reportedLoad?.let { it.running + it.waiting } ?: 0) + sentSinceReport)
+    val load: Int get() = maxOf(inFlight, (reportedLoad?.let { it.running + it.waiting } ?: 0) + unreported)
+
+    /** Requests of this gateway that the latest report can't contain, without those that are answered by now. */
+    private val unreported: Int get() = minOf(sentSinceReport, inFlight)
 
     /** Whether a request that is sent now would likely wait there before it begins to run. */
     val hasQueue: Boolean get() = load >= registration.slots || (reportedLoad?.waiting ?: 0) > 0
--- a/core/src/test/kotlin/org/ragwortbank/core/gateway/RoutingSystemTest.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/gateway/RoutingSystemTest.kt
@@ -33,20 +33,22 @@
 
     // Guards against requests that crash engines and go back to one host again and again, where nothing is learned.
     @Test
-    fun `given an engine that was started again, then it gets its share and not all that comes`() {
+    fun `given an engine that was started again, then it gets its share and not all that comes`() =
+        listOf(ReportedLoad(running = 0, waiting = 0), null).forEach(::assertGetsItsShare)
+
+    private fun assertGetsItsShare(reportedLoad: ReportedLoad?) {
         val third = gateway.registration("engine-3", GatewayFixture.ENGINES)
         gateway.applyChanges(StoreChange.UpstreamRegistered(third))
-        gateway.receiveEngineDigest(third.id)
-        repeat(6) { answerOne() }
-        gateway.applyChanges(StoreChange.UpstreamRegistered(third.copy(startedMillis = 9)))
-        gateway.receiveEngineDigest(third.id)
+        repeat(12) { answerOne(reportedLoad) }
+        gateway.confirmConfiguration()
+        gateway.applyChanges(StoreChange.UpstreamRegistered(third.copy(startedMillis = gateway.now.nanos)))
         gateway.receiveCall("/chat/x")
-        assertNotEquals(third.id, gateway.sentAttempts().single().upstream)
+        assertNotEquals(third.id, gateway.sentAttempts().single().upstream, "with $reportedLoad reported")
     }
 
-    private fun answerOne() {
+    private fun answerOne(reportedLoad: ReportedLoad?) {
         val number = gateway.receiveCall("/chat/x")
-        val idle = AnswerFacts(status = 200, notRun = false, load = ReportedLoad(running = 0, waiting = 0))
+        val idle = AnswerFacts(status = 200, notRun = false, load = reportedLoad)
         gateway.advance(100.milliseconds, GatewayInput.AnswerHeadReceived(number, 1, idle))
         gateway.tick(GatewayInput.AnswerCompleted(number, 1))
     }
