Read the whole store when its changes are too large for one reply

Cause: a reply of more than 8 MiB was given up and counted as a failed call, and the same changes were requested again from the same revision. They can only grow, so no repeat can succeed.

--- a/clients/src/main/kotlin/org/ragwortbank/clients/http/HttpReply.kt
+++ b/clients/src/main/kotlin/org/ragwortbank/clients/http/HttpReply.kt
@@ -14,8 +14,12 @@
         val isSuccess: Boolean get() = status / STATUS_CLASS_SIZE == 2
     }
 
-    /** No complete response arrived; when not [wasConnected], nothing has been sent. */
-    data class Failed(val wasConnected: Boolean, val cause: String) : HttpReply
+    /**
+     * No complete response arrived; when not [wasConnected], nothing has been sent.
+     *
+     * @property isTooLong whether the response was given up for its length, so that the same call would fail again
+     */
+    data class Failed(val wasConnected: Boolean, val cause: String, val isTooLong: Boolean = false) : HttpReply
 
     private companion object {
         const val STATUS_CLASS_SIZE = 100
--- a/clients/src/main/kotlin/org/ragwortbank/clients/http/ResponseCollector.kt
+++ b/clients/src/main/kotlin/org/ragwortbank/clients/http/ResponseCollector.kt
@@ -7,6 +7,7 @@
 internal class ResponseCollector(private val done: (HttpReply) -> Unit) : HttpListener {
     private val body = ByteArrayOutputStream()
     private var head: HttpHead? = null
+    private var isTooLong = false
 
     override fun onHead(head: HttpHead) {
         this.head = head
@@ -14,7 +15,8 @@
 
     /** Throws [TooLongFrameException] when the body is longer than any reply may be, which ends the exchange. */
     override fun onContent(bytes: ByteArray) {
-        if (body.size() + bytes.size > MAX_BODY_BYTES) {
+        isTooLong = body.size() + bytes.size > MAX_BODY_BYTES
+        if (isTooLong) {
             throw TooLongFrameException("more than $MAX_BODY_BYTES bytes in one reply")
         }
         body.writeBytes(bytes)
@@ -28,7 +30,8 @@
         }
     }
 
-    override fun onFailure(wasConnected: Boolean, cause: String) = done(HttpReply.Failed(wasConnected, cause))
+    override fun onFailure(wasConnected: Boolean, cause: String) =
+        done(HttpReply.Failed(wasConnected, cause, isTooLong))
 
     private companion object {
         /** Several values of the largest size that the key-value service stores. */
--- a/clients/src/test/kotlin/org/ragwortbank/clients/http/HttpClientTest.kt
+++ b/clients/src/test/kotlin/org/ragwortbank/clients/http/HttpClientTest.kt
@@ -73,6 +73,7 @@
         }
         val reply = assertIs<HttpReply.Failed>(fetch())
         assertContains(reply.cause, "more than")
+        assertTrue(reply.isTooLong)
         assertTrue(written.get() < MAX_WRITTEN_BYTES, "${written.get()} bytes were taken")
     }
 
--- a/node/src/main/kotlin/org/ragwortbank/node/gateway/StoreWatcher.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/gateway/StoreWatcher.kt
@@ -46,7 +46,7 @@
                     post(GatewayInput.StoreRead(reply.contents, requestedAt))
                     schedule(readDelay()) { readChanges(reply.revision) }
                 }
-                is StoreReply.Changes, StoreReply.Compacted -> schedule(readDelay(), ::readAll)
+                is StoreReply.Changes, StoreReply.Compacted, StoreReply.TooLarge -> schedule(readDelay(), ::readAll)
                 is StoreReply.Failed -> retryAfterFailure(reply.cause, ::readAll)
             }
         }
@@ -65,6 +65,10 @@
                     Logs.platform.info("the store no longer has the changes since {}, reading all of it", revision)
                     readAll()
                 }
+                StoreReply.TooLarge -> {
+                    Logs.platform.info("too many changes since {} for one reply, reading the whole store", revision)
+                    readAll()
+                }
                 is StoreReply.Failed -> retryAfterFailure(reply.cause) { readChanges(revision) }
             }
         }
--- a/node/src/main/kotlin/org/ragwortbank/node/port/StoreClient.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/port/StoreClient.kt
@@ -17,6 +17,9 @@
     /** The store no longer keeps the requested changes. */
     data object Compacted : StoreReply
 
+    /** The requested changes are more than one reply may hold; they can only grow. */
+    data object TooLarge : StoreReply
+
     /** The store did not answer, or refused. */
     data class Failed(val cause: String) : StoreReply
 }
