Of upstreams that look alike choose the one that failed less

Found by the whole tests of core after the change of load: with equal load and delay, a request like one that was just lost went to the same upstream again once its back-off was over (CrashSystemTest, "given a request like those of two crashes, ...", failed at the line where nothing may be sent again, because both were lost at one upstream and count as one crash). Before, the load that was never counted down happened to choose another.

Failed attempts since the last answer now break the tie.

--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/RoutingSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/RoutingSystem.kt
@@ -115,8 +115,12 @@
     }
 
     private companion object {
-        /** Of equals the one that has run for longest, not one that may have crashed just now. */
-        val bestFirst = compareBy<Candidate>({ it.expectedMillis }, { it.row.registration.startedMillis })
+        /** Of equals the one that failed less and has run for longer, not one that may have crashed just now. */
+        val bestFirst = compareBy<Candidate>(
+            { it.expectedMillis },
+            { it.row.health.failures },
+            { it.row.registration.startedMillis },
+        )
 
         /** Share of the fleet's retry budget that is split among the gateways; the rest covers late digests. */
         const val OWN_SHARE = 0.8
