--- a/standins/src/main/kotlin/org/ragwortbank/standins/prepared/PreparedDeployment.kt
+++ b/standins/src/main/kotlin/org/ragwortbank/standins/prepared/PreparedDeployment.kt
@@ -23,12 +23,15 @@
     /** Address at which the engine listens. */
     val engineAddress: Address = engine.start()
 
+    /** Address at which the service without a model listens. */
+    val plainServiceAddress: Address = plainService.start()
+
     init {
         store.put("op/config", configJson(version = 1))
         store.put("servers/$ENGINE_ID", engine.currentState.toRegistrationJson("engines", engineAddress))
         store.put(
             "servers/$PLAIN_SERVICE_ID",
-            plainService.currentState.toRegistrationJson("desk", plainService.start()),
+            plainService.currentState.toRegistrationJson("desk", plainServiceAddress),
         )
     }
 
--- /dev/null
+++ b/standins/src/main/kotlin/org/ragwortbank/standins/prepared/WorkerBehaviour.kt
@@ -0,0 +1,17 @@
+package org.ragwortbank.standins.prepared
+
+import org.ragwortbank.core.model.Header
+
+/**
+ * What a worker says of itself in its answers.
+ *
+ * @property isLeaving whether it says that it is about to stop
+ * @property retryAfter seconds for which it wants no requests, so that it turns plain ones away; null to serve them
+ */
+data class WorkerBehaviour(val isLeaving: Boolean = false, val retryAfter: String? = null) {
+    /** Header fields that say so. */
+    val headers: List<Header> get() = listOfNotNull(
+        Header("Server-Leaving", "1").takeIf { isLeaving },
+        retryAfter?.let { Header("Retry-After", it) },
+    )
+}
--- a/standins/src/main/kotlin/org/ragwortbank/standins/prepared/WorkerStandIn.kt
+++ b/standins/src/main/kotlin/org/ragwortbank/standins/prepared/WorkerStandIn.kt
@@ -21,6 +21,10 @@
     private val server = StandInServer(group, ::handle)
     private val state = AtomicReference(WorkerState(model = model))
     private val executedIds = AtomicReference<PersistentList<String>>(persistentListOf())
+    private val rejectedIds = AtomicReference<PersistentList<String>>(persistentListOf())
+
+    /** What it says of itself with each answer from now on. */
+    val behaviour = AtomicReference(WorkerBehaviour())
 
     /** Listens on [port], or on a free one if it is zero, and returns the address. */
     fun start(port: Int = 0): Address = server.start(port)
@@ -28,6 +32,9 @@
     /** Ids of the executed requests, in the order in which they arrived. */
     val executedRequestIds: List<String> get() = executedIds.get()
 
+    /** Ids of the requests that were turned away, in the order in which they arrived. */
+    val rejectedRequestIds: List<String> get() = rejectedIds.get()
+
     /** The current state. */
     val currentState: WorkerState get() = state.get()
 
@@ -83,12 +90,19 @@
     }
 
     private fun respondPlain(request: StandInRequest, responder: Responder) {
+        if (behaviour.get().retryAfter != null) return reject(request, responder)
         executedIds.updateAndGet { it.add(request.header(REQUEST_ID).orEmpty()) }
         responder.schedule(RESPONSE_DELAY) {
             responder.send(OK, """{"path":"${request.path}"}""", headers = platformHeaders(request))
         }
     }
 
+    private fun reject(request: StandInRequest, responder: Responder) {
+        rejectedIds.updateAndGet { it.add(request.header(REQUEST_ID).orEmpty()) }
+        val headers = platformHeaders(request) + Header("X-Not-Executed", "1")
+        responder.send(UNAVAILABLE, "{}", headers = headers)
+    }
+
     private fun streamGeneration(request: StandInRequest, responder: Responder) {
         val modelName = request.header("X-Model").orEmpty()
         val adapter = modelName.substringAfter('/', "")
@@ -118,7 +132,7 @@
         Header("X-Server-Signature", "signature-of-$id"),
         Header("X-Server-Load", "${state.get().runningRequests},0,${WorkerState.REQUEST_SLOTS}"),
         Header("Keep-Alive", "timeout=5"),
-    )
+    ) + behaviour.get().headers
 
     private companion object {
         const val REQUEST_ID = "X-Request-Id"
@@ -127,6 +141,7 @@
         const val ACCEPTED = 202
         const val CONFLICT = 409
         const val MISDIRECTED = 421
+        const val UNAVAILABLE = 503
         val RESPONSE_DELAY = 5.milliseconds
         val ADAPTER_LOAD_TIME = 30.milliseconds
         val MODEL_LOAD_TIME = 60.milliseconds
