Join what this change had written twice: incarnations, stamps, launchers

Found on reading the whole change once more; behaviour stays as it is.

- UpstreamIncarnation had the same two fields as UpstreamCrash; the crash tables now use the first, and a registration names its own.
- The head of an answer was decoded twice, once for what the upstream says of itself and once for the attempt; the relay decodes it once.
- A new upstream's delay was averaged over a walk through all upstreams; it uses the index by service.
- PeerRow names its stamp, which two systems put together by hand.
- Four test classes built the same launcher; testLauncher does.

--- a/core/src/main/kotlin/org/ragwortbank/core/crash/CrashReport.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/crash/CrashReport.kt
@@ -5,15 +5,9 @@
 import kotlinx.collections.immutable.persistentSetOf
 import org.ragwortbank.core.serving.RequestFingerprint
 import org.ragwortbank.core.serving.ServiceName
-import org.ragwortbank.core.serving.UpstreamId
+import org.ragwortbank.core.serving.UpstreamIncarnation
 import kotlin.time.Duration
 
-/** The end of one incarnation of an upstream, which started at [startedMillis], in Unix milliseconds. */
-data class UpstreamCrash(
-    val upstream: UpstreamId,
-    val startedMillis: Long,
-)
-
 /** Where an upstream ran that crashed. */
 data class CrashPlace(
     val service: ServiceName,
@@ -47,7 +41,7 @@
  * @property age time since the gateway lost the first request there
  */
 data class CrashReport(
-    val crash: UpstreamCrash,
+    val crash: UpstreamIncarnation,
     val place: CrashPlace,
     val age: Duration,
     val suspects: PersistentMap<CrashTrait, SuspectRequests>,
--- a/core/src/main/kotlin/org/ragwortbank/core/crash/CrashRow.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/crash/CrashRow.kt
@@ -4,6 +4,7 @@
 import kotlinx.collections.immutable.PersistentSet
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.persistentSetOf
+import org.ragwortbank.core.serving.UpstreamIncarnation
 import org.ragwortbank.core.tick.Timestamp
 
 /**
@@ -17,7 +18,7 @@
  * @property isDismissed whether the upstream turned out to run on, so that this is no crash
  */
 data class CrashRow(
-    val crash: UpstreamCrash,
+    val crash: UpstreamIncarnation,
     val place: CrashPlace,
     val at: Timestamp,
     val suspects: PersistentMap<CrashTrait, SuspectRequests> = persistentMapOf(),
--- a/core/src/main/kotlin/org/ragwortbank/core/crash/CrashTable.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/crash/CrashTable.kt
@@ -3,6 +3,7 @@
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
 import org.ragwortbank.core.serving.ServiceName
+import org.ragwortbank.core.serving.UpstreamIncarnation
 import org.ragwortbank.core.tick.Timestamp
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -15,12 +16,17 @@
  * Each crash has one cause: those that a found cause explains count against no other trait. They stay as evidence for a
  * broader one, which would explain later crashes too.
  */
-data class CrashTable(val rows: PersistentMap<UpstreamCrash, CrashRow> = persistentMapOf()) {
+data class CrashTable(val rows: PersistentMap<UpstreamIncarnation, CrashRow> = persistentMapOf()) {
     /** Whether any crash may still turn out to have another cause than is known. */
     val hasEvidence: Boolean get() = rows.values.any { !it.isDismissed }
 
     /** This table with the row of [crash] replaced by the result of [change], which gets a new row if there is none. */
-    fun update(crash: UpstreamCrash, place: CrashPlace, at: Timestamp, change: (CrashRow) -> CrashRow): CrashTable {
+    fun update(
+        crash: UpstreamIncarnation,
+        place: CrashPlace,
+        at: Timestamp,
+        change: (CrashRow) -> CrashRow,
+    ): CrashTable {
         val existing = rows[crash]
         val row = existing?.copy(at = minOf(existing.at, at)) ?: CrashRow(crash, place, at)
         val bounded = if (existing == null && rows.size >= MAX_ROWS) withoutOldest() else rows
@@ -36,7 +42,7 @@
             }
 
     /** This table after [crash] turned out to be none, because the upstream has answered at [now]. */
-    fun dismissIfAlive(crash: UpstreamCrash, now: Timestamp): CrashTable {
+    fun dismissIfAlive(crash: UpstreamIncarnation, now: Timestamp): CrashTable {
         val row = rows[crash]?.takeIf { it.isOpen && now - it.at in SIGN_OF_LIFE } ?: return this
         return CrashTable(rows.put(crash, row.copy(isDismissed = true)))
     }
@@ -83,7 +89,7 @@
         return CauseSearch(settled, this, hostCounts).find()
     }
 
-    private fun withoutOldest(): PersistentMap<UpstreamCrash, CrashRow> =
+    private fun withoutOldest(): PersistentMap<UpstreamIncarnation, CrashRow> =
         rows.values.minByOrNull { it.at }?.let { rows.remove(it.crash) } ?: rows
 
     private companion object {
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/CrashSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/CrashSystem.kt
@@ -3,7 +3,6 @@
 import org.ragwortbank.core.crash.Cause
 import org.ragwortbank.core.crash.CrashPlace
 import org.ragwortbank.core.crash.CrashTrait
-import org.ragwortbank.core.crash.UpstreamCrash
 import org.ragwortbank.core.log.LogPart
 import org.ragwortbank.core.serving.RequestNumber
 import org.ragwortbank.core.serving.ServiceName
@@ -54,7 +53,7 @@
         val registration = row.upstream?.let { step.tables.upstreams[it] }?.takeIf { it.isAccepting }?.registration
         val suspicions = suspicions(row)
         if (registration == null || suspicions.isEmpty() || row.isProven(now)) return step
-        val crash = UpstreamCrash(registration.id, registration.startedMillis)
+        val crash = registration.incarnation
         val isNew = crash !in step.tables.crashes.rows
         val logged = if (isNew) step.log(LogPart.CRASHES, "upstream ${registration.id} may have crashed") else step
         return logged
@@ -171,5 +170,5 @@
 private fun GatewayTables.recordSignOfLife(row: RequestRow, now: Timestamp): GatewayTables {
     val registration = row.upstream?.let { upstreams[it] }?.registration
     if (registration == null || !crashes.hasEvidence) return this
-    return copy(crashes = crashes.dismissIfAlive(UpstreamCrash(registration.id, registration.startedMillis), now))
+    return copy(crashes = crashes.dismissIfAlive(registration.incarnation, now))
 }
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/DigestIntakeSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/DigestIntakeSystem.kt
@@ -2,7 +2,6 @@
 
 import kotlinx.collections.immutable.PersistentMap
 import org.ragwortbank.core.model.AccountId
-import org.ragwortbank.core.serving.DigestStamp
 import org.ragwortbank.core.serving.Endpoint
 import org.ragwortbank.core.serving.EngineDigest
 import org.ragwortbank.core.serving.PeerDigest
@@ -33,7 +32,7 @@
     private fun receive(tables: GatewayTables, digest: PeerDigest, from: Endpoint, now: Timestamp): GatewayTables {
         val prior = tables.peers[digest.sender] ?: PeerRow(digest.sender, from, isListed = false, addedAt = now)
         val silence = prior.digestReceivedAt?.let { now - it } ?: Duration.ZERO
-        if (!digest.stamp.isNewerThan(DigestStamp(prior.incarnation, prior.number), silence)) return tables
+        if (!digest.stamp.isNewerThan(prior.stamp, silence)) return tables
         val isSameProcess = digest.incarnation == prior.incarnation
         val isRestarted = !isSameProcess && prior.digestReceivedAt != null
         val row = prior.copy(
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/MembershipChanges.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/MembershipChanges.kt
@@ -83,9 +83,9 @@
  * of the requests: if it crashed of some, they must not all go back to it.
  */
 private fun GatewayTables.newUpstream(registration: UpstreamRegistration, inFlight: Int): UpstreamRow {
-    val known = upstreams.values
-        .filter { it.registration.service == registration.service && it.registration.id != registration.id }
-        .map { it.health.delayMillis }
+    val known = upstreamsByService[registration.service].orEmptySet()
+        .filter { it != registration.id }
+        .mapNotNull { upstreams[it]?.health?.delayMillis }
         .filter { it > 0 }
     val delayMillis = if (known.isEmpty()) 0.0 else known.average()
     return UpstreamRow(
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/PeerRow.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/PeerRow.kt
@@ -1,5 +1,6 @@
 package org.ragwortbank.core.gateway
 
+import org.ragwortbank.core.serving.DigestStamp
 import org.ragwortbank.core.serving.Endpoint
 import org.ragwortbank.core.tick.Timestamp
 import kotlin.time.Duration
@@ -23,4 +24,7 @@
     val digestReceivedAt: Timestamp? = null,
     val confirmedAgo: Duration = Duration.ZERO,
     val addedAt: Timestamp,
-)
+) {
+    /** Identifies its latest digest. */
+    val stamp: DigestStamp get() = DigestStamp(incarnation, number)
+}
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/PeerSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/PeerSystem.kt
@@ -60,7 +60,7 @@
             .filter { it.needsConfirmation(now) }
             .sortedByDescending { it.digestReceivedAt }
             .take(MAX_STAMPS)
-            .associate { it.name to DigestStamp(it.incarnation, it.number) }
+            .associate { it.name to it.stamp }
             .toPersistentMap()
 
     private fun GatewayTables.recordSent(
--- a/core/src/test/kotlin/org/ragwortbank/core/crash/CrashTableTest.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/crash/CrashTableTest.kt
@@ -7,6 +7,7 @@
 import org.ragwortbank.core.serving.RequestFingerprint
 import org.ragwortbank.core.serving.ServiceName
 import org.ragwortbank.core.serving.UpstreamId
+import org.ragwortbank.core.serving.UpstreamIncarnation
 import org.ragwortbank.core.tick.Timestamp
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -94,7 +95,7 @@
 
     private fun causeOf(table: CrashTable): Cause? = table.cause(later, 250.milliseconds, mapOf(service to 8))
 
-    private fun crash(number: Int) = UpstreamCrash(UpstreamId("engine-$number"), startedMillis = 1)
+    private fun crash(number: Int) = UpstreamIncarnation(UpstreamId("engine-$number"), startedMillis = 1)
 
     private fun place(number: Int) = CrashPlace(service, "10.0.0.$number")
 }
--- a/core/src/test/kotlin/org/ragwortbank/core/gateway/CrashSystemTest.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/gateway/CrashSystemTest.kt
@@ -8,7 +8,6 @@
 import org.ragwortbank.core.crash.CrashReport
 import org.ragwortbank.core.crash.CrashTrait
 import org.ragwortbank.core.crash.SuspectRequests
-import org.ragwortbank.core.crash.UpstreamCrash
 import org.ragwortbank.core.result.Execution
 import org.ragwortbank.core.result.ResultCode
 import org.ragwortbank.core.serving.Endpoint
@@ -18,6 +17,7 @@
 import org.ragwortbank.core.serving.RequestNumber
 import org.ragwortbank.core.serving.StoreChange
 import org.ragwortbank.core.serving.UpstreamId
+import org.ragwortbank.core.serving.UpstreamIncarnation
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertNull
@@ -250,7 +250,7 @@
         val fingerprint = RequestFingerprint(number)
         val bad = CrashTrait.PromptPart(PromptPartId("bad"))
         val report = CrashReport(
-            crash = UpstreamCrash(UpstreamId("engine-x$host"), startedMillis = 1),
+            crash = UpstreamIncarnation(UpstreamId("engine-x$host"), startedMillis = 1),
             place = CrashPlace(GatewayFixture.ENGINES, "10.0.3.$host"),
             age = 10.milliseconds,
             suspects = persistentMapOf(bad to SuspectRequests(breadth = 99, persistentSetOf(fingerprint))),
--- a/node/src/main/kotlin/org/ragwortbank/node/datagram/PeerWire.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/datagram/PeerWire.kt
@@ -8,13 +8,13 @@
 import org.ragwortbank.core.crash.CrashReport
 import org.ragwortbank.core.crash.CrashTrait
 import org.ragwortbank.core.crash.SuspectRequests
-import org.ragwortbank.core.crash.UpstreamCrash
 import org.ragwortbank.core.model.AccountId
 import org.ragwortbank.core.serving.DigestStamp
 import org.ragwortbank.core.serving.PeerDigest
 import org.ragwortbank.core.serving.RequestFingerprint
 import org.ragwortbank.core.serving.ServiceName
 import org.ragwortbank.core.serving.UpstreamId
+import org.ragwortbank.core.serving.UpstreamIncarnation
 import kotlin.time.Duration.Companion.milliseconds
 
 internal fun PeerDigest.toWire() = WirePeer(
@@ -57,7 +57,7 @@
 )
 
 private fun WireCrash.toReport() = CrashReport(
-    crash = UpstreamCrash(UpstreamId(upstream), startedMillis),
+    crash = UpstreamIncarnation(UpstreamId(upstream), startedMillis),
     place = CrashPlace(ServiceName(service), host),
     age = ageMillis.coerceAtLeast(0).milliseconds,
     suspects = suspects.byTrait { requests ->
--- a/node/src/main/kotlin/org/ragwortbank/node/gateway/AttemptRelay.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/gateway/AttemptRelay.kt
@@ -23,6 +23,7 @@
     private val post: (GatewayInput) -> Unit,
 ) : AttemptListener {
     private var head: HttpResponse? = null
+    private var facts: AnswerFacts? = null
     private val buffered = BufferedBody(budget)
     private val streamEnd = EventStreamEnd()
     private var isHeadPosted = false
@@ -38,8 +39,9 @@
     /** What the upstream says of itself counts at once, also if the rest of the answer never comes. */
     override fun onHead(response: HttpResponse) {
         head = response
-        val notice = answerFacts(response).notice ?: return
-        post(GatewayInput.UpstreamNoticeReceived(attempt.incarnation, notice))
+        val received = answerFacts(response)
+        facts = received
+        received.notice?.let { post(GatewayInput.UpstreamNoticeReceived(attempt.incarnation, it)) }
     }
 
     override fun onContent(content: ByteBuf) {
@@ -92,10 +94,10 @@
     }
 
     private fun postHead() {
-        val response = head
-        if (isHeadPosted || response == null) return
+        val received = facts
+        if (isHeadPosted || received == null) return
         isHeadPosted = true
-        post(GatewayInput.AnswerHeadReceived(attempt.number, attempt.attemptNumber, answerFacts(response)))
+        post(GatewayInput.AnswerHeadReceived(attempt.number, attempt.attemptNumber, received))
     }
 
     private fun isEventStream(): Boolean =
--- a/node/src/test/kotlin/org/ragwortbank/node/datagram/DatagramLinkTest.kt
+++ b/node/src/test/kotlin/org/ragwortbank/node/datagram/DatagramLinkTest.kt
@@ -8,7 +8,6 @@
 import org.ragwortbank.core.crash.CrashReport
 import org.ragwortbank.core.crash.CrashTrait
 import org.ragwortbank.core.crash.SuspectRequests
-import org.ragwortbank.core.crash.UpstreamCrash
 import org.ragwortbank.core.model.AccountId
 import org.ragwortbank.core.serving.Endpoint
 import org.ragwortbank.core.serving.PeerDigest
@@ -16,6 +15,7 @@
 import org.ragwortbank.core.serving.RequestFingerprint
 import org.ragwortbank.core.serving.ServiceName
 import org.ragwortbank.core.serving.UpstreamId
+import org.ragwortbank.core.serving.UpstreamIncarnation
 import org.ragwortbank.node.ProcessEventLoop
 import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.TimeUnit
@@ -67,7 +67,7 @@
         }
         val repeats = fingerprints.associate { CrashTrait.Repeat(it) to SuspectRequests.repeatsOf(it) }
         return CrashReport(
-            crash = UpstreamCrash(UpstreamId("i-$number"), startedMillis = 9),
+            crash = UpstreamIncarnation(UpstreamId("i-$number"), startedMillis = 9),
             place = CrashPlace(ServiceName("engines"), "10.0.0.$number"),
             age = 70.milliseconds,
             suspects = (parts + repeats).toPersistentMap(),
--- a/node/src/test/kotlin/org/ragwortbank/node/datagram/DigestCodecTest.kt
+++ b/node/src/test/kotlin/org/ragwortbank/node/datagram/DigestCodecTest.kt
@@ -8,7 +8,6 @@
 import org.ragwortbank.core.crash.CrashReport
 import org.ragwortbank.core.crash.CrashTrait
 import org.ragwortbank.core.crash.SuspectRequests
-import org.ragwortbank.core.crash.UpstreamCrash
 import org.ragwortbank.core.model.AccountId
 import org.ragwortbank.core.serving.AdapterKey
 import org.ragwortbank.core.serving.DemandDigest
@@ -22,6 +21,7 @@
 import org.ragwortbank.core.serving.RequestFingerprint
 import org.ragwortbank.core.serving.ServiceName
 import org.ragwortbank.core.serving.UpstreamId
+import org.ragwortbank.core.serving.UpstreamIncarnation
 import kotlin.random.Random
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -54,7 +54,7 @@
         val repeat = CrashTrait.Repeat(fingerprint)
         val suspects = SuspectRequests(breadth = 99, persistentSetOf(RequestFingerprint(-3), RequestFingerprint(4)))
         val report = CrashReport(
-            crash = UpstreamCrash(UpstreamId("i-1"), startedMillis = 9),
+            crash = UpstreamIncarnation(UpstreamId("i-1"), startedMillis = 9),
             place = CrashPlace(ServiceName("engines"), "10.0.0.1"),
             age = 70.milliseconds,
             suspects = persistentMapOf(part to suspects, repeat to SuspectRequests.repeatsOf(fingerprint)),
--- a/standins/src/test/kotlin/org/ragwortbank/standins/fleet/TestFleet.kt
+++ b/standins/src/test/kotlin/org/ragwortbank/standins/fleet/TestFleet.kt
@@ -13,18 +13,12 @@
 import org.ragwortbank.clients.http.HttpReply
 import org.ragwortbank.core.model.Header
 import org.ragwortbank.standins.service.ReceivedCall
-import java.nio.file.Files
-import java.nio.file.Path
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
 
 /** A fleet of separate processes with the example tables applied and one API key of the large account. */
 class TestFleet(plan: FleetPlan) : AutoCloseable {
-    private val launcher = Launcher(
-        productJar = Path.of("..", "cli", "target", "cli-0.1.0-all.jar"),
-        standInsClassPath = Path.of("target", "classes"),
-        directory = Files.createTempDirectory("ragwortbank-test"),
-    )
+    private val launcher = testLauncher("ragwortbank-test")
 
     val processes = Fleet(launcher, plan)
     val key: String
--- a/standins/src/test/kotlin/org/ragwortbank/standins/prepared/PreparedPlatformTest.kt
+++ b/standins/src/test/kotlin/org/ragwortbank/standins/prepared/PreparedPlatformTest.kt
@@ -2,10 +2,8 @@
 
 import org.ragwortbank.clients.http.HttpReply
 import org.ragwortbank.standins.fleet.BlockingHttp
-import org.ragwortbank.standins.fleet.Launcher
 import org.ragwortbank.standins.fleet.Polling
-import java.nio.file.Files
-import java.nio.file.Path
+import org.ragwortbank.standins.fleet.testLauncher
 import kotlin.test.AfterTest
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -13,11 +11,7 @@
 
 /** Runs a gateway and a placer as separate processes against stand-ins for the prepared platform. */
 class PreparedPlatformTest {
-    private val launcher = Launcher(
-        productJar = Path.of("..", "cli", "target", "cli-0.1.0-all.jar"),
-        standInsClassPath = Path.of("target", "classes"),
-        directory = Files.createTempDirectory("ragwortbank-prepared"),
-    )
+    private val launcher = testLauncher("ragwortbank-prepared")
     private val fleet = PreparedFleet(launcher)
 
     init {
--- a/standins/src/test/kotlin/org/ragwortbank/standins/prepared/SignalDuringStartTest.kt
+++ b/standins/src/test/kotlin/org/ragwortbank/standins/prepared/SignalDuringStartTest.kt
@@ -4,13 +4,11 @@
 import io.netty.channel.nio.NioIoHandler
 import org.ragwortbank.clients.http.Address
 import org.ragwortbank.clients.http.HttpReply
-import org.ragwortbank.standins.fleet.Launcher
 import org.ragwortbank.standins.fleet.Polling
+import org.ragwortbank.standins.fleet.testLauncher
 import java.io.IOException
 import java.net.ServerSocket
 import java.net.Socket
-import java.nio.file.Files
-import java.nio.file.Path
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.TimeUnit
 import kotlin.test.AfterTest
@@ -20,11 +18,7 @@
 
 /** Sends signals to gateways that have opened their port and are still starting. */
 class SignalDuringStartTest {
-    private val launcher = Launcher(
-        productJar = Path.of("..", "cli", "target", "cli-0.1.0-all.jar"),
-        standInsClassPath = Path.of("target", "classes"),
-        directory = Files.createTempDirectory("ragwortbank-signals"),
-    )
+    private val launcher = testLauncher("ragwortbank-signals")
     private val eventLoops = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
     private val deployment = PreparedDeployment(eventLoops)
 
--- a/standins/src/test/kotlin/org/ragwortbank/standins/prepared/UpstreamNoticeTest.kt
+++ b/standins/src/test/kotlin/org/ragwortbank/standins/prepared/UpstreamNoticeTest.kt
@@ -1,10 +1,8 @@
 package org.ragwortbank.standins.prepared
 
 import org.ragwortbank.clients.http.HttpReply
-import org.ragwortbank.standins.fleet.Launcher
 import org.ragwortbank.standins.fleet.Polling
-import java.nio.file.Files
-import java.nio.file.Path
+import org.ragwortbank.standins.fleet.testLauncher
 import kotlin.test.AfterTest
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -12,11 +10,7 @@
 
 /** Runs a gateway as a process before a plain service that says of itself that it leaves, or wants no requests. */
 class UpstreamNoticeTest {
-    private val launcher = Launcher(
-        productJar = Path.of("..", "cli", "target", "cli-0.1.0-all.jar"),
-        standInsClassPath = Path.of("target", "classes"),
-        directory = Files.createTempDirectory("ragwortbank-notices"),
-    )
+    private val launcher = testLauncher("ragwortbank-notices")
     private val fleet = PreparedFleet(launcher)
     private val service = fleet.deployment.plainService
 
