Known red: a caller of HTTP/1.0 gets the framing of chunks in a stream's body

An answer whose length isn't known when it begins is written in chunks, whatever the caller's version is. The test failed on this code: the body was `7`, the event, `0`.

--- a/node/src/test/kotlin/org/ragwortbank/node/gateway/CallerConnectionTest.kt
+++ b/node/src/test/kotlin/org/ragwortbank/node/gateway/CallerConnectionTest.kt
@@ -1,5 +1,6 @@
 package org.ragwortbank.node.gateway
 
+import org.junit.jupiter.api.Tag
 import kotlin.test.AfterTest
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -109,6 +110,18 @@
         assertNull(caller.read())
     }
 
+    // Guards against the framing of chunks in the body of a caller that doesn't know chunks.
+    @Tag("known-red")
+    @Test
+    fun `given a caller of HTTP 1 0, when a stream is relayed, then its body holds the stream alone`() =
+        rig.connect().use { caller ->
+            caller.write("GET /a HTTP/1.0\r\nHost: host\r\nX-Request-Id: r1\r\n\r\n")
+            val upstream = rig.nextUpstream().also { it.read() }
+            upstream.write(STREAM_HEAD + "id: 1\n\n")
+            upstream.close()
+            assertEquals("id: 1\n\n", caller.readRest().substringAfter("\r\n\r\n"))
+        }
+
     // Guards against a body that a caller doesn't expect and takes for its next answer.
     @Test
     fun `given a HEAD request, then the next answer on its connection is that of the next request`() =
