--- a/cli/src/test/kotlin/org/ragwortbank/cli/explain/RequestTimelineTest.kt
+++ b/cli/src/test/kotlin/org/ragwortbank/cli/explain/RequestTimelineTest.kt
@@ -38,6 +38,16 @@
         assertContains(timelineOf("abc").render(), "1 lines were truncated or not log lines")
     }
 
+    @Test
+    fun `given bytes that came unasked after an answer, then their line is one of the request's and not its end`() {
+        val passedOn = logLine("01.000", "answer", "request abc passed on from i-7; read 200 of abc, passed on 200")
+        val unasked = logLine("01.007", "links", "request abc: connection 7 to 10.0.0.7:80: 122 bytes came unasked")
+        val log = ParsedLog().withLinesOf("edge-1", "$passedOn\n$unasked".reader().buffered())
+        val timeline = RequestTimeline.of("abc", log.lines, log.unparsedCount)
+        assertEquals(listOf("answer", "links"), timeline.requestLines.map { it.part })
+        assertContains(timeline.render(), "end: passed on from i-7")
+    }
+
     @Test
     fun `given an id that no line names, then the text says that no line was found`() {
         val expected = "no line names request none; 1 lines were truncated or not log lines\n"
