Decode each answer of an upstream with a decoder of its own, from where an answer begins

Cause: one decoder served a connection for all of its requests. When an upstream sent the beginning of a second answer, such as "HTTP/1.1 200 OK" without a line end, in the read that ended the first, the decoder kept it, and the connection went back to the pool. The next request's answer was decoded behind it: "HTTP/1.1 200 OKHTTP/1.1 500 Some" is status 200 with a long reason, and all fields are those of the failure, so that the check of the id passed. The same happened when such bytes came while the next request was under way. A whole second answer did no harm: the id tells.

Change: each exchange has a decoder of its own, which is removed with the end of the answer. What it still holds, and all that arrives between exchanges, closes the connection; it goes back to the pool after all that had arrived is read. Where such bytes come inside the next exchange, the decoder refuses heads that contain the beginning of another, answers that don't begin with the protocol's name, and unknown versions: the base class skips blanks and control characters, and the failure in them. The matching of answers is one typed decision, AnswerMatcher; a change of protocol that nobody asked for counts as lost.

UpstreamExchangeTest, "given two answers, ...": the connection was released once and then closed by the second answer; now it isn't released at all, which is stricter. HEAD requests behind skipped answers keep their method (AnswerDecoderTest).

--- a/node/src/main/kotlin/org/ragwortbank/node/gateway/ConnectionObserver.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/gateway/ConnectionObserver.kt
@@ -2,7 +2,6 @@
 
 import org.ragwortbank.core.log.LogLine
 import org.ragwortbank.core.log.LogPart
-import org.ragwortbank.core.serving.Endpoint
 import org.ragwortbank.node.log.Logs
 import org.ragwortbank.node.metrics.BadInput
 import org.ragwortbank.node.metrics.NodeMetrics
@@ -16,19 +15,6 @@
     fun onUnaskedBytes(bytes: UnaskedBytes)
 }
 
-/**
- * Bytes that arrived on a connection without a request.
- *
- * @property upstream remote address of the connection; null if it is unknown
- * @property firstLine beginning of the first line, cleaned for log lines
- */
-internal data class UnaskedBytes(
-    val history: ConnectionHistory,
-    val upstream: Endpoint?,
-    val count: Int,
-    val firstLine: String,
-)
-
 /** Writes log lines and counts in [metrics]. */
 internal class LoggingConnectionObserver(
     private val metrics: NodeMetrics,
--- a/node/src/main/kotlin/org/ragwortbank/node/gateway/UpstreamConnections.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/gateway/UpstreamConnections.kt
@@ -9,11 +9,11 @@
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.FullHttpRequest
-import io.netty.handler.codec.http.HttpClientCodec
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.toPersistentList
 import org.ragwortbank.core.serving.Endpoint
 import org.ragwortbank.core.tick.Timestamp
 import org.ragwortbank.node.port.RequestDialect
@@ -54,7 +54,7 @@
         val exchange = UpstreamExchange(requestId, request, listener, dialect, observer, keepIdle)
         val idleChannel = if (isResend) null else takeIdle(endpoint)
         if (idleChannel != null) {
-            exchange.sendOn(idleChannel, isReused = true)
+            exchange.sendOn(idleChannel)
         } else {
             bootstrap.connect(endpoint.host, endpoint.port).addListener { connecting ->
                 exchange.onConnected((connecting as ChannelFuture).channel(), connecting.cause())
@@ -68,7 +68,8 @@
         val (usable, expired) = candidates.partition { it.channel.isActive && it.usableUntil > now() }
         expired.forEach { it.channel.close() }
         val newest = usable.lastOrNull()
-        idleConnections = idleConnections.put(endpoint, persistentListOf<IdleConnection>().addAll(usable.dropLast(1)))
+        val remaining = usable.dropLast(1)
+        idleConnections = idleConnections.put(endpoint, remaining.toPersistentList())
         return newest?.channel
     }
 
@@ -83,15 +84,8 @@
 
     private inner class UpstreamChannelInitializer : ChannelInitializer<SocketChannel>() {
         override fun initChannel(channel: SocketChannel) {
-            val codec = HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES, false)
-            val handler = UpstreamHandler(ConnectionHistory(++lastConnectionNumber))
-            channel.pipeline().addLast(ReceivedBytesHandler(handler, observer), codec, handler)
+            val handler = UpstreamHandler(ConnectionHistory(++lastConnectionNumber), observer)
+            channel.pipeline().addLast(ReceivedBytesHandler(handler), handler)
         }
     }
-
-    private companion object {
-        const val MAX_LINE_BYTES = 4_096
-        const val MAX_HEADER_BYTES = 32_768
-        const val MAX_CHUNK_BYTES = 16_384
-    }
 }
--- a/node/src/main/kotlin/org/ragwortbank/node/gateway/UpstreamExchange.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/gateway/UpstreamExchange.kt
@@ -5,7 +5,6 @@
 import io.netty.channel.ChannelOption
 import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.HttpResponse
-import io.netty.handler.codec.http.HttpStatusClass
 import io.netty.handler.codec.http.HttpUtil
 import org.ragwortbank.core.gateway.AttemptFailure
 import org.ragwortbank.core.gateway.AttemptFailure.ConnectionLost
@@ -57,6 +56,7 @@
     private var isSkipping = false
     private var skippedAnswers = 0
     private var bytesBeforeHead = 0L
+    private val matcher = AnswerMatcher(requestId, dialect)
     private val recorder = ExchangeRecorder(dialect, listener::onTrace)
 
     /** Whether the exchange is neither complete nor failed nor cancelled. */
@@ -95,12 +95,12 @@
         }
     }
 
-    /** Sends the request on [opened], which has carried other requests before if [isReused]. */
-    fun sendOn(opened: Channel, isReused: Boolean = false) {
+    /** Sends the request on [opened]. */
+    fun sendOn(opened: Channel) {
         channel = opened
-        isChannelReused = isReused
-        val handler = opened.pipeline().get(UpstreamHandler::class.java)
-        handler.exchange = this
+        val handler = opened.upstreamHandler
+        isChannelReused = handler.history.carried > 0
+        handler.begin(opened, this, request.method())
         recorder.onConnection(handler.history.nextUse)
         opened.writeAndFlush(request).addListener { sent ->
             if (!sent.isSuccess) onFailure(ConnectionLost(sent.cause().message ?: "the request was not written"))
@@ -120,20 +120,18 @@
 
     /** The head of an answer was received. */
     fun onHead(response: HttpResponse) {
-        val isInformational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL
-        isSkipping = isInformational || dialect.answersOtherRequest(response, requestId)
+        val match = matcher.match(response, isChannelReused)
+        isSkipping = match is AnswerMatch.Interim || match is AnswerMatch.OfOtherRequest
         if (isClosed) return
         if (isSkipping) recorder.onSkipped(response) else recorder.onRead(response)
-        if (isSkipping && !isInformational) observer.onSkippedAnswer()
-        when {
-            !isSkipping && isChannelReused && !dialect.namesRequest(response, requestId) ->
-                onFailure(InvalidAnswer("an answer to no request, on a connection that was used before"))
-            !isSkipping -> {
+        when (match) {
+            AnswerMatch.Interim -> Unit
+            AnswerMatch.OfOtherRequest -> onSkippedAnswer()
+            is AnswerMatch.Refused -> onFailure(InvalidAnswer(match.cause))
+            AnswerMatch.Own -> {
                 head = response
                 listener.onHead(response)
             }
-            !isInformational && ++skippedAnswers > MAX_SKIPPED_ANSWERS ->
-                onFailure(InvalidAnswer("more than $MAX_SKIPPED_ANSWERS answers to other requests"))
         }
     }
 
@@ -147,14 +145,12 @@
         val answerHead = head
         if (isClosed || isSkipping || answerHead == null) return
         isClosed = true
-        opened.pipeline().get(UpstreamHandler::class.java)?.let {
-            it.exchange = null
-            it.history = it.history.after(CompletedExchange(requestId, answerHead.status().code()))
-        }
         val hasFraming = HttpUtil.isContentLengthSet(answerHead) || HttpUtil.isTransferEncodingChunked(answerHead)
         val isReusable = HttpUtil.isKeepAlive(answerHead) && hasFraming && skippedAnswers == 0
         opened.config().isAutoRead = true
-        if (isReusable) release(opened, reuseTimeout(answerHead)) else opened.close()
+        opened.upstreamHandler.end(opened, CompletedExchange(requestId, answerHead.status().code())) {
+            if (isReusable) release(opened, dialect.reuseTimeout(answerHead)) else opened.close()
+        }
         listener.onComplete()
     }
 
@@ -166,9 +162,10 @@
         listener.onFailure(cause)
     }
 
-    private fun reuseTimeout(response: HttpResponse): Duration {
-        val upstreamTimeout = dialect.keepAliveTimeout(response) ?: return DEFAULT_REUSE_TIMEOUT
-        return (upstreamTimeout - REUSE_MARGIN).coerceAtMost(MAX_REUSE_TIMEOUT)
+    private fun onSkippedAnswer() {
+        observer.onSkippedAnswer()
+        val isTooMany = ++skippedAnswers > MAX_SKIPPED_ANSWERS
+        if (isTooMany) onFailure(InvalidAnswer("more than $MAX_SKIPPED_ANSWERS answers to other requests"))
     }
 
     private companion object {
@@ -176,10 +173,16 @@
 
         /** Room for a whole answer to another request. */
         const val MAX_BYTES_BEFORE_HEAD = 2_097_152L
-
-        /** Guards against an upstream that closes an idle connection while the next request is in flight. */
-        val REUSE_MARGIN = 700.milliseconds
-        val DEFAULT_REUSE_TIMEOUT = 1.seconds
-        val MAX_REUSE_TIMEOUT = 20.seconds
     }
 }
+
+/** Guards against an upstream that closes an idle connection while the next request is in flight. */
+private val REUSE_MARGIN = 700.milliseconds
+private val DEFAULT_REUSE_TIMEOUT = 1.seconds
+private val MAX_REUSE_TIMEOUT = 20.seconds
+
+/** How long the connection that [response] came on may idle before its next use. */
+private fun RequestDialect.reuseTimeout(response: HttpResponse): Duration {
+    val upstreamTimeout = keepAliveTimeout(response) ?: return DEFAULT_REUSE_TIMEOUT
+    return (upstreamTimeout - REUSE_MARGIN).coerceAtMost(MAX_REUSE_TIMEOUT)
+}
--- a/node/src/main/kotlin/org/ragwortbank/node/gateway/UpstreamHandler.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/gateway/UpstreamHandler.kt
@@ -1,9 +1,13 @@
 package org.ragwortbank.node.gateway
 
+import io.netty.buffer.ByteBuf
+import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.SimpleChannelInboundHandler
 import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpObject
+import io.netty.handler.codec.http.HttpRequestEncoder
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.LastHttpContent
 import org.ragwortbank.core.gateway.AttemptFailure
@@ -11,28 +15,60 @@
 import org.ragwortbank.core.gateway.AttemptFailure.InvalidAnswer
 import java.io.IOException
 
-/** Passes the input of a connection to an upstream to the exchange that currently uses it. */
+/**
+ * Passes the input of a connection to an upstream to the exchange that currently uses it.
+ *
+ * Each exchange has a decoder of its own, which is removed with the end of the answer: what it still holds then, and
+ * all that arrives between exchanges, belongs to no request and closes the connection.
+ */
 internal class UpstreamHandler(
+    history: ConnectionHistory,
+    private val observer: ConnectionObserver,
+) : SimpleChannelInboundHandler<Any>() {
+    private var hasUnaskedBytes = false
+    private var onIdle: (() -> Unit)? = null
+
     /** What the connection has carried so far. */
-    var history: ConnectionHistory,
-) : SimpleChannelInboundHandler<HttpObject>() {
+    var history: ConnectionHistory = history
+        private set
+
     /** The exchange that uses the connection; null while it is idle. */
     var exchange: UpstreamExchange? = null
+        private set
+
+    /** Lets [started], which sends a request with [method], use [channel], the connection of this handler. */
+    fun begin(channel: Channel, started: UpstreamExchange, method: HttpMethod) {
+        exchange = started
+        val ownName = channel.pipeline().context(this).name()
+        channel.pipeline()
+            .addBefore(ownName, ENCODER, HttpRequestEncoder())
+            .addBefore(ownName, DECODER, AnswerDecoder(method))
+    }
+
+    /** Ends the exchange on [channel]; calls [onIdle] when all that has arrived is read and the connection is sound. */
+    fun end(channel: Channel, completed: CompletedExchange, onIdle: () -> Unit) {
+        exchange = null
+        history = history.after(completed)
+        this.onIdle = onIdle
+        channel.pipeline().remove(DECODER)
+        channel.pipeline().remove(ENCODER)
+    }
 
-    override fun channelRead0(ctx: ChannelHandlerContext, part: HttpObject) {
+    override fun channelRead0(ctx: ChannelHandlerContext, part: Any) {
         val current = exchange
         when {
-            current == null -> ctx.close()
-            part.decoderResult().isFailure ->
+            current == null -> rejectUnasked(ctx, part)
+            part is HttpObject && part.decoderResult().isFailure ->
                 current.onFailure(InvalidAnswer("invalid answer: ${part.decoderResult().cause().message}"))
-            else -> pass(ctx, current, part)
+            part is HttpObject -> pass(ctx, current, part)
         }
     }
 
-    private fun pass(ctx: ChannelHandlerContext, exchange: UpstreamExchange, part: HttpObject) {
-        if (part is HttpResponse) exchange.onHead(part)
-        if (part is HttpContent) exchange.onContent(part.content())
-        if (part is LastHttpContent) exchange.onComplete(ctx.channel())
+    override fun channelReadComplete(ctx: ChannelHandlerContext) {
+        val action = onIdle
+        onIdle = null
+        if (!hasUnaskedBytes) action?.invoke()
+        ctx.fireChannelReadComplete()
     }
 
     override fun channelInactive(ctx: ChannelHandlerContext) {
@@ -45,8 +81,29 @@
         ctx.close()
     }
 
+    private fun pass(ctx: ChannelHandlerContext, exchange: UpstreamExchange, part: HttpObject) {
+        if (part is HttpResponse) exchange.onHead(part)
+        if (part is HttpContent) exchange.onContent(part.content())
+        if (part is LastHttpContent) exchange.onComplete(ctx.channel())
+    }
+
+    private fun rejectUnasked(ctx: ChannelHandlerContext, part: Any) {
+        val isFirst = !hasUnaskedBytes
+        hasUnaskedBytes = true
+        ctx.close()
+        if (isFirst && part is ByteBuf) observer.onUnaskedBytes(unaskedBytes(history, ctx.channel(), part))
+    }
+
     private fun failure(cause: Throwable): AttemptFailure {
         val detail = cause.message ?: cause.javaClass.simpleName
         return if (cause is IOException) ConnectionLost(detail) else InvalidAnswer(detail)
     }
+
+    private companion object {
+        const val ENCODER = "request-encoder"
+        const val DECODER = "answer-decoder"
+    }
 }
+
+/** The handler that [UpstreamConnections] adds to each connection. */
+internal val Channel.upstreamHandler: UpstreamHandler get() = pipeline().get(UpstreamHandler::class.java)
