Let a connection to an upstream carry each request id once

Cause: only a request that the gateway itself sent again got a new connection. The id of an answer names a request, not an attempt; a connection that has carried the id before can bring an answer to either.

This replaces the rule for resends, which may use a kept connection of another upstream again.

--- a/node/src/main/kotlin/org/ragwortbank/node/gateway/RequestRegistry.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/gateway/RequestRegistry.kt
@@ -67,8 +67,7 @@
         val message = call.request.toUpstreamRequest(headers)
         openRequests =
             openRequests.put(attempt.number, call.copy(relay = relay, attemptNumber = attempt.attemptNumber))
-        val isResend = attempt.attemptNumber > 1
-        relay.exchange = connections.send(attempt.endpoint, call.id, message, relay, isResend)
+        relay.exchange = connections.send(attempt.endpoint, call.id, message, relay)
     }
 
     /** Performs an effect on the answer to a request; ignores effects of other kinds. */
--- a/node/src/main/kotlin/org/ragwortbank/node/gateway/UpstreamConnections.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/gateway/UpstreamConnections.kt
@@ -38,21 +38,18 @@
         .handler(UpstreamChannelInitializer())
 
     /**
-     * Sends [request], which its caller identifies as [requestId], to [endpoint] and notifies [listener].
-     *
-     * @param isResend whether it was sent before; an answer to that, written once more, would pass for the answer to
-     *   this on a connection that has carried both, so it gets a new one
+     * Sends [request], which its caller identifies as [requestId], to [endpoint] and notifies [listener]; on a kept
+     * connection only if that has carried no request with this id, from the same or another caller.
      */
     fun send(
         endpoint: Endpoint,
         requestId: String,
         request: FullHttpRequest,
         listener: AttemptListener,
-        isResend: Boolean = false,
     ): UpstreamExchange {
         val keepIdle = { channel: Channel, timeout: Duration -> release(endpoint, channel, timeout) }
         val exchange = UpstreamExchange(requestId, request, listener, dialect, observer, keepIdle)
-        val idleChannel = if (isResend) null else takeIdle(endpoint)
+        val idleChannel = takeIdle(endpoint, requestId)
         if (idleChannel != null) {
             exchange.sendOn(idleChannel)
         } else {
@@ -63,12 +60,12 @@
         return exchange
     }
 
-    private fun takeIdle(endpoint: Endpoint): Channel? {
+    private fun takeIdle(endpoint: Endpoint, requestId: String): Channel? {
         val candidates = idleConnections[endpoint].orEmpty()
         val (usable, expired) = candidates.partition { it.channel.isActive && it.usableUntil > now() }
         expired.forEach { it.channel.close() }
-        val newest = usable.lastOrNull()
-        val remaining = usable.dropLast(1)
+        val newest = usable.lastOrNull { it.history.mayCarry(requestId) }
+        val remaining = usable.filter { it !== newest }
         idleConnections = idleConnections.put(endpoint, remaining.toPersistentList())
         return newest?.channel
     }
@@ -80,7 +77,9 @@
     }
 
     /** A connection without a request, which can be reused until [usableUntil]. */
-    private class IdleConnection(val channel: Channel, val usableUntil: Timestamp)
+    private class IdleConnection(val channel: Channel, val usableUntil: Timestamp) {
+        val history: ConnectionHistory get() = channel.upstreamHandler.history
+    }
 
     private inner class UpstreamChannelInitializer : ChannelInitializer<SocketChannel>() {
         override fun initChannel(channel: SocketChannel) {
