Don't pass on a success without its upstream's signature, or with an encoded body

Cause: the dialect compared the request's id alone.

Change: an answer has a typed defect: such a success, or a head with two ids or signatures, as a joined one has. The attempt has failed then, at once, and is tried elsewhere if the route allows it.

--- a/node/src/main/kotlin/org/ragwortbank/node/gateway/AnswerMatcher.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/gateway/AnswerMatcher.kt
@@ -30,6 +30,6 @@
         dialect.answersOtherRequest(response, requestId) -> AnswerMatch.OfOtherRequest
         isConnectionReused && !dialect.namesRequest(response, requestId) ->
             AnswerMatch.Refused("an answer to no request, on a connection that was used before")
-        else -> AnswerMatch.Own
+        else -> dialect.defect(response)?.let(AnswerMatch::Refused) ?: AnswerMatch.Own
     }
 }
--- a/node/src/main/kotlin/org/ragwortbank/node/port/RequestDialect.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/port/RequestDialect.kt
@@ -28,6 +28,9 @@
     /** The id of the request that [response] says it answers; null when it names none. */
     fun requestId(response: HttpResponse): String?
 
+    /** Why [response] can't be the upstream's own answer although it answers the request; null when it can. */
+    fun defect(response: HttpResponse): String?
+
     /** How long the sender of [response] keeps an idle connection open; null when the response doesn't state it. */
     fun keepAliveTimeout(response: HttpResponse): Duration?
 }
--- a/node/src/test/kotlin/org/ragwortbank/node/gateway/IdDialect.kt
+++ b/node/src/test/kotlin/org/ragwortbank/node/gateway/IdDialect.kt
@@ -28,5 +28,7 @@
 
     override fun requestId(response: HttpResponse): String? = response.headers()["X-Request-Id"]
 
+    override fun defect(response: HttpResponse): String? = null
+
     override fun keepAliveTimeout(response: HttpResponse): Duration? = null
 }
