--- a/standins/src/main/kotlin/org/ragwortbank/standins/prepared/PreparedDeployment.kt
+++ b/standins/src/main/kotlin/org/ragwortbank/standins/prepared/PreparedDeployment.kt
@@ -47,17 +47,32 @@
         private const val ENGINE_ID = "i-engine"
         private const val PLAIN_SERVICE_ID = "i-desk"
 
-        /** Returns a configuration that routes `/chat/` to the engine, `/book/` and `/look/` to the plain service. */
-        fun configJson(version: Long, apiKey: String = API_KEY): String {
+        /**
+         * Returns a configuration that routes `/chat/` to the engine, `/book/` and `/look/` to the plain service, and
+         * `/once/NAME/` and `/again/NAME/` to each of [otherServices], with up to [maxAttempts] attempts.
+         */
+        fun configJson(
+            version: Long,
+            apiKey: String = API_KEY,
+            otherServices: List<String> = emptyList(),
+            maxAttempts: Int = 1,
+        ): String {
+            val otherRoutes = otherServices.flatMap { name ->
+                listOf(
+                    """"prefix":"/once/$name/","route_type":"non_idempotent","service":"$name"""",
+                    """"prefix":"/again/$name/","route_type":"idempotent","service":"$name","max_attempts":$maxAttempts""",
+                )
+            }
+            val others = otherServices.joinToString("") { """,{"name":"$it"}""" }
             val routes = listOf(
                 """"prefix":"/chat/","route_type":"streaming","service":"engines"""",
                 """"prefix":"/book/","route_type":"non_idempotent","service":"desk"""",
                 """"prefix":"/look/","route_type":"idempotent","service":"desk"""",
-            ).joinToString { """{"name":"r","host":"$HOST","timeout_ms":5000,"target_latency_ms":500,$it}""" }
+            ).plus(otherRoutes).joinToString { """{"name":"r","host":"$HOST","timeout_ms":5000,"target_latency_ms":500,$it}""" }
             val model = """{"name":"$MODEL","weights_mb":70,"adapter_mb":1,"adapters":100}"""
             val engine = """{"models":[$model],"weights_mb":80,"adapter_slots":4}"""
             return """{"version":$version,"routes":[$routes],""" +
-                """"services":[{"name":"engines","engine":$engine},{"name":"desk"}],""" +
+                """"services":[{"name":"engines","engine":$engine},{"name":"desk"}$others],""" +
                 """"tenants":[{"name":"club","api_keys":["$apiKey"],"rate_per_s":100000,"burst":100000,""" +
                 """"plain_tokens":200}],"limits":{"idle_timeout_ms":9000}}"""
         }
--- /dev/null
+++ b/standins/src/test/kotlin/org/ragwortbank/standins/prepared/SecondAnswerOfFailureTest.kt
@@ -0,0 +1,47 @@
+package org.ragwortbank.standins.prepared
+
+import org.junit.jupiter.api.Tag
+import kotlin.random.Random
+import kotlin.test.AfterTest
+import kotlin.test.Test
+
+/** Runs a gateway as a process before workers that answer twice, with a first answer missing or the second one cut. */
+@Tag("known-red")
+class SecondAnswerOfFailureTest {
+    private var fleet: StutterFleet? = null
+
+    @AfterTest
+    fun `stop the processes`() {
+        fleet?.stop()
+    }
+
+    // Guards against a second answer that is taken for the answer to a run whose failure was never read.
+    @Test
+    fun `given a failed run whose answer is missing and a second answer that says ok, then no caller reads a success`() =
+        start(workerCount = 1).assertKept(StutterCases.repeatedFailures(StutterCases.missingFailures))
+
+    // Guards against a failure that is joined to the beginning of a second answer to the request before it.
+    @Test
+    fun `given a cut second answer and then a failed run on its connection, then no caller reads a success`() =
+        start(workerCount = 1).assertKept(StutterCases.failuresAfterStutters(StutterCases.cutSeconds))
+
+    @Test
+    fun `given seeded answers of three workers, cut, missing or interleaved, then each caller reads its own run's`() =
+        start(workerCount = 3).assertKept(
+            StutterCases.chosen(
+                Random(seed),
+                count,
+                StutterCases.failures + StutterCases.missingFailures,
+                StutterCases.seconds + StutterCases.cutSeconds,
+                isInterleaved = true,
+            ),
+        )
+
+    private fun start(workerCount: Int): StutterFleet =
+        StutterFleet(workerCount).also { fleet = it }.also { check(it.start()) { "the gateway did not become ready" } }
+
+    private companion object {
+        val seed: Int = Integer.getInteger("stutter.seed", 1)
+        val count: Int = Integer.getInteger("stutter.count", 200)
+    }
+}
--- /dev/null
+++ b/standins/src/test/kotlin/org/ragwortbank/standins/prepared/SecondAnswerTest.kt
@@ -0,0 +1,39 @@
+package org.ragwortbank.standins.prepared
+
+import kotlin.random.Random
+import kotlin.test.AfterTest
+import kotlin.test.Test
+
+/** Runs a gateway as a process before workers that answer twice, the first time whole or spoilt. */
+class SecondAnswerTest {
+    private var fleet: StutterFleet? = null
+
+    @AfterTest
+    fun `stop the processes`() {
+        fleet?.stop()
+    }
+
+    @Test
+    fun `given a failed run and a second answer that says ok, then no caller reads a success`() =
+        start(workerCount = 1).assertKept(StutterCases.repeatedFailures(StutterCases.failures))
+
+    @Test
+    fun `given a whole second answer and then a failed run on its connection, then no caller reads a success`() =
+        start(workerCount = 1).assertKept(StutterCases.failuresAfterStutters(StutterCases.seconds))
+
+    @Test
+    fun `given seeded answers of one worker, then each caller reads the whole answer of its own run or a failure`() =
+        start(workerCount = 1).assertKept(StutterCases.chosen(Random(seed), count))
+
+    @Test
+    fun `given seeded answers of three workers, then each caller reads the whole answer of its own run or a failure`() =
+        start(workerCount = 3).assertKept(StutterCases.chosen(Random(seed), count))
+
+    private fun start(workerCount: Int): StutterFleet =
+        StutterFleet(workerCount).also { fleet = it }.also { check(it.start()) { "the gateway did not become ready" } }
+
+    private companion object {
+        val seed: Int = Integer.getInteger("stutter.seed", 1)
+        val count: Int = Integer.getInteger("stutter.count", 200)
+    }
+}
