--- a/standins/src/main/kotlin/org/ragwortbank/standins/prepared/AnswerForm.kt
+++ b/standins/src/main/kotlin/org/ragwortbank/standins/prepared/AnswerForm.kt
@@ -54,12 +54,13 @@
 
     /** Forms that are used often. */
     companion object {
+        private val SUCCESSES = 200..299
         private const val KEEP_ALIVE = "Keep-Alive: timeout=5\r\n"
 
         /** The form that second answers are known to have. */
         val knownSecond = Complete(200, "ok", fields = "")
 
-        private fun reason(status: Int) = if (status in 200..299) "OK" else "Internal Server Error"
+        private fun reason(status: Int) = if (status in SUCCESSES) "OK" else "Internal Server Error"
 
         private fun chunks(body: String) =
             if (body.isEmpty()) "" else "${body.length.toString(radix = 16)}\r\n$body\r\n"
--- a/standins/src/main/kotlin/org/ragwortbank/standins/prepared/PreparedDeployment.kt
+++ b/standins/src/main/kotlin/org/ragwortbank/standins/prepared/PreparedDeployment.kt
@@ -60,7 +60,8 @@
             val otherRoutes = otherServices.flatMap { name ->
                 listOf(
                     """"prefix":"/once/$name/","route_type":"non_idempotent","service":"$name"""",
-                    """"prefix":"/again/$name/","route_type":"idempotent","service":"$name","max_attempts":$maxAttempts""",
+                    """"prefix":"/again/$name/","route_type":"idempotent","service":"$name",""" +
+                        """"max_attempts":$maxAttempts""",
                 )
             }
             val others = otherServices.joinToString("") { """,{"name":"$it"}""" }
@@ -68,10 +69,13 @@
                 """"prefix":"/chat/","route_type":"streaming","service":"engines"""",
                 """"prefix":"/book/","route_type":"non_idempotent","service":"desk"""",
                 """"prefix":"/look/","route_type":"idempotent","service":"desk"""",
-            ).plus(otherRoutes).joinToString { """{"name":"r","host":"$HOST","timeout_ms":5000,"target_latency_ms":500,$it}""" }
+            )
+            val allRoutes = (routes + otherRoutes).joinToString {
+                """{"name":"r","host":"$HOST","timeout_ms":5000,"target_latency_ms":500,$it}"""
+            }
             val model = """{"name":"$MODEL","weights_mb":70,"adapter_mb":1,"adapters":100}"""
             val engine = """{"models":[$model],"weights_mb":80,"adapter_slots":4}"""
-            return """{"version":$version,"routes":[$routes],""" +
+            return """{"version":$version,"routes":[$allRoutes],""" +
                 """"services":[{"name":"engines","engine":$engine},{"name":"desk"}$others],""" +
                 """"tenants":[{"name":"club","api_keys":["$apiKey"],"rate_per_s":100000,"burst":100000,""" +
                 """"plain_tokens":200}],"limits":{"idle_timeout_ms":9000}}"""
--- a/standins/src/test/kotlin/org/ragwortbank/standins/prepared/SecondAnswerOfFailureTest.kt
+++ b/standins/src/test/kotlin/org/ragwortbank/standins/prepared/SecondAnswerOfFailureTest.kt
@@ -5,7 +5,7 @@
 import kotlin.test.AfterTest
 import kotlin.test.Test
 
-/** Runs a gateway as a process before workers that answer twice, with a first answer missing or the second one cut. */
+/** Runs a gateway as a process before workers whose first answers are missing, or whose second ones are cut. */
 @Tag("known-red")
 class SecondAnswerOfFailureTest {
     private var fleet: StutterFleet? = null
@@ -17,7 +17,7 @@
 
     // Guards against a second answer that is taken for the answer to a run whose failure was never read.
     @Test
-    fun `given a failed run whose answer is missing and a second answer that says ok, then no caller reads a success`() =
+    fun `given a failed run with no answer but a second that says ok, then no caller reads a success`() =
         start(workerCount = 1).assertKept(StutterCases.repeatedFailures(StutterCases.missingFailures))
 
     // Guards against a failure that is joined to the beginning of a second answer to the request before it.
--- a/standins/src/test/kotlin/org/ragwortbank/standins/prepared/StutterCase.kt
+++ b/standins/src/test/kotlin/org/ragwortbank/standins/prepared/StutterCase.kt
@@ -91,7 +91,7 @@
         "after the next answer" to (AfterNextAnswer to 0L),
     )
 
-    /** A failed run with a second answer of the known form, for each of the [forms] of its first answer and each time. */
+    /** A failed run with a known second answer, for each of the [forms] of its first answer and each time. */
     fun repeatedFailures(forms: Map<String, AnswerForm>): List<StutterCase> = forms.flatMap { (formName, form) ->
         times.filterValues { it.first is After }.map { (timeName, time) ->
             val plan = AnswerPlan(500, "", form, AnswerForm.knownSecond, time.first)
--- a/standins/src/test/kotlin/org/ragwortbank/standins/prepared/StutterFleet.kt
+++ b/standins/src/test/kotlin/org/ragwortbank/standins/prepared/StutterFleet.kt
@@ -6,7 +6,7 @@
 import java.util.concurrent.Executors
 import kotlin.test.assertTrue
 
-/** A gateway process before [LANES] services, each with [workerCount] workers that stutter; plays cases at all of them. */
+/** A gateway process before [LANES] services, each with [workerCount] workers that stutter, which plays cases there. */
 class StutterFleet(private val workerCount: Int) {
     private val launcher = testLauncher("ragwortbank-stutter", Path.of(System.getProperty("stutter.jar", BUILT_JAR)))
     private val fleet = PreparedFleet(launcher)
--- a/standins/src/test/kotlin/org/ragwortbank/standins/prepared/StutterLane.kt
+++ b/standins/src/test/kotlin/org/ragwortbank/standins/prepared/StutterLane.kt
@@ -27,7 +27,8 @@
     /** Plays [case] and returns the promises that were broken. */
     fun play(case: StutterCase): List<Violation> {
         val id = "$service-${++played}"
-        assertTrue(Polling.until(SETTLE_MILLIS) { call("$id-settle", isRepeatable = true).hasSucceeded() }, "$service doesn't answer")
+        val isSettled = Polling.until(SETTLE_MILLIS) { call("$id-settle", isRepeatable = true).hasSucceeded() }
+        assertTrue(isSettled, "$service doesn't answer")
         workers.forEach { it.plan("$id-first", case.first) }
         workers.forEach { it.plan("$id-next", case.next) }
         val first = call("$id-first", case.isRepeatable)
