Pooled connections that carried bytes nobody asked for are closed

What callers saw: after a second answer, whole or cut, the answer to the next call on the same connection could be read as something else: a head that was cut after "HTTP/1.1 200 OK" joined the 503 behind it, and the caller got a 200.

Cause: while a connection was idle only the HTTP decoder was in its pipeline. It dropped a whole answer that nobody waited for and kept a part of one, in front of the next answer. The connection was given back before the rest of the same read was decoded.

Fix: each call has a decoder of its own, which is removed with the end of its answer. What it still holds, and all that arrives between calls, reaches UnaskedBytesHandler, which closes the connection. A connection goes back to the pool after all that had arrived with the answer is read. The decoder is installed in the same step as the request is written, so it reads nothing that was received before.

--- a/clients/src/main/kotlin/org/ragwortbank/clients/http/HttpClient.kt
+++ b/clients/src/main/kotlin/org/ragwortbank/clients/http/HttpClient.kt
@@ -36,7 +36,7 @@
 
     private val pools = object : AbstractChannelPoolMap<Address, ChannelPool>() {
         override fun newPool(key: Address): ChannelPool =
-            SimpleChannelPool(bootstrap.clone().remoteAddress(InetSocketAddress(key.host, key.port)), CodecInstaller)
+            SimpleChannelPool(bootstrap.clone().remoteAddress(InetSocketAddress(key.host, key.port)), IdleInstaller)
     }
 
     /** Sends [call] and reports the response to [listener]; closing the returned handle cancels the call. */
@@ -48,9 +48,9 @@
 
     override fun close() = pools.close()
 
-    private object CodecInstaller : AbstractChannelPoolHandler() {
+    private object IdleInstaller : AbstractChannelPoolHandler() {
         override fun channelCreated(ch: Channel) {
-            ch.pipeline().addLast(HttpClientCodec())
+            ch.pipeline().addLast(UnaskedBytesHandler)
         }
     }
 
@@ -95,11 +95,17 @@
             listener.onFailure(wasConnected = false, "cancelled")
         }
 
+        /** Nothing is read between the start of the decoder and the write, so what it decodes came after the request. */
         private fun send(connection: Channel) {
-            connection.attr(HAS_CARRIED_REQUEST).set(true)
             channel.set(connection)
-            val handler = ResponseHandler(listener) { pool.release(connection) }
-            connection.pipeline().addLast(handler)
+            connection.eventLoop().execute { sendOnLoop(connection) }
+        }
+
+        private fun sendOnLoop(connection: Channel) {
+            connection.attr(HAS_CARRIED_REQUEST).set(true)
+            val codec = HttpClientCodec()
+            val handler = ResponseHandler(listener, codec) { pool.release(connection) }
+            connection.pipeline().addFirst(codec, handler)
             connection.writeAndFlush(httpRequest()).addListener { write ->
                 if (!write.isSuccess) handler.onWriteFailed(connection, write.cause())
             }
--- a/clients/src/main/kotlin/org/ragwortbank/clients/http/ResponseHandler.kt
+++ b/clients/src/main/kotlin/org/ragwortbank/clients/http/ResponseHandler.kt
@@ -4,6 +4,7 @@
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.handler.codec.http.HttpClientCodec
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpResponse
@@ -16,24 +17,38 @@
 /** Set on connections that have carried a request. */
 internal val HAS_CARRIED_REQUEST: AttributeKey<Boolean> = AttributeKey.valueOf("ragwortbank.used")
 
-/** Passes the parts of one response to [listener] and calls [release] to return the connection to its pool. */
+/**
+ * Passes the parts of one response to [listener] and calls [release] to return the connection to its pool.
+ *
+ * [codec] is removed with the end of the response, so that what it still holds passes as bytes that belong to no call.
+ * The connection goes back when all that had arrived with that end is read.
+ */
 internal class ResponseHandler(
     private val listener: HttpListener,
+    private val codec: HttpClientCodec,
     private val release: () -> Unit,
 ) : SimpleChannelInboundHandler<HttpObject>() {
-    private var isCompleted = false
+    private var state = ResponseState.EXPECTED
     private var isKeptAlive = true
 
     override fun channelRead0(ctx: ChannelHandlerContext, part: HttpObject) {
         val result = part.decoderResult()
-        if (result.isFailure) return fail(ctx, "malformed response: ${result.cause().message}")
-        if (part is HttpResponse) onHead(part)
-        if (part is HttpContent) onContent(part)
-        if (part is LastHttpContent) onLastContent(ctx)
+        when {
+            state != ResponseState.EXPECTED -> Unit
+            result.isFailure -> fail(ctx, "malformed response: ${result.cause().message}")
+            else -> pass(ctx, part)
+        }
+    }
+
+    override fun channelReadComplete(ctx: ChannelHandlerContext) {
+        complete(ctx)
+        ctx.fireChannelReadComplete()
     }
 
-    override fun channelInactive(ctx: ChannelHandlerContext) =
+    override fun channelInactive(ctx: ChannelHandlerContext) {
+        complete(ctx)
         fail(ctx, "the connection was closed before the end of the response")
+    }
 
     @Deprecated("Deprecated in Java")
     override fun exceptionCaught(ctx: ChannelHandlerContext, cause: Throwable) =
@@ -43,6 +58,12 @@
     fun onWriteFailed(channel: Channel, cause: Throwable) =
         channel.eventLoop().execute { failOnce(channel, cause.message ?: cause.javaClass.simpleName) }
 
+    private fun pass(ctx: ChannelHandlerContext, part: HttpObject) {
+        if (part is HttpResponse) onHead(part)
+        if (part is HttpContent) onContent(part)
+        if (part is LastHttpContent) onLastContent(ctx)
+    }
+
     private fun onHead(response: HttpResponse) {
         isKeptAlive = HttpUtil.isKeepAlive(response)
         val headers = response.headers().entries().map { Header(it.key, it.value) }
@@ -54,9 +75,15 @@
     }
 
     private fun onLastContent(ctx: ChannelHandlerContext) {
-        isCompleted = true
-        ctx.pipeline().remove(this)
+        state = ResponseState.READ
+        ctx.pipeline().remove(codec)
+    }
+
+    private fun complete(ctx: ChannelHandlerContext) {
+        if (state != ResponseState.READ) return
+        state = ResponseState.REPORTED
         if (!isKeptAlive) ctx.close()
+        ctx.pipeline().remove(this)
         release()
         listener.onCompleted()
     }
@@ -64,10 +91,21 @@
     private fun fail(ctx: ChannelHandlerContext, cause: String) = failOnce(ctx.channel(), cause)
 
     private fun failOnce(channel: Channel, cause: String) {
-        if (isCompleted) return
-        isCompleted = true
+        if (state == ResponseState.REPORTED) return
+        state = ResponseState.REPORTED
         channel.close()
         release()
         listener.onFailure(wasConnected = true, cause)
     }
+
+    private enum class ResponseState {
+        /** Its end has not arrived. */
+        EXPECTED,
+
+        /** All of it was passed on, except that it is complete. */
+        READ,
+
+        /** Its completion, or a failure, was reported. */
+        REPORTED,
+    }
 }
