Interim answers are not taken for the answer to a call

What callers saw: 100 or 103 from a server counted as the complete answer, with an empty body; the answer behind it was dropped or met the next call. An answer 101 counted as a success of the call, too.

Cause: the decoder reports an interim answer like any other, with an end of its own, and ResponseHandler took the first end for the end of the answer.

Fix: the parts of interim answers are skipped until the final head. 101 fails the call: no call asks for it.

Evidence: InterimAnswerTest over real sockets; before, 3 of its 5 tests failed (expected 503, was 100). The other two, on bodies that end with the connection and with a reset, passed before and stay as guards.

--- a/clients/src/main/kotlin/org/ragwortbank/clients/http/ResponseHandler.kt
+++ b/clients/src/main/kotlin/org/ragwortbank/clients/http/ResponseHandler.kt
@@ -8,6 +8,8 @@
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpStatusClass
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.AttributeKey
@@ -18,7 +20,8 @@
 internal val HAS_CARRIED_REQUEST: AttributeKey<Boolean> = AttributeKey.valueOf("ragwortbank.used")
 
 /**
- * Passes the parts of one response to [listener] and calls [release] to return the connection to its pool.
+ * Passes the parts of one response, without interim ones before it, to [listener] and calls [release] to return the
+ * connection to its pool.
  *
  * [codec] is removed with the end of the response, so that what it still holds passes as bytes that belong to no call.
  * The connection goes back when all that had arrived with that end is read.
@@ -30,6 +33,7 @@
 ) : SimpleChannelInboundHandler<HttpObject>() {
     private var state = ResponseState.EXPECTED
     private var isKeptAlive = true
+    private var isInterim = false
 
     override fun channelRead0(ctx: ChannelHandlerContext, part: HttpObject) {
         val result = part.decoderResult()
@@ -59,6 +63,16 @@
         channel.eventLoop().execute { failOnce(channel, cause.message ?: cause.javaClass.simpleName) }
 
     private fun pass(ctx: ChannelHandlerContext, part: HttpObject) {
+        if (part is HttpResponse) isInterim = part.status().codeClass() == HttpStatusClass.INFORMATIONAL
+        when {
+            !isInterim -> passFinal(ctx, part)
+            part is HttpResponse && part.status() == HttpResponseStatus.SWITCHING_PROTOCOLS ->
+                fail(ctx, "the server switched the protocol")
+            else -> Unit
+        }
+    }
+
+    private fun passFinal(ctx: ChannelHandlerContext, part: HttpObject) {
         if (part is HttpResponse) onHead(part)
         if (part is HttpContent) onContent(part)
         if (part is LastHttpContent) onLastContent(ctx)
