An answer counts only with evidence that it belongs to the call

What callers saw: when an engine or service wrote an answer twice, the second one after the next run was sent, the sidecar relayed it as the answer of that run: a success where the upstream answered with a failure, and another caller's text. A load command counted as done by the second answer to a read of the resident adapters.

Cause: on a kept connection an answer was matched to its call by its order alone.

Fix: a call can name a field that its server repeats (HttpCall.echoedField). An answer with another value is refused; a connection whose answers lack the field is not kept, so that its next call gets a new one; on a kept one an answer without it is refused. Engines get X-Request-Id so, with the run (which names request and attempt) or with an id of the call. Load and unload commands and a service's runs, whose answers can't be told apart, get a connection of their own, which is closed after the call. A call that needs a new connection no longer closes the idle ones of the others.

Cost: engines that don't repeat the id, and services, get a new connection for each call, from the same machine.

What remains: a service's health read stays on a kept connection. A second answer to it can only say that the service answered a moment before.

Evidence: SecondRunAnswerTest over real sockets.

--- a/clients/src/main/kotlin/org/ragwortbank/clients/http/HttpClient.kt
+++ b/clients/src/main/kotlin/org/ragwortbank/clients/http/HttpClient.kt
@@ -16,7 +16,6 @@
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpVersion
-import io.netty.util.concurrent.Future
 import kotlinx.coroutines.suspendCancellableCoroutine
 import kotlinx.coroutines.withTimeoutOrNull
 import java.net.InetSocketAddress
@@ -33,29 +32,34 @@
         .channel(NioSocketChannel::class.java)
         .option(ChannelOption.TCP_NODELAY, true)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeout.inWholeMilliseconds.toInt())
+        .handler(UnaskedBytesHandler)
 
     private val pools = object : AbstractChannelPoolMap<Address, ChannelPool>() {
-        override fun newPool(key: Address): ChannelPool =
-            SimpleChannelPool(bootstrap.clone().remoteAddress(InetSocketAddress(key.host, key.port)), IdleInstaller)
+        override fun newPool(key: Address): ChannelPool = SimpleChannelPool(bootstrapTo(key), PoolInitializer)
     }
 
     /** Sends [call] and reports the response to [listener]; closing the returned handle cancels the call. */
     fun open(address: Address, call: HttpCall, listener: HttpListener): AutoCloseable {
-        val exchange = Exchange(pools[address], address, call, listener)
+        val connections =
+            if (call.needsNewConnection) NewConnections(bootstrapTo(address)) else KeptConnections(pools[address])
+        val exchange = Exchange(connections, address, call, listener)
         exchange.start()
         return exchange
     }
 
     override fun close() = pools.close()
 
-    private object IdleInstaller : AbstractChannelPoolHandler() {
+    private fun bootstrapTo(address: Address): Bootstrap =
+        bootstrap.clone().remoteAddress(InetSocketAddress(address.host, address.port))
+
+    private object PoolInitializer : AbstractChannelPoolHandler() {
         override fun channelCreated(ch: Channel) {
             ch.pipeline().addLast(UnaskedBytesHandler)
         }
     }
 
     private class Exchange(
-        private val pool: ChannelPool,
+        private val connections: ConnectionSource,
         private val address: Address,
         private val call: HttpCall,
         private val listener: HttpListener,
@@ -63,35 +67,23 @@
         private val cancelled = AtomicBoolean(false)
         private val channel = AtomicReference<Channel?>(null)
 
-        fun start() {
-            pool.acquire().addListener { future: Future<in Channel> -> onAcquired(future) }
-        }
+        fun start() = connections.acquire(::onAcquired)
 
         override fun close() {
             cancelled.set(true)
             channel.get()?.close()
         }
 
-        private fun onAcquired(future: Future<in Channel>) {
-            val connection = future.now as Channel?
+        private fun onAcquired(connection: Channel?, cause: Throwable?) {
             when {
-                connection == null ->
-                    listener.onFailure(wasConnected = false, future.cause()?.message ?: "no connection")
+                connection == null -> listener.onFailure(wasConnected = false, cause?.message ?: "no connection")
                 cancelled.get() -> releaseCancelled(connection)
-                call.needsNewConnection && connection.hasAttr(HAS_CARRIED_REQUEST) -> replaceUsed(connection)
                 else -> send(connection)
             }
         }
 
-        private fun replaceUsed(used: Channel) {
-            used.close().addListener {
-                pool.release(used)
-                start()
-            }
-        }
-
         private fun releaseCancelled(connection: Channel) {
-            pool.release(connection)
+            connections.release(connection)
             listener.onFailure(wasConnected = false, "cancelled")
         }
 
@@ -102,9 +94,10 @@
         }
 
         private fun sendOnLoop(connection: Channel) {
-            connection.attr(HAS_CARRIED_REQUEST).set(true)
+            val isReused = connection.attr(HAS_CARRIED_REQUEST).getAndSet(true) ?: false
             val codec = HttpClientCodec()
-            val handler = ResponseHandler(listener, codec) { pool.release(connection) }
+            val evidence = AnswerEvidence(call.echoedField, isReused)
+            val handler = ResponseHandler(listener, codec, evidence) { connections.release(connection) }
             connection.pipeline().addFirst(codec, handler)
             connection.writeAndFlush(httpRequest()).addListener { write ->
                 if (!write.isSuccess) handler.onWriteFailed(connection, write.cause())
@@ -119,6 +112,7 @@
             call.headers.groupBy({ it.name }, { it.value }).forEach { (name, values) ->
                 message.headers().set(name, values)
             }
+            call.echoedField?.let { message.headers().set(it.name, it.value) }
             message.headers().set(HttpHeaderNames.CONTENT_LENGTH, call.body.size)
             return message
         }
--- a/clients/src/main/kotlin/org/ragwortbank/clients/http/ResponseHandler.kt
+++ b/clients/src/main/kotlin/org/ragwortbank/clients/http/ResponseHandler.kt
@@ -29,6 +29,7 @@
 internal class ResponseHandler(
     private val listener: HttpListener,
     private val codec: HttpClientCodec,
+    private val evidence: AnswerEvidence,
     private val release: () -> Unit,
 ) : SimpleChannelInboundHandler<HttpObject>() {
     private var state = ResponseState.EXPECTED
@@ -73,15 +74,21 @@
     }
 
     private fun passFinal(ctx: ChannelHandlerContext, part: HttpObject) {
-        if (part is HttpResponse) onHead(part)
-        if (part is HttpContent) onContent(part)
-        if (part is LastHttpContent) onLastContent(ctx)
+        if (part is HttpResponse) onHead(ctx, part)
+        if (state == ResponseState.EXPECTED && part is HttpContent) onContent(part)
+        if (state == ResponseState.EXPECTED && part is LastHttpContent) onLastContent(ctx)
     }
 
-    private fun onHead(response: HttpResponse) {
-        isKeptAlive = HttpUtil.isKeepAlive(response)
+    private fun onHead(ctx: ChannelHandlerContext, response: HttpResponse) {
         val headers = response.headers().entries().map { Header(it.key, it.value) }
-        listener.onHead(HttpHead(response.status().code(), headers.toPersistentList()))
+        val head = HttpHead(response.status().code(), headers.toPersistentList())
+        val verdict = evidence.judge(head)
+        isKeptAlive = HttpUtil.isKeepAlive(response) && verdict == AnswerVerdict.OWN
+        if (verdict == AnswerVerdict.FOREIGN) {
+            fail(ctx, "the response is not marked as the one to this call")
+        } else {
+            listener.onHead(head)
+        }
     }
 
     private fun onContent(part: HttpContent) {
--- a/clients/src/main/kotlin/org/ragwortbank/clients/upstream/EngineClient.kt
+++ b/clients/src/main/kotlin/org/ragwortbank/clients/upstream/EngineClient.kt
@@ -6,6 +6,7 @@
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import org.ragwortbank.clients.http.Address
+import org.ragwortbank.clients.http.CallIds
 import org.ragwortbank.clients.http.HttpCall
 import org.ragwortbank.clients.http.HttpClient
 import org.ragwortbank.clients.http.HttpReply
@@ -22,6 +23,8 @@
 /**
  * A model engine with the OpenAI-compatible interface and the load and unload calls for LoRA adapters.
  *
+ * Engines that repeat `X-Request-Id` keep their connections; others get a new one for each call.
+ *
  * @param weightPrefix prefix of the path of an adapter's weights; the adapter's engine name is appended
  * @param loadTimeout time-out of a load command
  * @param timeout time-out of every other command
@@ -33,6 +36,8 @@
     private val loadTimeout: Duration,
     private val timeout: Duration,
 ) : UpstreamClient {
+    private val callIds = CallIds()
+
     override fun run(command: SidecarCommand.Dispatch, listener: RunListener): AutoCloseable {
         val work = command.work as? Work.Generation
         val adapter = command.adapter
@@ -44,7 +49,8 @@
     }
 
     override suspend fun residentAdapters(): PersistentSet<AdapterRef>? {
-        val reply = client.fetch(address, HttpCall.get("/v1/models"), timeout)
+        val call = HttpCall("GET", "/v1/models", echoedField = Header(ID_HEADER, callIds.next()))
+        val reply = client.fetch(address, call, timeout)
         return if (reply is HttpReply.Answered && reply.isSuccess) residentAdaptersIn(reply.text) else null
     }
 
@@ -74,8 +80,14 @@
             GenerationApi.COMPLETIONS -> "/v1/completions"
             GenerationApi.CHAT -> "/v1/chat/completions"
         }
-        val headers = persistentListOf(CONTENT_TYPE, Header("X-Request-Id", command.run.toString()))
-        val call = HttpCall("POST", path, headers, body.encodeToByteArray(), needsNewConnection = !command.isIdempotent)
+        val call = HttpCall(
+            method = "POST",
+            path = path,
+            headers = persistentListOf(CONTENT_TYPE),
+            body = body.encodeToByteArray(),
+            needsNewConnection = !command.isIdempotent,
+            echoedField = Header(ID_HEADER, command.run.toString()),
+        )
         return client.open(address, call, reader)
     }
 
@@ -86,7 +98,7 @@
 
     private fun commandCall(path: String, body: String, fencingToken: Long): HttpCall {
         val headers = persistentListOf(CONTENT_TYPE, Header(FENCING_HEADER, fencingToken.toString()))
-        return HttpCall("POST", path, headers, body.encodeToByteArray())
+        return HttpCall("POST", path, headers, body.encodeToByteArray(), needsNewConnection = true)
     }
 
     private fun loadResult(reply: HttpReply.Answered): LoadFailure? =
@@ -114,6 +126,7 @@
         /** Header field that carries the fencing token of a command. */
         const val FENCING_HEADER: String = "X-Fencing-Token"
 
+        private const val ID_HEADER = "X-Request-Id"
         private val CONTENT_TYPE = Header("Content-Type", "application/json")
         private const val BAD_REQUEST = 400
         private const val NOT_FOUND = 404
--- a/clients/src/main/kotlin/org/ragwortbank/clients/upstream/ServiceClient.kt
+++ b/clients/src/main/kotlin/org/ragwortbank/clients/upstream/ServiceClient.kt
@@ -27,8 +27,7 @@
 ) : UpstreamClient {
     override fun run(command: SidecarCommand.Dispatch, listener: RunListener): AutoCloseable =
         when (val work = command.work) {
-            is Work.ServiceCall ->
-                client.open(address, call(work, command.isIdempotent), ServiceResponseReader(listener))
+            is Work.ServiceCall -> client.open(address, call(work), ServiceResponseReader(listener))
             is Work.Generation -> rejectUnsupported(listener)
         }
 
@@ -42,8 +41,9 @@
 
     override suspend fun unload(adapter: AdapterRef, fencingToken: Long): Boolean = false
 
-    private fun call(work: Work.ServiceCall, isIdempotent: Boolean): HttpCall =
-        HttpCall(work.method, work.path, work.headers, work.body.toByteArray(), needsNewConnection = !isIdempotent)
+    /** A service repeats nothing of a request, so that only its connection tells which one an answer belongs to. */
+    private fun call(work: Work.ServiceCall): HttpCall =
+        HttpCall(work.method, work.path, work.headers, work.body.toByteArray(), needsNewConnection = true)
 
     private fun rejectUnsupported(listener: RunListener): AutoCloseable {
         listener.onFailed(RunFailure.NotConnected)
