Each call of the key-value service has a connection of its own

What callers saw: after an answer that came twice, a conditional write that the service refused counted as done, and a key that exists counted as missing.

Cause: transactions, reads and watches shared kept connections, and an answer names neither its call nor, for a write, its keys.

Fix: a new connection for each call. An idle entry makes 1.2 reads a second and one watch, and claims, fencing tokens and configurations are written rarely, so this costs about one connection a second for each entry.

--- a/clients/src/main/kotlin/org/ragwortbank/clients/kv/EtcdKeyValueStore.kt
+++ b/clients/src/main/kotlin/org/ragwortbank/clients/kv/EtcdKeyValueStore.kt
@@ -10,7 +10,11 @@
 import org.ragwortbank.clients.http.fetch
 import kotlin.time.Duration
 
-/** Client of the key-value service over the JSON gateway of the etcd v3 protocol. */
+/**
+ * Client of the key-value service over the JSON gateway of the etcd v3 protocol.
+ *
+ * Its answers don't name the call that they belong to, so each call has a connection of its own.
+ */
 class EtcdKeyValueStore(
     private val client: HttpClient,
     private val address: Address,
@@ -35,12 +39,14 @@
 
     override fun watch(prefix: String, listener: KvWatchListener): AutoCloseable {
         val body = EtcdJson.encodeToString(WatchRequest.serializer(), WatchRequest(WatchCreate.withPrefix(prefix)))
-        return client.open(address, HttpCall.json("/v3/watch", body), EtcdWatch(listener))
+        return client.open(address, call("/v3/watch", body), EtcdWatch(listener))
     }
 
+    private fun call(path: String, body: String): HttpCall = HttpCall.json(path, body, needsNewConnection = true)
+
     private suspend fun execute(txn: TxnRequest): KvResult<TxnResponse> {
         val body = EtcdJson.encodeToString(TxnRequest.serializer(), txn)
-        return when (val reply = client.fetch(address, HttpCall.json("/v3/kv/txn", body), timeout)) {
+        return when (val reply = client.fetch(address, call("/v3/kv/txn", body), timeout)) {
             is HttpReply.Failed -> KvResult.Unanswered(reply.cause)
             is HttpReply.Answered -> decode(reply, TxnResponse.serializer())
         }
