--- a/clients/src/main/kotlin/org/ragwortbank/clients/http/AnswerEvidence.kt
+++ b/clients/src/main/kotlin/org/ragwortbank/clients/http/AnswerEvidence.kt
@@ -11,11 +11,17 @@
     fun judge(head: HttpHead): AnswerVerdict {
         val value = expected?.let { head.header(it.name) }
         return when {
+            head.status == SWITCHING_PROTOCOLS -> AnswerVerdict.FOREIGN
             expected == null || value == expected.value -> AnswerVerdict.OWN
             value == null && !isConnectionReused -> AnswerVerdict.UNMARKED
             else -> AnswerVerdict.FOREIGN
         }
     }
+
+    private companion object {
+        /** Answers a request for another protocol, which no call is. */
+        const val SWITCHING_PROTOCOLS = 101
+    }
 }
 
 /** Whether an answer belongs to a call. */
--- a/clients/src/main/kotlin/org/ragwortbank/clients/http/HttpClient.kt
+++ b/clients/src/main/kotlin/org/ragwortbank/clients/http/HttpClient.kt
@@ -87,7 +87,7 @@
             listener.onFailure(wasConnected = false, "cancelled")
         }
 
-        /** Nothing is read between the start of the decoder and the write, so what it decodes came after the request. */
+        /** No read comes between decoder and request, so that what is decoded arrived after the call was taken up. */
         private fun send(connection: Channel) {
             channel.set(connection)
             connection.eventLoop().execute { sendOnLoop(connection) }
--- a/clients/src/main/kotlin/org/ragwortbank/clients/http/ResponseHandler.kt
+++ b/clients/src/main/kotlin/org/ragwortbank/clients/http/ResponseHandler.kt
@@ -40,7 +40,7 @@
         val result = part.decoderResult()
         when {
             state != ResponseState.EXPECTED -> Unit
-            result.isFailure -> fail(ctx, "malformed response: ${result.cause().message}")
+            result.isFailure -> failOnce(ctx.channel(), "malformed response: ${result.cause().message}")
             else -> pass(ctx, part)
         }
     }
@@ -52,30 +52,24 @@
 
     override fun channelInactive(ctx: ChannelHandlerContext) {
         complete(ctx)
-        fail(ctx, "the connection was closed before the end of the response")
+        failOnce(ctx.channel(), "the connection was closed before the end of the response")
     }
 
     @Deprecated("Deprecated in Java")
     override fun exceptionCaught(ctx: ChannelHandlerContext, cause: Throwable) =
-        fail(ctx, cause.message ?: cause.javaClass.simpleName)
+        failOnce(ctx.channel(), cause.message ?: cause.javaClass.simpleName)
 
     /** The connection closed before this handler was added to it, so that no other event will fail the call. */
     fun onWriteFailed(channel: Channel, cause: Throwable) =
         channel.eventLoop().execute { failOnce(channel, cause.message ?: cause.javaClass.simpleName) }
 
     private fun pass(ctx: ChannelHandlerContext, part: HttpObject) {
-        if (part is HttpResponse) isInterim = part.status().codeClass() == HttpStatusClass.INFORMATIONAL
-        when {
-            !isInterim -> passFinal(ctx, part)
-            part is HttpResponse && part.status() == HttpResponseStatus.SWITCHING_PROTOCOLS ->
-                fail(ctx, "the server switched the protocol")
-            else -> Unit
-        }
-    }
-
-    private fun passFinal(ctx: ChannelHandlerContext, part: HttpObject) {
+        if (part is HttpResponse) isInterim = part.isInterim()
+        if (isInterim) return
         if (part is HttpResponse) onHead(ctx, part)
-        if (state == ResponseState.EXPECTED && part is HttpContent) onContent(part)
+        if (state == ResponseState.EXPECTED && part is HttpContent) {
+            if (part.content().isReadable) listener.onContent(ByteBufUtil.getBytes(part.content()))
+        }
         if (state == ResponseState.EXPECTED && part is LastHttpContent) onLastContent(ctx)
     }
 
@@ -85,16 +79,12 @@
         val verdict = evidence.judge(head)
         isKeptAlive = HttpUtil.isKeepAlive(response) && verdict == AnswerVerdict.OWN
         if (verdict == AnswerVerdict.FOREIGN) {
-            fail(ctx, "the response is not marked as the one to this call")
+            failOnce(ctx.channel(), "the response is not one to this call")
         } else {
             listener.onHead(head)
         }
     }
 
-    private fun onContent(part: HttpContent) {
-        if (part.content().isReadable) listener.onContent(ByteBufUtil.getBytes(part.content()))
-    }
-
     private fun onLastContent(ctx: ChannelHandlerContext) {
         state = ResponseState.READ
         ctx.pipeline().remove(codec)
@@ -109,8 +99,6 @@
         listener.onCompleted()
     }
 
-    private fun fail(ctx: ChannelHandlerContext, cause: String) = failOnce(ctx.channel(), cause)
-
     private fun failOnce(channel: Channel, cause: String) {
         if (state == ResponseState.REPORTED) return
         state = ResponseState.REPORTED
@@ -130,3 +118,7 @@
         REPORTED,
     }
 }
+
+/** Whether another answer to the same call follows. */
+private fun HttpResponse.isInterim(): Boolean =
+    status().codeClass() == HttpStatusClass.INFORMATIONAL && status() != HttpResponseStatus.SWITCHING_PROTOCOLS
--- a/clients/src/test/kotlin/org/ragwortbank/clients/http/AnswerEvidenceTest.kt
+++ b/clients/src/test/kotlin/org/ragwortbank/clients/http/AnswerEvidenceTest.kt
@@ -30,6 +30,11 @@
             write(answer(Regex("$ID_FIELD: (\\w+)").find(request)?.groupValues?.get(1).orEmpty()))
         }
 
+    private fun assertCallsGetTheirAnswers(server: ScriptedServer) =
+        (1..CALLS).map { "c$it" }.forEach { id ->
+            assertEquals(id, assertIs<HttpReply.Answered>(fetch(server, markedCall(id))).text)
+        }
+
     @Test
     fun `given a second answer before the answer to the next call, then it is refused by the id it bears`() {
         val server = ScriptedServer {
@@ -49,7 +54,7 @@
     fun `given a server that repeats the id, then its connection is kept`() {
         val server = ScriptedServer { answerEach { id -> answer(id, 200, "$ID_FIELD: $id") } }
         server.use {
-            (1..CALLS).forEach { assertEquals("c$it", assertIs<HttpReply.Answered>(fetch(server, markedCall("c$it"))).text) }
+            assertCallsGetTheirAnswers(it)
             assertEquals(1, server.connections)
         }
     }
@@ -58,13 +63,13 @@
     fun `given a server that repeats no id, then each call is answered on a connection of its own`() {
         val server = ScriptedServer { answerEach { id -> answer(id) } }
         server.use {
-            (1..CALLS).forEach { assertEquals("c$it", assertIs<HttpReply.Answered>(fetch(server, markedCall("c$it"))).text) }
+            assertCallsGetTheirAnswers(it)
             assertEquals(CALLS, server.connections)
         }
     }
 
     @Test
-    fun `given a kept connection, when a call needs a new one, then a second answer on the kept one does not meet it`() {
+    fun `given a kept connection, when a call needs a new one, then a second answer on the other does not meet it`() {
         val server = ScriptedServer {
             readRequest()
             write(answer("own"))
--- a/clients/src/test/kotlin/org/ragwortbank/clients/kv/EtcdKeyValueStoreTest.kt
+++ b/clients/src/test/kotlin/org/ragwortbank/clients/kv/EtcdKeyValueStoreTest.kt
@@ -33,7 +33,8 @@
         }
         server.use {
             val store = EtcdKeyValueStore(client, server.address, TIMEOUT)
-            val write = { runBlocking { store.write(listOf(KvCondition("k", 0)), listOf(KvPut("k", "v")), emptyList()) } }
+            val condition = listOf(KvCondition("k", 0))
+            val write = { runBlocking { store.write(condition, listOf(KvPut("k", "v")), emptyList()) } }
             assertEquals(KvResult.Answered(true), write())
             assertEquals(KvResult.Answered(false), write())
         }
--- a/clients/src/test/kotlin/org/ragwortbank/clients/upstream/SecondRunAnswerTest.kt
+++ b/clients/src/test/kotlin/org/ragwortbank/clients/upstream/SecondRunAnswerTest.kt
@@ -67,7 +67,7 @@
 
     private fun serviceCall() = Work.ServiceCall("GET", "/page", persistentListOf(), ByteString())
 
-    /** Answers each request with [body] and its number; the first one twice, the second time as the next is expected. */
+    /** Answers each request with [body] and its number; the first one again when the next answer is expected. */
     private fun ScriptedConnection.stutter(fields: (String) -> Array<String>, body: (Int) -> String) {
         val first = readRequest()
         write(answer(body(number), OK, *fields(first)))
