Skip only second answers to requests that their connection has carried

Cause: any answer that named another request was skipped, and any 1xx.

Change: an answer is skipped if it names a request that the connection has carried, as second answers do, and an interim one if its status is 100, 102 or 103. After any other the attempt has failed at once.

--- a/node/src/main/kotlin/org/ragwortbank/node/gateway/AnswerMatcher.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/gateway/AnswerMatcher.kt
@@ -13,7 +13,7 @@
     /** An interim answer, which the final one follows. */
     data object Interim : AnswerMatch
 
-    /** An answer to another request, such as a second one to an earlier request on the connection. */
+    /** A second answer to an earlier request on the connection. */
     data object OfOtherRequest : AnswerMatch
 
     /** An answer that can't be trusted, for [cause]; no later one on the connection can be either. */
@@ -22,14 +22,26 @@
 
 /** Matches answers to the request [requestId]. */
 internal class AnswerMatcher(private val requestId: String, private val dialect: RequestDialect) {
-    /** Matches [response], received on a connection that has carried other requests if [isConnectionReused]. */
-    fun match(response: HttpResponse, isConnectionReused: Boolean): AnswerMatch = when {
-        response.status() == HttpResponseStatus.SWITCHING_PROTOCOLS ->
-            AnswerMatch.Refused("a change of the protocol, which was not asked for")
-        response.status().codeClass() == HttpStatusClass.INFORMATIONAL -> AnswerMatch.Interim
-        dialect.answersOtherRequest(response, requestId) -> AnswerMatch.OfOtherRequest
-        isConnectionReused && !dialect.namesRequest(response, requestId) ->
+    /** Matches [response], received on a connection that had carried [history] before the request. */
+    fun match(response: HttpResponse, history: ConnectionHistory): AnswerMatch = when {
+        response.status().codeClass() == HttpStatusClass.INFORMATIONAL -> matchInterim(response.status())
+        dialect.answersOtherRequest(response, requestId) -> matchOther(dialect.requestId(response), history)
+        history.carried > 0 && !dialect.namesRequest(response, requestId) ->
             AnswerMatch.Refused("an answer to no request, on a connection that was used before")
         else -> dialect.defect(response)?.let(AnswerMatch::Refused) ?: AnswerMatch.Own
     }
+
+    private fun matchInterim(status: HttpResponseStatus): AnswerMatch =
+        if (status in interimStatuses) AnswerMatch.Interim else AnswerMatch.Refused("interim status $status")
+
+    /** An upstream may answer an earlier request twice; one that names any other request mixes up its connections. */
+    private fun matchOther(namedRequest: String?, history: ConnectionHistory): AnswerMatch = when {
+        namedRequest != null && history.hasCarried(namedRequest) -> AnswerMatch.OfOtherRequest
+        else -> AnswerMatch.Refused("an answer to a request that its connection has not carried")
+    }
+
+    private companion object {
+        val interimStatuses =
+            setOf(HttpResponseStatus.CONTINUE, HttpResponseStatus.PROCESSING, HttpResponseStatus.EARLY_HINTS)
+    }
 }
--- a/node/src/main/kotlin/org/ragwortbank/node/gateway/ConnectionHistory.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/gateway/ConnectionHistory.kt
@@ -29,7 +29,10 @@
      * Whether the connection may carry the request [id]. A second answer to an earlier request with the same id would
      * pass for the answer to this one.
      */
-    fun mayCarry(id: String): Boolean = carried < MAX_EXCHANGES && id !in requestIds
+    fun mayCarry(id: String): Boolean = carried < MAX_EXCHANGES && !hasCarried(id)
+
+    /** Whether the connection has carried the request [id]. */
+    fun hasCarried(id: String): Boolean = id in requestIds
 
     private companion object {
         /** Bounds the ids that are kept for each connection. */
--- a/node/src/main/kotlin/org/ragwortbank/node/gateway/UpstreamExchange.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/gateway/UpstreamExchange.kt
@@ -52,7 +52,7 @@
     private var channel: Channel? = null
     private var isClosed = false
     private var head: HttpResponse? = null
-    private var isChannelReused = false
+    private var history = ConnectionHistory(number = 0)
     private var isSkipping = false
     private var skippedAnswers = 0
     private var bytesBeforeHead = 0L
@@ -99,9 +99,9 @@
     fun sendOn(opened: Channel) {
         channel = opened
         val handler = opened.upstreamHandler
-        isChannelReused = handler.history.carried > 0
+        history = handler.history
         handler.begin(opened, this, request.method())
-        recorder.onConnection(handler.history.nextUse)
+        recorder.onConnection(history.nextUse)
         opened.writeAndFlush(request).addListener { sent ->
             if (!sent.isSuccess) onFailure(ConnectionLost(sent.cause().message ?: "the request was not written"))
         }
@@ -120,8 +120,8 @@
 
     /** The head of an answer was received. */
     fun onHead(response: HttpResponse) {
-        val match = matcher.match(response, isChannelReused)
-        isSkipping = match is AnswerMatch.Interim || match is AnswerMatch.OfOtherRequest
+        val match = matcher.match(response, history)
+        isSkipping = match != AnswerMatch.Own
         if (isClosed) return
         if (isSkipping) recorder.onSkipped(response) else recorder.onRead(response)
         when (match) {
