Share the codec of one exchange between the gateway and the pooled clients

The gateway and HttpClient each added and removed a decoder of their own; ExchangeCodec does it for both, and the pooled clients gain the stricter AnswerDecoder: the beginning of a second answer that comes while the next call is under way no longer joins that call's answer.

--- a/node/src/main/kotlin/org/ragwortbank/node/gateway/AnswerDecoder.kt
+++ b/clients/src/main/kotlin/org/ragwortbank/clients/http/AnswerDecoder.kt
@@ -1,4 +1,4 @@
-package org.ragwortbank.node.gateway
+package org.ragwortbank.clients.http
 
 import io.netty.buffer.ByteBuf
 import io.netty.channel.ChannelHandlerContext
--- a/clients/src/main/kotlin/org/ragwortbank/clients/http/HttpClient.kt
+++ b/clients/src/main/kotlin/org/ragwortbank/clients/http/HttpClient.kt
@@ -12,7 +12,6 @@
 import io.netty.channel.pool.SimpleChannelPool
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.DefaultFullHttpRequest
-import io.netty.handler.codec.http.HttpClientCodec
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpVersion
@@ -95,10 +94,11 @@
 
         private fun sendOnLoop(connection: Channel) {
             val isReused = connection.attr(HAS_CARRIED_REQUEST).getAndSet(true) ?: false
-            val codec = HttpClientCodec()
+            val codec = ExchangeCodec(HttpMethod.valueOf(call.method))
             val evidence = AnswerEvidence(call.echoedField, isReused)
             val handler = ResponseHandler(listener, codec, evidence) { connections.release(connection) }
-            connection.pipeline().addFirst(codec, handler)
+            connection.pipeline().addFirst(handler)
+            codec.addBefore(handler, connection.pipeline())
             connection.writeAndFlush(httpRequest()).addListener { write ->
                 if (!write.isSuccess) handler.onWriteFailed(connection, write.cause())
             }
--- a/clients/src/main/kotlin/org/ragwortbank/clients/http/ResponseHandler.kt
+++ b/clients/src/main/kotlin/org/ragwortbank/clients/http/ResponseHandler.kt
@@ -4,7 +4,6 @@
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.SimpleChannelInboundHandler
-import io.netty.handler.codec.http.HttpClientCodec
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpResponse
@@ -28,7 +27,7 @@
  */
 internal class ResponseHandler(
     private val listener: HttpListener,
-    private val codec: HttpClientCodec,
+    private val codec: ExchangeCodec,
     private val evidence: AnswerEvidence,
     private val release: () -> Unit,
 ) : SimpleChannelInboundHandler<HttpObject>() {
@@ -87,7 +86,7 @@
 
     private fun onLastContent(ctx: ChannelHandlerContext) {
         state = ResponseState.READ
-        ctx.pipeline().remove(codec)
+        codec.removeFrom(ctx.pipeline())
     }
 
     private fun complete(ctx: ChannelHandlerContext) {
--- a/node/src/main/kotlin/org/ragwortbank/node/gateway/UpstreamHandler.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/gateway/UpstreamHandler.kt
@@ -7,9 +7,9 @@
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpObject
-import io.netty.handler.codec.http.HttpRequestEncoder
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.LastHttpContent
+import org.ragwortbank.clients.http.ExchangeCodec
 import org.ragwortbank.core.gateway.AttemptFailure
 import org.ragwortbank.core.gateway.AttemptFailure.ConnectionLost
 import org.ragwortbank.core.gateway.AttemptFailure.InvalidAnswer
@@ -27,6 +27,7 @@
 ) : SimpleChannelInboundHandler<Any>() {
     private var hasUnaskedBytes = false
     private var onIdle: (() -> Unit)? = null
+    private var codec: ExchangeCodec? = null
 
     /** What the connection has carried so far. */
     var history: ConnectionHistory = history
@@ -39,10 +40,7 @@
     /** Lets [started], which sends a request with [method], use [channel], the connection of this handler. */
     fun begin(channel: Channel, started: UpstreamExchange, method: HttpMethod) {
         exchange = started
-        val ownName = channel.pipeline().context(this).name()
-        channel.pipeline()
-            .addBefore(ownName, ENCODER, HttpRequestEncoder())
-            .addBefore(ownName, DECODER, AnswerDecoder(method))
+        codec = ExchangeCodec(method).also { it.addBefore(this, channel.pipeline()) }
     }
 
     /** Ends the exchange on [channel]; calls [onIdle] when all that has arrived is read and the connection is sound. */
@@ -50,8 +48,8 @@
         exchange = null
         history = history.after(completed)
         this.onIdle = onIdle
-        channel.pipeline().remove(DECODER)
-        channel.pipeline().remove(ENCODER)
+        codec?.removeFrom(channel.pipeline())
+        codec = null
     }
 
     override fun channelRead0(ctx: ChannelHandlerContext, part: Any) {
@@ -98,11 +96,6 @@
         val detail = cause.message ?: cause.javaClass.simpleName
         return if (cause is IOException) ConnectionLost(detail) else InvalidAnswer(detail)
     }
-
-    private companion object {
-        const val ENCODER = "request-encoder"
-        const val DECODER = "answer-decoder"
-    }
 }
 
 /** The handler that [UpstreamConnections] adds to each connection. */
