End a stream to a caller of HTTP/1.0 with its connection instead of chunks

With "Connection: keep-alive" the connection stayed open behind it.

Cause: the sink chose chunks for every answer without a length, whatever the version of the request.

Change: a request tells whether its caller knows chunks. If not, an answer of unknown length goes out as it is, says "Connection: close" and ends with the connection. Such a caller can't tell an orderly end from that of the answer, so that an aborted one is reset.

CallerConnectionTest: "given a caller of HTTP 1 0, when a stream is relayed, ..." was known red and passes with its assertion unchanged. Two tests are new, for a caller that keeps its connection and for a stream that ends early; both failed before.

--- a/node/src/main/kotlin/org/ragwortbank/node/gateway/CallerRequest.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/gateway/CallerRequest.kt
@@ -13,6 +13,9 @@
 internal class CallerRequest(val head: HttpRequest, val body: ByteArray) {
     val headers: HttpHeaders get() = head.headers()
 
+    /** Whether the caller's version of HTTP has the chunked transfer coding. */
+    val knowsChunks: Boolean get() = head.protocolVersion() >= HttpVersion.HTTP_1_1
+
     /** The request to send to an upstream, with [upstreamHeaders] in place of the caller's. */
     fun toUpstreamRequest(upstreamHeaders: HttpHeaders): FullHttpRequest {
         val content = Unpooled.wrappedBuffer(body)
--- a/node/src/main/kotlin/org/ragwortbank/node/gateway/GatewayHttpHandler.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/gateway/GatewayHttpHandler.kt
@@ -78,10 +78,13 @@
 
     private fun passOn(ctx: ChannelHandlerContext, request: CallerRequest) {
         readTimeout.cancel()
-        val keepAlive = HttpUtil.isKeepAlive(request.head)
-        val answer = HttpAnswerSink(ctx, keepAlive, { listener.isStopping }) { staysOpen, lastWrite ->
-            onAnswerWritten(ctx, staysOpen, lastWrite)
-        }
+        val answer = HttpAnswerSink(
+            ctx = ctx,
+            keepAlive = HttpUtil.isKeepAlive(request.head),
+            isStopping = { listener.isStopping },
+            knowsChunks = request.knowsChunks,
+            onLastWrite = { staysOpen, lastWrite -> onAnswerWritten(ctx, staysOpen, lastWrite) },
+        )
         currentAnswer = answer
         listener.onRequest(request, answer)
     }
--- a/node/src/main/kotlin/org/ragwortbank/node/gateway/HttpAnswerSink.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/gateway/HttpAnswerSink.kt
@@ -4,6 +4,7 @@
 import io.netty.buffer.Unpooled
 import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelOption
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.DefaultHttpContent
 import io.netty.handler.codec.http.DefaultHttpResponse
@@ -25,19 +26,25 @@
  * The answer is over when it is complete, refused or aborted. From then on the connection belongs to the caller's next
  * request: nothing more is written or closed, and content is released.
  *
+ * An answer of unknown length is sent in chunks, or ends with the connection if the caller doesn't know chunks. Then an
+ * abort resets the connection, since a caller would take an orderly end for that of the answer.
+ *
  * @property keepAlive whether the caller allows the connection to be reused
  * @property isStopping whether the process is stopping, so that the connection closes after this answer
+ * @property knowsChunks whether the caller's version of HTTP has the chunked transfer coding
  * @property onLastWrite called with whether the connection stays open and with the future of the last write
  */
 internal class HttpAnswerSink(
     private val ctx: ChannelHandlerContext,
     private val keepAlive: Boolean,
     private val isStopping: () -> Boolean,
+    private val knowsChunks: Boolean = true,
     private val onLastWrite: (Boolean, ChannelFuture) -> Unit,
 ) : AnswerSink {
     private var writabilityAction: () -> Unit = {}
     private var staysOpen = keepAlive
     private var isOver = false
+    private var endsWithConnection = false
 
     override val isWritable: Boolean get() = ctx.channel().isWritable
 
@@ -55,10 +62,11 @@
             if (name.lowercase() !in HopHeaders.NAMES) head.headers().add(name, value)
         }
         val length = response.headers()[HttpHeaderNames.CONTENT_LENGTH]
-        if (length == null || HttpUtil.isTransferEncodingChunked(response)) {
-            HttpUtil.setTransferEncodingChunked(head, true)
-        } else {
-            head.headers().set(HttpHeaderNames.CONTENT_LENGTH, length)
+        val hasLength = length != null && !HttpUtil.isTransferEncodingChunked(response)
+        endsWithConnection = !hasLength && !knowsChunks
+        when {
+            hasLength -> head.headers().set(HttpHeaderNames.CONTENT_LENGTH, length)
+            knowsChunks -> HttpUtil.setTransferEncodingChunked(head, true)
         }
         setConnectionHeader(head)
         ctx.write(head)
@@ -77,6 +85,7 @@
     override fun abort() {
         if (isOver) return
         isOver = true
+        if (endsWithConnection) ctx.channel().config().setOption(ChannelOption.SO_LINGER, 0)
         ctx.close()
     }
 
@@ -94,7 +103,7 @@
     }
 
     private fun setConnectionHeader(head: HttpResponse) {
-        staysOpen = keepAlive && !isStopping()
+        staysOpen = keepAlive && !isStopping() && !endsWithConnection
         if (!staysOpen) head.headers().set(HttpHeaderNames.CONNECTION, "close")
     }
 
--- a/node/src/test/kotlin/org/ragwortbank/node/gateway/CallerConnectionTest.kt
+++ b/node/src/test/kotlin/org/ragwortbank/node/gateway/CallerConnectionTest.kt
@@ -1,11 +1,11 @@
 package org.ragwortbank.node.gateway
 
-import org.junit.jupiter.api.Tag
 import kotlin.test.AfterTest
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertFalse
 import kotlin.test.assertNull
+import kotlin.test.assertTrue
 
 /** Each answer on a caller's connection is that of the request that waits there, and is the whole of it. */
 class CallerConnectionTest {
@@ -111,7 +111,6 @@
     }
 
     // Guards against the framing of chunks in the body of a caller that doesn't know chunks.
-    @Tag("known-red")
     @Test
     fun `given a caller of HTTP 1 0, when a stream is relayed, then its body holds the stream alone`() =
         rig.connect().use { caller ->
@@ -122,6 +121,29 @@
             assertEquals("id: 1\n\n", caller.readRest().substringAfter("\r\n\r\n"))
         }
 
+    // Guards against a caller that waits for the end of a body whose length it can't know.
+    @Test
+    fun `given a caller of HTTP 1 0 that keeps its connection, when a stream is relayed, then it ends with it`() =
+        rig.connect().use { caller ->
+            caller.write("GET /a HTTP/1.0\r\nHost: host\r\nX-Request-Id: r1\r\nConnection: keep-alive\r\n\r\n")
+            val upstream = rig.nextUpstream().also { it.read() }
+            upstream.write(STREAM_HEAD + "id: 1\n\n")
+            upstream.close()
+            val received = caller.read()
+            assertEquals("id: 1\n\n" to "close", received?.body to received?.fields?.get("connection"))
+            assertNull(caller.read())
+        }
+
+    // Guards against an answer that passes for whole because its connection ends in the usual way.
+    @Test
+    fun `given a caller of HTTP 1 0, when its stream ends early, then its connection is reset`() =
+        rig.connect().use { caller ->
+            caller.write("GET /once/a HTTP/1.0\r\nHost: host\r\nX-Request-Id: r1\r\nX-Timeout-Ms: 200\r\n\r\n")
+            rig.nextUpstream().also { it.read() }.write(STREAM_HEAD + "id: 1\n\n")
+            caller.readRest()
+            assertTrue(caller.isReset)
+        }
+
     // Guards against a body that a caller doesn't expect and takes for its next answer.
     @Test
     fun `given a HEAD request, then the next answer on its connection is that of the next request`() =
--- a/node/src/test/kotlin/org/ragwortbank/node/gateway/RawConnection.kt
+++ b/node/src/test/kotlin/org/ragwortbank/node/gateway/RawConnection.kt
@@ -3,6 +3,7 @@
 import java.io.BufferedInputStream
 import java.io.IOException
 import java.net.Socket
+import java.net.SocketTimeoutException
 
 /**
  * One HTTP message as it arrived on a connection.
@@ -22,6 +23,10 @@
 internal class RawConnection(private val socket: Socket) : AutoCloseable {
     private val input = BufferedInputStream(socket.getInputStream())
 
+    /** Whether reading has failed because the other end reset the connection. */
+    var isReset = false
+        private set
+
     init {
         socket.tcpNoDelay = true
         socket.soTimeout = READ_TIMEOUT_MILLIS
@@ -114,7 +119,10 @@
     private fun readByte(): Int =
         try {
             input.read()
+        } catch (_: SocketTimeoutException) {
+            -1
         } catch (_: IOException) {
+            isReset = true
             -1
         }
 
