Let a response of the older front end be over once it is complete or refused

What callers would see: a head, a chunk or a refusal where the response to their next request is due. By reading, the registry of writers gives none out after the end of its answer, so that no path to it is known.

Cause: the writer had no end, like the sink of the gateway.

Change: a writer that is over writes nothing.

--- a/node/src/main/kotlin/org/ragwortbank/node/http/HttpResponseWriter.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/http/HttpResponseWriter.kt
@@ -20,6 +20,9 @@
  *
  * A streamed response is sent as server-sent events. Any other is buffered until it is complete, so that a failure
  * half-way can still be reported by an HTTP status.
+ *
+ * The response is over when it is complete or refused. From then on the connection belongs to the caller's next
+ * request, and nothing more is written.
  */
 internal class HttpResponseWriter(
     private val channel: Channel,
@@ -31,22 +34,26 @@
 ) : ResponseWriter {
     private var head: ResponseHead? = null
     private var bufferedChunks: PersistentList<ByteString> = persistentListOf()
+    private var isOver = false
 
     override fun writeHead(head: ResponseHead) {
+        if (isOver) return
         this.head = head
         if (head.isStreamed) write(responses.streamedHead(head))
     }
 
     override fun writeChunk(data: ByteString) {
+        if (isOver) return
         if (head?.isStreamed == true) writeEvent(data) else bufferedChunks = bufferedChunks.add(data)
     }
 
     override fun complete() {
-        val begunHead = head ?: return
+        val begunHead = head?.takeUnless { isOver } ?: return
         if (begunHead.isStreamed) endStream(DONE_EVENT) else finish(responses.fullResponse(begunHead, joinChunks()))
     }
 
     override fun writeRefusal(refusal: Refusal) {
+        if (isOver) return
         val text = ErrorBody.of(refusal).toJson().encodeToByteArray()
         if (head?.isStreamed == true) {
             endStream(EVENT_START + text + EVENT_END)
@@ -77,6 +84,7 @@
     }
 
     private fun finish(last: HttpObject) {
+        isOver = true
         val written = channel.writeAndFlush(last)
         pendingWrites.track(written)
         if (keepAlive) written.addListener { onWritten() } else written.addListener(ChannelFutureListener.CLOSE)
