End a stream of the older front end with its connection for HTTP/1.0

What callers of HTTP/1.0 saw: the sizes of chunks in the body of an event stream, and with "Connection: keep-alive" a connection that stayed open behind it.

Cause: a streamed head always chose chunks, as the gateway's sink did.

Change: the factory of responses knows whether the caller knows chunks. If not, a stream goes out as it is, says "Connection: close" and ends with the connection. It still ends with its last event, so that a caller can tell a stream that was cut off.

--- a/node/src/main/kotlin/org/ragwortbank/node/http/CallHandler.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/http/CallHandler.kt
@@ -76,10 +76,12 @@
         timeoutTask?.cancel(false)
         val id = dispatcher.nextRequestId()
         requestInProgress = id
-        val keepAlive = HttpUtil.isKeepAlive(assembled.request)
-        val responses = ResponseFactory(id.toString(), keepAlive)
-        val pendingWrites = dispatcher.pendingWrites
-        val writer = HttpResponseWriter(ctx.channel(), responses, keepAlive, settings, pendingWrites) {
+        val responses = ResponseFactory(
+            requestId = id.toString(),
+            keepAlive = HttpUtil.isKeepAlive(assembled.request),
+            knowsChunks = assembled.request.protocolVersion() >= HttpVersion.HTTP_1_1,
+        )
+        val writer = HttpResponseWriter(ctx.channel(), responses, settings, dispatcher.pendingWrites) {
             onResponseWritten(ctx)
         }
         dispatcher.dispatch(assembled, id, writer)
@@ -109,7 +111,7 @@
         assembler.clear()
         dispatcher.onBadInput(BadInput.HTTP, refusal)
         val responses = ResponseFactory("none", keepAlive = false)
-        HttpResponseWriter(ctx.channel(), responses, keepAlive = false, settings, dispatcher.pendingWrites) { }
+        HttpResponseWriter(ctx.channel(), responses, settings, dispatcher.pendingWrites) { }
             .writeRefusal(refusal)
     }
 
--- a/node/src/main/kotlin/org/ragwortbank/node/http/HttpResponseWriter.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/http/HttpResponseWriter.kt
@@ -27,7 +27,6 @@
 internal class HttpResponseWriter(
     private val channel: Channel,
     private val responses: ResponseFactory,
-    private val keepAlive: Boolean,
     private val settings: HttpSettings,
     private val pendingWrites: PendingWrites,
     private val onWritten: () -> Unit,
@@ -87,7 +86,8 @@
         isOver = true
         val written = channel.writeAndFlush(last)
         pendingWrites.track(written)
-        if (keepAlive) written.addListener { onWritten() } else written.addListener(ChannelFutureListener.CLOSE)
+        val staysOpen = responses.staysOpenAfter(head)
+        if (staysOpen) written.addListener { onWritten() } else written.addListener(ChannelFutureListener.CLOSE)
     }
 
     private companion object {
--- a/node/src/main/kotlin/org/ragwortbank/node/http/ResponseFactory.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/http/ResponseFactory.kt
@@ -19,13 +19,25 @@
 
 private const val MILLIS_PER_SECOND = 1_000
 
-/** Builds responses to the request [requestId]; they announce the end of the connection unless [keepAlive]. */
-internal class ResponseFactory(private val requestId: String, private val keepAlive: Boolean) {
-    /** Head of a response whose body follows in chunks. */
+/**
+ * Builds responses to the request [requestId]; they announce the end of the connection where it doesn't stay open.
+ *
+ * @property keepAlive whether the caller allows the connection to be reused
+ * @property knowsChunks whether the caller's version of HTTP has the chunked transfer coding
+ */
+internal class ResponseFactory(
+    private val requestId: String,
+    private val keepAlive: Boolean,
+    private val knowsChunks: Boolean = true,
+) {
+    /** Whether the connection stays open after a response with [head], or after a refusal without one. */
+    fun staysOpenAfter(head: ResponseHead?): Boolean = keepAlive && (knowsChunks || head?.isStreamed != true)
+
+    /** Head of a response whose body follows, in chunks or until the connection ends. */
     fun streamedHead(head: ResponseHead): HttpResponse {
         val response = DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(head.status))
         setCommonHeaders(response, head)
-        response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED)
+        if (knowsChunks) response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED)
         response.headers().set(HttpHeaderNames.CACHE_CONTROL, HttpHeaderValues.NO_CACHE)
         return response
     }
@@ -53,7 +65,7 @@
     private fun setCommonHeaders(response: HttpResponse, head: ResponseHead?) {
         head?.headers?.forEach { response.headers().add(it.name, it.value) }
         response.headers().set(REQUEST_ID_HEADER, requestId)
-        if (!keepAlive) response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
+        if (!staysOpenAfter(head)) response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
     }
 
     private fun secondsRoundedUp(wait: Duration): Long =
--- a/node/src/test/kotlin/org/ragwortbank/node/http/HttpResponseWriterTest.kt
+++ b/node/src/test/kotlin/org/ragwortbank/node/http/HttpResponseWriterTest.kt
@@ -16,7 +16,7 @@
     private var writtenCount = 0
     private val channel = EmbeddedChannel()
     private val responses = ResponseFactory("r1", keepAlive = true)
-    private val writer = HttpResponseWriter(channel, responses, true, HttpSettings(), PendingWrites()) { writtenCount++ }
+    private val writer = HttpResponseWriter(channel, responses, HttpSettings(), PendingWrites()) { writtenCount++ }
 
     // Guards against a late part of a stream in front of the caller's next response.
     @Test
