Recognise an answer inside another by its status line, and refuse fields after a body

Cause: any field with the protocol's name counted as a joined head, and the fields after a body were not looked at.

Change: a joined head holds a whole status line, version and status. Answers with fields after their body are refused: the gateway doesn't pass such fields on, and those of a swallowed answer would stand there.

--- a/clients/src/main/kotlin/org/ragwortbank/clients/http/AnswerDecoder.kt
+++ b/clients/src/main/kotlin/org/ragwortbank/clients/http/AnswerDecoder.kt
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseDecoder
 import io.netty.handler.codec.http.HttpStatusClass
@@ -30,7 +31,7 @@
 
     override fun createMessage(initialLine: Array<String>): HttpMessage {
         if (initialLine.first() !in versions) throw DecoderException("unknown protocol version")
-        if (VERSION_PREFIX in initialLine.last()) throw DecoderException(JOINED_HEAD)
+        if (hasStatusLine(initialLine.last())) throw DecoderException(JOINED_HEAD)
         return super.createMessage(initialLine)
     }
 
@@ -43,21 +44,25 @@
     /** The base class skips blank and control characters before an answer. */
     private fun beginAnswer(buffer: ByteBuf) {
         val first = buffer.getByte(buffer.readerIndex()).toInt().toChar()
-        if (first != VERSION_PREFIX.first()) throw DecoderException("bytes that are no answer")
+        if (first != FIRST_CHARACTER) throw DecoderException("bytes that are no answer")
         isBetweenAnswers = false
     }
 
+    /** Fields after a body in chunks may be those of an answer whose begin the last chunk's line has swallowed. */
     private fun rejectJoinedHead(part: Any) {
-        if (part !is HttpResponse) return
-        val isJoined = part.headers().any { (_, value) -> VERSION_PREFIX in value }
-        if (isJoined) part.decoderResult = DecoderResult.failure(DecoderException(JOINED_HEAD))
+        val cause = when {
+            part is HttpResponse && part.headers().any { (_, value) -> hasStatusLine(value) } -> JOINED_HEAD
+            part is LastHttpContent && !part.trailingHeaders().isEmpty -> "fields after the body of an answer"
+            else -> null
+        }
+        if (cause != null) (part as HttpObject).decoderResult = DecoderResult.failure(DecoderException(cause))
     }
 
     private companion object {
         const val MAX_LINE_BYTES = 4_096
         const val MAX_HEADER_BYTES = 32_768
         const val MAX_CHUNK_BYTES = 16_384
-        const val VERSION_PREFIX = "HTTP/1."
+        const val FIRST_CHARACTER = 'H'
         const val JOINED_HEAD = "the head of an answer inside that of another"
         val versions = setOf("HTTP/1.1", "HTTP/1.0")
 
