Don't lose a failure with an answer that is skipped; keep only connections that are sound

- The failure of a request stood in the body of a skipped answer whose length covered it, and the second answer counted (SkippedAnswerTest).
The body of a skipped answer is searched for a status line now.
- An answer with two ids was skipped if another request's stood first (AnswerMatcherTest).
Defects are looked for before an id counts.
- A connection that had carried all it may stayed in the pool until its time was over and counted against its upstream's limit (SkippedAnswerTest).
It is closed with its last answer.
- A connection whose upstream answered before the request was sent whole went back to the pool, so that the rest of a body could be read as the next request (EarlyAnswerTest).
Only a request that was sent keeps its connection.

--- a/node/src/main/kotlin/org/ragwortbank/node/gateway/AnswerMatcher.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/gateway/AnswerMatcher.kt
@@ -25,10 +25,14 @@
     /** Matches [response], received on a connection that had carried [history] before the request. */
     fun match(response: HttpResponse, history: ConnectionHistory): AnswerMatch = when {
         response.status().codeClass() == HttpStatusClass.INFORMATIONAL -> matchInterim(response.status())
+        else -> dialect.defect(response)?.let(AnswerMatch::Refused) ?: matchFinal(response, history)
+    }
+
+    private fun matchFinal(response: HttpResponse, history: ConnectionHistory): AnswerMatch = when {
         dialect.answersOtherRequest(response, requestId) -> matchOther(dialect.requestId(response), history)
         history.carried > 0 && !dialect.namesRequest(response, requestId) ->
             AnswerMatch.Refused("an answer to no request, on a connection that was used before")
-        else -> dialect.defect(response)?.let(AnswerMatch::Refused) ?: AnswerMatch.Own
+        else -> AnswerMatch.Own
     }
 
     private fun matchInterim(status: HttpResponseStatus): AnswerMatch =
--- a/node/src/main/kotlin/org/ragwortbank/node/gateway/ConnectionHistory.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/gateway/ConnectionHistory.kt
@@ -18,6 +18,9 @@
     val last: CompletedExchange? = null,
     private val requestIds: PersistentSet<String> = persistentSetOf(),
 ) {
+    /** Whether it may carry no further request. */
+    val isUsedUp: Boolean get() = carried >= MAX_EXCHANGES
+
     /** The use of the connection by its next exchange. */
     val nextUse: ConnectionUse get() = ConnectionUse(number, carried)
 
@@ -29,7 +32,7 @@
      * Whether the connection may carry the request [id]. A second answer to an earlier request with the same id would
      * pass for the answer to this one.
      */
-    fun mayCarry(id: String): Boolean = carried < MAX_EXCHANGES && !hasCarried(id)
+    fun mayCarry(id: String): Boolean = !isUsedUp && !hasCarried(id)
 
     /** Whether the connection has carried the request [id]. */
     fun hasCarried(id: String): Boolean = id in requestIds
--- a/node/src/main/kotlin/org/ragwortbank/node/gateway/UpstreamExchange.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/gateway/UpstreamExchange.kt
@@ -46,16 +46,17 @@
     private val request: FullHttpRequest,
     private val listener: AttemptListener,
     private val dialect: RequestDialect,
-    private val observer: ConnectionObserver,
+    observer: ConnectionObserver,
     private val release: (Channel, Duration) -> Unit,
 ) {
     private var channel: Channel? = null
     private var isClosed = false
     private var head: HttpResponse? = null
     private var history = ConnectionHistory(number = 0)
+    private var isSent = false
     private var isSkipping = false
-    private var skippedAnswers = 0
     private var bytesBeforeHead = 0L
+    private val skipped = SkippedAnswers(observer)
     private val matcher = AnswerMatcher(requestId, dialect)
     private val recorder = ExchangeRecorder(dialect, listener::onTrace)
 
@@ -103,7 +104,8 @@
         handler.begin(opened, this, request.method())
         recorder.onConnection(history.nextUse)
         opened.writeAndFlush(request).addListener { sent ->
-            if (!sent.isSuccess) onFailure(ConnectionLost(sent.cause().message ?: "the request was not written"))
+            isSent = sent.isSuccess
+            if (!isSent) onFailure(ConnectionLost(sent.cause().message ?: "the request was not written"))
         }
     }
 
@@ -115,7 +117,7 @@
         if (head != null) return
         bytesBeforeHead += count
         val isTooMuch = bytesBeforeHead > MAX_BYTES_BEFORE_HEAD
-        if (isTooMuch) onFailure(InvalidAnswer("no answer within $MAX_BYTES_BEFORE_HEAD bytes"))
+        if (isTooMuch) refuse("no answer within $MAX_BYTES_BEFORE_HEAD bytes")
     }
 
     /** The head of an answer was received. */
@@ -126,8 +128,8 @@
         if (isSkipping) recorder.onSkipped(response) else recorder.onRead(response)
         when (match) {
             AnswerMatch.Interim -> Unit
-            AnswerMatch.OfOtherRequest -> onSkippedAnswer()
-            is AnswerMatch.Refused -> onFailure(InvalidAnswer(match.cause))
+            AnswerMatch.OfOtherRequest -> skipped.onHead()?.let(::refuse)
+            is AnswerMatch.Refused -> refuse(match.cause)
             AnswerMatch.Own -> {
                 head = response
                 listener.onHead(response)
@@ -137,7 +139,8 @@
 
     /** A part of an answer's body was received. */
     fun onContent(content: ByteBuf) {
-        if (!isClosed && !isSkipping && content.isReadable) listener.onContent(content)
+        if (isClosed || !content.isReadable) return
+        if (isSkipping) skipped.onContent(content)?.let(::refuse) else listener.onContent(content)
     }
 
     /** The last part of an answer was received. */
@@ -146,10 +149,12 @@
         if (isClosed || isSkipping || answerHead == null) return
         isClosed = true
         val hasFraming = HttpUtil.isContentLengthSet(answerHead) || HttpUtil.isTransferEncodingChunked(answerHead)
-        val isReusable = HttpUtil.isKeepAlive(answerHead) && hasFraming && skippedAnswers == 0
+        val isReusable = HttpUtil.isKeepAlive(answerHead) && hasFraming && skipped.count == 0 && isSent
+        val handler = opened.upstreamHandler
         opened.config().isAutoRead = true
-        opened.upstreamHandler.end(opened, CompletedExchange(requestId, answerHead.status().code())) {
-            if (isReusable) release(opened, dialect.reuseTimeout(answerHead)) else opened.close()
+        handler.end(opened, CompletedExchange(requestId, answerHead.status().code())) {
+            val isKept = isReusable && !handler.history.isUsedUp
+            if (isKept) release(opened, dialect.reuseTimeout(answerHead)) else opened.close()
         }
         listener.onComplete()
     }
@@ -162,15 +167,9 @@
         listener.onFailure(cause)
     }
 
-    private fun onSkippedAnswer() {
-        observer.onSkippedAnswer()
-        val isTooMany = ++skippedAnswers > MAX_SKIPPED_ANSWERS
-        if (isTooMany) onFailure(InvalidAnswer("more than $MAX_SKIPPED_ANSWERS answers to other requests"))
-    }
+    private fun refuse(cause: String) = onFailure(InvalidAnswer(cause))
 
     private companion object {
-        const val MAX_SKIPPED_ANSWERS = 3
-
         /** Room for a whole answer to another request. */
         const val MAX_BYTES_BEFORE_HEAD = 2_097_152L
     }
--- a/node/src/test/kotlin/org/ragwortbank/node/gateway/AnswerMatcherTest.kt
+++ b/node/src/test/kotlin/org/ragwortbank/node/gateway/AnswerMatcherTest.kt
@@ -1,8 +1,10 @@
 package org.ragwortbank.node.gateway
 
 import io.netty.handler.codec.http.DefaultHttpResponse
+import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpVersion
+import org.ragwortbank.node.port.RequestDialect
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertIs
@@ -33,6 +35,19 @@
     @Test
     fun `given an answer that names the request, then it is its own`() = assertEquals(AnswerMatch.Own, match(500, "r2"))
 
+    // Guards against an own failure that is skipped because another id stands before its own.
+    @Test
+    fun `given a head with another id before the own one, then it is refused and not skipped`() {
+        val response = DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.INTERNAL_SERVER_ERROR)
+        response.headers().add("X-Request-Id", "r1").add("X-Request-Id", "r2")
+        assertIs<AnswerMatch.Refused>(AnswerMatcher("r2", SingleIdDialect).match(response, used))
+    }
+
+    private object SingleIdDialect : RequestDialect by IdDialect {
+        override fun defect(response: HttpResponse): String? =
+            "two ids".takeIf { response.headers().getAll("X-Request-Id").size > 1 }
+    }
+
     private fun match(status: Int, id: String?, history: ConnectionHistory = used): AnswerMatch {
         val response = DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status))
         id?.let { response.headers().add("X-Request-Id", it) }
