--- a/node/src/test/kotlin/org/ragwortbank/node/gateway/EarlyAnswerTest.kt
+++ b/node/src/test/kotlin/org/ragwortbank/node/gateway/EarlyAnswerTest.kt
@@ -1,6 +1,5 @@
 package org.ragwortbank.node.gateway
 
-import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
@@ -9,10 +8,8 @@
 import io.netty.channel.embedded.EmbeddedChannel
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.HttpMethod
-import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.util.ReferenceCountUtil
-import org.ragwortbank.core.gateway.AttemptFailure
 import kotlin.test.Test
 import kotlin.test.assertEquals
 
@@ -26,7 +23,7 @@
     fun `given an answer before the request was sent whole, then its connection carries no other request`() {
         val handler = UpstreamHandler(ConnectionHistory(1), IgnoringConnectionObserver)
         val channel = EmbeddedChannel(UnfinishedWrites, handler)
-        UpstreamExchange("r1", request, Ignoring, IdDialect, IgnoringConnectionObserver) { kept, _ ->
+        UpstreamExchange("r1", request, IgnoringListener, IdDialect, IgnoringConnectionObserver) { kept, _ ->
             released.add(kept)
         }.onConnected(channel, null)
         val answer = "HTTP/1.1 500 Some\r\nX-Request-Id: r1\r\nContent-Length: 0\r\n\r\n"
@@ -40,16 +37,4 @@
             ReferenceCountUtil.release(message)
         }
     }
-
-    private object Ignoring : AttemptListener {
-        override fun onNotSent(cause: String) = Unit
-
-        override fun onHead(response: HttpResponse) = Unit
-
-        override fun onContent(content: ByteBuf) = Unit
-
-        override fun onComplete() = Unit
-
-        override fun onFailure(cause: AttemptFailure) = Unit
-    }
 }
