Split routing into exclusions, limits, delay terms and a choice

Cause: RoutingSystem filtered, ranked and sent in one file, with one sum of fixed weights, so that nothing of what the new deployments need could be added in one place. Now a request meets, in order: exclusions (core.eligibility), each with a typed reason; limits on what an upstream gets now (core.pacing); terms of the expected delay (core.ranking); a choice (core.selection). UpstreamPolicy puts them together, and observers learn from each attempt.

--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/AttemptSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/AttemptSystem.kt
@@ -2,6 +2,8 @@
 
 import org.ragwortbank.core.log.LogPart
 import org.ragwortbank.core.result.ResultCode
+import org.ragwortbank.core.selection.AttemptOutcome
+import org.ragwortbank.core.selection.UpstreamPolicy
 import org.ragwortbank.core.serving.RequestKind
 import org.ragwortbank.core.serving.RequestNumber
 import org.ragwortbank.core.tick.Tick
@@ -10,7 +12,7 @@
 import kotlin.time.Duration.Companion.milliseconds
 
 /** Handles the outcome of each attempt: relays the answer, retries or refuses. */
-class AttemptSystem : TickSystem<GatewayTables, GatewayInput, GatewayEffect> {
+class AttemptSystem(private val policy: UpstreamPolicy) : TickSystem<GatewayTables, GatewayInput, GatewayEffect> {
     override fun run(tick: Tick<GatewayInput>, step: GatewayStep): GatewayStep =
         tick.inputs.fold(step) { current, input ->
             when (input) {
@@ -21,20 +23,11 @@
                 is GatewayInput.AnswerHeadReceived ->
                     current.onAttempt(input.number, input.attempt) { handleHead(current, it, input, tick.now) }
                 is GatewayInput.AnswerCompleted ->
-                    current.onAttempt(input.number, input.attempt) { complete(current, it, input.trace) }
+                    current.onAttempt(input.number, input.attempt) { complete(current, it, input.trace, tick.now) }
                 else -> current
             }
         }
 
-    private fun GatewayStep.onAttempt(
-        number: RequestNumber,
-        attempt: Int,
-        decide: (RequestRow) -> GatewayStep,
-    ): GatewayStep {
-        val row = tables.requests[number]?.takeIf { it.attemptCount == attempt && it.upstream != null }
-        return if (row == null) this else decide(row)
-    }
-
     private fun handleNotSent(
         step: GatewayStep,
         row: RequestRow,
@@ -44,6 +37,7 @@
         step
             .log(LogPart.ROUTING, "request ${row.call.id} not sent to ${row.upstream}: ${input.cause}")
             .recordFailure(row.upstream, now)
+            .observe(row, AttemptOutcome.NotSent, now)
             .update { it.requeueUnsent(row) }
 
     private fun handleLostAttempt(
@@ -56,6 +50,7 @@
         val logged = step
             .log(LogPart.ROUTING, "$lossText; ${row.describeAttempt(input.trace)}, ${input.cause.label}")
             .recordFailure(row.upstream, now)
+            .observe(row, AttemptOutcome.Lost, now)
         val possiblyRun = row.markMayHaveRun()
         val noAnswerSeen = row.stage is RequestStage.Sent
         val mayRepeat = noAnswerSeen && row.route.isRetryable && !logged.tables.isSuspect(row)
@@ -79,8 +74,15 @@
         }
         return when {
             facts.notRun -> handleRejection(updated, row, input, now)
-            facts.status >= FIRST_SERVER_ERROR -> handleServerError(updated, row, input, now)
-            else -> updated.update { it.recordSuccess(upstream, now - sentAt) }.relay(row, input, now)
+            facts.status >= FIRST_SERVER_ERROR -> {
+                val failed = AttemptOutcome.Failed(facts.status, now - sentAt)
+                handleServerError(updated.observe(row, failed, now), row, input, now)
+            }
+            else ->
+                updated
+                    .update { it.recordSuccess(upstream, now - sentAt) }
+                    .observe(row, AttemptOutcome.Began(now - sentAt), now)
+                    .relay(row, input, now)
         }
     }
 
@@ -94,6 +96,7 @@
         val rejectionText = "request ${row.call.id} rejected by ${row.upstream} with ${facts.status}, not run"
         val logged = step
             .log(LogPart.ROUTING, "$rejectionText; ${row.describeAttempt(input.trace)}")
+            .observe(row, AttemptOutcome.Rejected(facts.status), now)
             .emit(GatewayEffect.CancelAttempt(row.number, row.attemptCount, CancelCause.REJECTED))
         val detail = "upstream ${row.upstream} answered ${facts.status}"
         val isAdapterMissing = facts.status == MISDIRECTED && row.call.adapterKey != null
@@ -135,14 +138,19 @@
             .update { it.put(row.markMayHaveRun().copy(stage = RequestStage.Relaying(upstream, now))) }
     }
 
-    private fun complete(step: GatewayStep, row: RequestRow, trace: ExchangeTrace?): GatewayStep {
+    private fun complete(step: GatewayStep, row: RequestRow, trace: ExchangeTrace?, now: Timestamp): GatewayStep {
+        val beganAt = (row.stage as? RequestStage.Relaying)?.beganAt ?: now
         val endText = "request ${row.call.id} passed on from ${row.upstream}; ${row.describeAttempt(trace)}"
         return step
             .log(LogPart.ANSWER, endText)
+            .observe(row, AttemptOutcome.Completed(now - beganAt), now)
             .emit(GatewayEffect.RemoveRequest(row.number))
             .update { it.releaseUpstream(row).remove(row.number) }
     }
 
+    private fun GatewayStep.observe(row: RequestRow, outcome: AttemptOutcome, now: Timestamp): GatewayStep =
+        update { policy.recordOutcome(it, row, outcome, now) }
+
     private fun GatewayStep.retry(row: RequestRow, detail: String): GatewayStep {
         val exhausted = "$detail; retry budget of ${row.service} is used up"
         val budget = tables.retries[row.service]?.spend()
@@ -160,3 +168,13 @@
         val RETRY_AFTER = 500.milliseconds
     }
 }
+
+/** Applies [decide] to the request whose present attempt this is; unchanged for an earlier attempt. */
+private fun GatewayStep.onAttempt(
+    number: RequestNumber,
+    attempt: Int,
+    decide: (RequestRow) -> GatewayStep,
+): GatewayStep {
+    val row = tables.requests[number]?.takeIf { it.attemptCount == attempt && it.upstream != null }
+    return if (row == null) this else decide(row)
+}
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/CancellationSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/CancellationSystem.kt
@@ -2,6 +2,8 @@
 
 import org.ragwortbank.core.log.LogPart
 import org.ragwortbank.core.result.ResultCode
+import org.ragwortbank.core.selection.AttemptOutcome
+import org.ragwortbank.core.selection.UpstreamPolicy
 import org.ragwortbank.core.serving.RequestKind
 import org.ragwortbank.core.serving.RequestNumber
 import org.ragwortbank.core.tick.Tick
@@ -10,10 +12,10 @@
 import kotlin.time.Duration.Companion.milliseconds
 
 /** Cancels requests whose callers disconnected, and fails those past their deadline or their longest wait. */
-class CancellationSystem : TickSystem<GatewayTables, GatewayInput, GatewayEffect> {
+class CancellationSystem(private val policy: UpstreamPolicy) : TickSystem<GatewayTables, GatewayInput, GatewayEffect> {
     override fun run(tick: Tick<GatewayInput>, step: GatewayStep): GatewayStep {
         val afterCancels = tick.inputs.fold(step) { current, input ->
-            if (input is GatewayInput.CallerDisconnected) cancelIfSafe(current, input.number) else current
+            if (input is GatewayInput.CallerDisconnected) cancelIfSafe(current, input.number, tick.now) else current
         }
         val tables = afterCancels.tables
         val isSweepDue = tables.lastSweepAt?.let { tick.now - it >= tables.settings.sweepInterval } ?: true
@@ -21,18 +23,19 @@
     }
 
     /** Non-repeatable work that was sent runs to completion, because canceling it would leave its outcome unknown. */
-    private fun cancelIfSafe(step: GatewayStep, number: RequestNumber): GatewayStep {
+    private fun cancelIfSafe(step: GatewayStep, number: RequestNumber, now: Timestamp): GatewayStep {
         val row = step.tables.requests[number] ?: return step
         val mustFinish = row.route.kind == RequestKind.NON_IDEMPOTENT && row.upstream != null
         val logged = step.log(LogPart.ANSWER, "request ${row.call.id}: the caller disconnected")
-        return if (mustFinish) logged else logged.cancel(row)
+        return if (mustFinish) logged else logged.cancel(row, now)
     }
 
-    private fun GatewayStep.cancel(row: RequestRow): GatewayStep {
+    private fun GatewayStep.cancel(row: RequestRow, now: Timestamp): GatewayStep {
         val cancel = GatewayEffect.CancelAttempt(row.number, row.attemptCount, CancelCause.CALLER_DISCONNECTED)
         val withCancel = if (row.upstream == null) this else emit(cancel)
         return withCancel
             .emit(GatewayEffect.RemoveRequest(row.number))
+            .update { policy.recordOutcome(it, row, AttemptOutcome.Abandoned, now) }
             .update { it.releaseUpstream(row).refundTokens(row).remove(row.number) }
     }
 
@@ -47,7 +50,7 @@
         val maxWait = minOf(step.tables.settings.maxLoadWait, (row.deadline - row.arrivedAt) * MAX_WAIT_SHARE)
         val answerDue = if (row.upstream == null) row.deadline else row.deadline + ANSWER_GRACE
         return when {
-            answerDue <= now -> expire(step, row)
+            answerDue <= now -> expire(step, row, now)
             step.tables.isUnanswered(row, now) -> step.backOff(row.upstream, now + SILENCE_BACKOFF)
             isWaiting && waited > maxWait ->
                 step.fail(row, ResultCode.QUEUE_TIMEOUT, "no upstream available in $waited", RETRY_AFTER)
@@ -65,11 +68,13 @@
         return now - lastSign > MAX_SILENCE
     }
 
-    private fun expire(step: GatewayStep, row: RequestRow): GatewayStep {
+    private fun expire(step: GatewayStep, row: RequestRow, now: Timestamp): GatewayStep {
         val cancel = GatewayEffect.CancelAttempt(row.number, row.attemptCount, CancelCause.DEADLINE)
         val withCancel = if (row.upstream == null) step else step.emit(cancel)
         val detail = "no complete answer before the deadline"
-        return withCancel.fail(row.markMayHaveRun(), ResultCode.DEADLINE_EXCEEDED, detail, null)
+        return withCancel
+            .update { policy.recordOutcome(it, row, AttemptOutcome.Expired, now) }
+            .fail(row.markMayHaveRun(), ResultCode.DEADLINE_EXCEEDED, detail, null)
     }
 
     private companion object {
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewaySchedule.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewaySchedule.kt
@@ -1,10 +1,14 @@
 package org.ragwortbank.core.gateway
 
 import kotlinx.collections.immutable.persistentListOf
+import org.ragwortbank.core.selection.UpstreamPolicy
+import org.ragwortbank.core.selection.defaultUpstreamPolicy
 import org.ragwortbank.core.tick.Schedule
 
-/** The systems of a gateway in the order in which they run; [cost] ranks the upstreams. */
-fun gatewaySchedule(cost: UpstreamCost = ExpectedDelay()): Schedule<GatewayTables, GatewayInput, GatewayEffect> =
+/** The systems of a gateway in the order in which they run; [policy] selects the upstreams. */
+fun gatewaySchedule(
+    policy: UpstreamPolicy = defaultUpstreamPolicy(),
+): Schedule<GatewayTables, GatewayInput, GatewayEffect> =
     Schedule(
         persistentListOf(
             SuspensionSystem(),
@@ -13,11 +17,11 @@
             DigestIntakeSystem(),
             UpstreamNoticeSystem(),
             CrashSystem(),
-            AttemptSystem(),
+            AttemptSystem(policy),
             AdmissionSystem(),
             BlockSystem(),
-            CancellationSystem(),
-            RoutingSystem(cost),
+            CancellationSystem(policy),
+            RoutingSystem(policy),
             DemandSystem(),
             PeerSystem(),
             DrainSystem(),
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/RoutingSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/RoutingSystem.kt
@@ -1,15 +1,20 @@
 package org.ragwortbank.core.gateway
 
+import org.ragwortbank.core.eligibility.ExclusionReason
 import org.ragwortbank.core.log.LogPart
 import org.ragwortbank.core.result.ResultCode
+import org.ragwortbank.core.selection.Candidate
+import org.ragwortbank.core.selection.Selection
+import org.ragwortbank.core.selection.SelectionContext
+import org.ragwortbank.core.selection.UpstreamPolicy
 import org.ragwortbank.core.tick.Tick
 import org.ragwortbank.core.tick.TickSystem
 import org.ragwortbank.core.tick.Timestamp
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** Sends each waiting request to the upstream with the smallest expected delay, or requests a load there. */
-class RoutingSystem(private val cost: UpstreamCost) : TickSystem<GatewayTables, GatewayInput, GatewayEffect> {
+/** Sends each waiting request to the upstream that [policy] selects, or requests a load there. */
+class RoutingSystem(private val policy: UpstreamPolicy) : TickSystem<GatewayTables, GatewayInput, GatewayEffect> {
     override fun run(tick: Tick<GatewayInput>, step: GatewayStep): GatewayStep =
         if (step.tables.isCatchingUp(tick.now)) step else routeAll(step, tick)
 
@@ -28,17 +33,21 @@
     }
 
     private fun route(step: GatewayStep, row: RequestRow, now: Timestamp): GatewayStep {
-        val members = step.tables.upstreamsByService[row.service].orEmpty()
-            .mapNotNull { step.tables.upstreams[it] }
-            .filter { it.isAccepting && row.mayTry(it.registration.id) }
-        val estimate = cost.estimateFor(step.tables, row, now)
-        val candidates = members.filter { it.isAvailable(now) && it.hasModelFor(row) }.map(estimate::at)
-        val best = candidates.minWithOrNull(bestFirst)?.let { stayIfAlike(row, it, candidates, now) }
+        val selection = policy.select(SelectionContext(step.tables, row, now))
+        val best = selection.best?.let { stayIfAlike(row, it, selection.candidates, now) }
+        if (best == null) return waitOrRefuse(step, row, selection, now)
+        return sendOrRequestLoad(step.update { it.clearModelMissing(row.service) }, row, best, now)
+    }
+
+    /** Waits while an upstream may serve the request later, and refuses it otherwise. */
+    private fun waitOrRefuse(step: GatewayStep, row: RequestRow, selection: Selection, now: Timestamp): GatewayStep {
+        val members = selection.members
+        val rows = members.map { it.row }
         return when {
-            best != null -> sendOrRequestLoad(step.update { it.clearModelMissing(row.service) }, row, best, now)
-            members.isNotEmpty() && members.all { it.isQuiet(now) } -> step.refuseWhileQuiet(row, members, now)
-            members.any { it.hasModelFor(row) } -> step
-            step.tables.isModelLoading(row, members) -> step.refuseWhileModelLoads(row, now)
+            members.isNotEmpty() && members.all { ExclusionReason.QUIET in it.reasons } ->
+                step.refuseWhileQuiet(row, rows, now)
+            members.any { ExclusionReason.MODEL_MISSING !in it.reasons } -> step
+            step.tables.isModelLoading(row, rows) -> step.refuseWhileModelLoads(row, now)
             else -> step.fail(row, ResultCode.NO_UPSTREAM, noUpstreamDetail(row), RETRY_AFTER)
         }
     }
@@ -99,6 +108,7 @@
             .update { tables ->
                 tables.put(sent).updateUpstream(registration.id) { it.withRequestSent(row.call.adapterKey) }
             }
+            .update { policy.recordSent(it, registration.id, sent, now) }
             .update { if (sent.attemptCount == 1) it.addRetryCredit(sent) else it }
     }
 
@@ -107,23 +117,7 @@
         return "expected ${best.expectedMillis.toInt()} ms, load ${best.row.load}, reported load $age"
     }
 
-    private fun GatewayTables.addRetryCredit(row: RequestRow): GatewayTables {
-        val maxLevel = settings.retrySlack * OWN_SHARE / gatewayCount
-        val budget = retries[row.service] ?: RetryBudget(maxLevel)
-        val credited = budget.afterFirstSend(settings.retryRatio * OWN_SHARE, maxLevel)
-        return copy(retries = retries.put(row.service, credited))
-    }
-
     private companion object {
-        /** Of equals the one that failed less and has run for longer, not one that may have crashed just now. */
-        val bestFirst = compareBy<Candidate>(
-            { it.expectedMillis },
-            { it.row.health.failures },
-            { it.row.registration.startedMillis },
-        )
-
-        /** Share of the fleet's retry budget that is split among the gateways; the rest covers late digests. */
-        const val OWN_SHARE = 0.8
         val RETRY_AFTER = 500.milliseconds
         val RETRY_INTERVAL = 40.milliseconds
         const val MIN_SWITCH_GAIN_MILLIS = 500.0
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/UpstreamRow.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/UpstreamRow.kt
@@ -41,6 +41,9 @@
         return copy(failures = failures + 1, blockedUntil = now + backoff * factor)
     }
 
+    /** Whether nothing new is sent at [now] because of a failure. */
+    fun isBackedOff(now: Timestamp): Boolean = blockedUntil?.let { it > now } ?: false
+
     private companion object {
         const val NEWEST_WEIGHT = 0.1
         const val MAX_DOUBLINGS = 3
@@ -91,7 +94,7 @@
 
     /** Whether new work may be sent now. */
     fun isAvailable(now: Timestamp): Boolean =
-        isAccepting && !isQuiet(now) && (health.blockedUntil?.let { it <= now } ?: true)
+        isAccepting && !isQuiet(now) && !health.isBackedOff(now)
 
     /** Whether it has asked not to get requests now. */
     fun isQuiet(now: Timestamp): Boolean = quietUntil?.let { now < it } ?: false
