--- a/cli/src/main/kotlin/org/ragwortbank/cli/settings/GatewayReader.kt
+++ b/cli/src/main/kotlin/org/ragwortbank/cli/settings/GatewayReader.kt
@@ -1,5 +1,7 @@
 package org.ragwortbank.cli.settings
 
+import kotlinx.collections.immutable.PersistentSet
+import kotlinx.collections.immutable.toPersistentSet
 import org.ragwortbank.cli.toml.TomlReader
 import org.ragwortbank.cli.toml.address
 import org.ragwortbank.cli.toml.duration
@@ -9,6 +11,7 @@
 import org.ragwortbank.cli.toml.string
 import org.ragwortbank.clients.http.Address
 import org.ragwortbank.core.gateway.GatewaySettings
+import org.ragwortbank.core.serving.Feature
 import org.ragwortbank.node.log.LogFormat
 import org.ragwortbank.node.settings.GatewayNodeSettings
 import org.ragwortbank.node.settings.PlacerNodeSettings
@@ -44,7 +47,8 @@
         storeAddress = reader.address("store_address", default = null),
         isFirstStart = reader.optionalBoolean("first_start") ?: false,
         connectTimeout = reader.duration("connect_timeout", DEFAULT_CONNECT_TIMEOUT),
-        gateway = reader.optionalSection("bounds", ::readGatewaySettings),
+        gateway = reader.optionalSection("bounds", ::readGatewaySettings)
+            .copy(features = reader.section("features", ::readFeatures)),
         logLevel = reader.section("log") { readLogLevel(it, LogFormat.JSON) },
         logFormat = reader.section("log") { readLogFormat(it, LogFormat.JSON) },
     )
@@ -62,6 +66,14 @@
     )
 }
 
+/** Reads the features that are set to true; names that this build doesn't know are ignored. */
+private fun readFeatures(reader: TomlReader): PersistentSet<Feature> {
+    val features = Feature.entries.filter { reader.optionalBoolean(it.label) ?: false }.toPersistentSet()
+    reader.names.forEach { reader.isGiven(it) }
+    val needsPace = Feature.PLACES in features || Feature.PRESSURE in features
+    return if (needsPace) features.add(Feature.PACE) else features
+}
+
 /** Reads the bounds that operators set and derives the gateway's internal limits from them. */
 private fun readGatewaySettings(reader: TomlReader): GatewaySettings {
     val defaults = GatewaySettings()
--- a/cli/src/test/kotlin/org/ragwortbank/cli/settings/GatewaySettingsTest.kt
+++ b/cli/src/test/kotlin/org/ragwortbank/cli/settings/GatewaySettingsTest.kt
@@ -1,6 +1,7 @@
 package org.ragwortbank.cli.settings
 
 import org.ragwortbank.cli.toml.Validated
+import org.ragwortbank.core.serving.Feature
 import org.ragwortbank.node.settings.GatewayNodeSettings
 import java.nio.file.Files
 import java.nio.file.Path
@@ -56,6 +57,17 @@
         assertSimilar(1_499.8125.milliseconds, gateway.storeReadDelay)
     }
 
+    @Test
+    fun `given features, then those that are known and true are asked for`() {
+        val settings = validWithBounds("[features]\nplaces = true\npressure = false\nstream = true")
+        assertEquals(setOf(Feature.PLACES, Feature.PACE), settings.value.gateway.features)
+    }
+
+    @Test
+    fun `given no features, then none is in force`() {
+        assertEquals(emptySet(), validWithBounds("").value.gateway.features)
+    }
+
     @Test
     fun `given unreadable bounds, then each is reported with key, found and expected and its default is in force`() {
         val settings = validWithBounds(
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewaySettings.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewaySettings.kt
@@ -1,5 +1,9 @@
 package org.ragwortbank.core.gateway
 
+import kotlinx.collections.immutable.PersistentSet
+import kotlinx.collections.immutable.persistentSetOf
+import org.ragwortbank.core.model.FailureDomain
+import org.ragwortbank.core.serving.Feature
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -22,6 +26,7 @@
  * @property drainTimeout time after which a draining process stops even with requests under way
  * @property storeReadDelay time between a reply of the store and the next read of its changes
  * @property sweepInterval time between checks of deadlines
+ * @property features parts of the product that this deployment asks for
  */
 data class GatewaySettings(
     val configurationLease: Duration = 4_800.milliseconds,
@@ -39,6 +44,7 @@
     val drainTimeout: Duration = 7.seconds,
     val storeReadDelay: Duration = 750.milliseconds,
     val sweepInterval: Duration = 20.milliseconds,
+    val features: PersistentSet<Feature> = persistentSetOf(),
 ) {
     /** Time after a stop request after which nothing more is sent, since its answer would likely be cut off. */
     val lastSendAfterStop: Duration get() = (drainTimeout - USUAL_ANSWER_TIME).coerceAtLeast(Duration.ZERO)
@@ -56,9 +62,11 @@
  *
  * @property incarnation start of the process in Unix milliseconds by its own clock
  * @property isFirstStart whether the whole system starts for the first time
+ * @property domain failure domain of its instance
  */
 data class GatewayIdentity(
     val name: String,
     val incarnation: Long,
     val isFirstStart: Boolean = true,
+    val domain: FailureDomain = FailureDomain("default"),
 )
--- a/node/src/main/kotlin/org/ragwortbank/node/gateway/GatewayNode.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/gateway/GatewayNode.kt
@@ -6,6 +6,7 @@
 import org.ragwortbank.core.gateway.GatewayInput
 import org.ragwortbank.core.gateway.GatewayTables
 import org.ragwortbank.core.gateway.gatewaySchedule
+import org.ragwortbank.core.model.FailureDomain
 import org.ragwortbank.core.serving.ClientLimits
 import org.ragwortbank.core.serving.Endpoint
 import org.ragwortbank.core.serving.EngineDigest
@@ -42,7 +43,12 @@
     private val clock = PauseAwareClock()
     private val metrics = NodeMetrics()
     private val store = ports.createStoreClient(process.group, process.loop, settings.storeAddress)
-    private val identity = GatewayIdentity(settings.name, System.currentTimeMillis(), settings.isFirstStart)
+    private val identity = GatewayIdentity(
+        settings.name,
+        System.currentTimeMillis(),
+        settings.isFirstStart,
+        FailureDomain(settings.failureDomain),
+    )
     private val ticker = EventLoopTicker(
         loop = process.loop,
         schedule = gatewaySchedule(),
