--- a/core/src/main/kotlin/org/ragwortbank/core/serving/ServiceSpec.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/serving/ServiceSpec.kt
@@ -20,19 +20,23 @@
  * @property models base models that the engines may load, by name
  * @property memoryMegabytes memory for weights and adapters together
  * @property adapterSlots largest number of resident and loading adapters together
+ * @property promptMemoryTokens memory for running requests and cached prompt parts, in tokens; 0 when it isn't known
  */
 data class EngineSpec(
     val models: PersistentMap<String, ModelSpec>,
     val memoryMegabytes: Double,
     val adapterSlots: Int,
+    val promptMemoryTokens: Long = 0,
 )
 
 /**
  * A service as configured.
  *
  * @property engine capacity of its model engines; null for a service without models
+ * @property maxConnections connections that each upstream accepts from all callers; null when it isn't known
  */
 data class ServiceSpec(
     val name: ServiceName,
     val engine: EngineSpec?,
+    val maxConnections: Int? = null,
 )
--- a/core/src/main/kotlin/org/ragwortbank/core/serving/ServingCall.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/serving/ServingCall.kt
@@ -14,6 +14,7 @@
  * @property model base model; null for a request to a service without models
  * @property adapter adapter of [model]; null for the base model itself
  * @property tokens sum of prompt tokens and the maximum of output tokens; null when the request doesn't say
+ * @property promptTokens tokens of the prompt; null when the request doesn't say
  * @property sharedPromptParts parts of the prompt in order, without the last, which belongs to this request alone
  * @property fingerprint equal for repeats of a request; null when it isn't known
  */
@@ -26,6 +27,7 @@
     val model: String? = null,
     val adapter: String? = null,
     val tokens: Long? = null,
+    val promptTokens: Long? = null,
     val sharedPromptParts: PersistentList<PromptPartId> = persistentListOf(),
     val fingerprint: RequestFingerprint? = null,
 ) {
--- a/core/src/main/kotlin/org/ragwortbank/core/serving/ServingRoute.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/serving/ServingRoute.kt
@@ -30,6 +30,7 @@
  * @property targets services that share the route's requests by weight
  * @property timeout limit on the time from a request to the end of its response
  * @property targetLatency time within which a response, or a stream's first event, earns its full credit
+ * @property maxEventGap longest pause between events with which a stream still earns its full credit; null if none is set
  * @property maxAttempts largest number of upstreams to which one request may be sent
  * @property priority rank, where 0 is the most urgent
  * @property isPublic whether requests need no API key
@@ -46,6 +47,7 @@
     val maxAttempts: Int,
     val priority: Int,
     val isPublic: Boolean,
+    val maxEventGap: Duration? = null,
 ) {
     /** Whether a request may be sent again after it may have run. */
     val isRetryable: Boolean get() = kind == RequestKind.IDEMPOTENT || (kind == RequestKind.STREAM && isResumable)
