Bound what all gateways send to a cold upstream in any second

Each gateway decides alone by seats in a rendezvous order; one without a settled, recent member list takes the smallest share. In force only for services with cold_start_s and cold_per_s.

--- a/cli/src/main/kotlin/org/ragwortbank/cli/settings/GatewayReader.kt
+++ b/cli/src/main/kotlin/org/ragwortbank/cli/settings/GatewayReader.kt
@@ -22,10 +22,14 @@
 private const val MAX_PORT = 65_535
 private const val MAX_RETRY_SLACK = 1_000_000.0
 private const val MAX_RETRY_PERCENT = 1_000
+private const val MAX_COLD_OVERAGE = 100.0
+private const val MAX_COLD_SLACK = 10_000.0
 private const val HUNDRED_PERCENT = 100.0
 private val portRange = 1..MAX_PORT
 private val retrySlackRange = 0.0..MAX_RETRY_SLACK
 private val retryPercentRange = 0..MAX_RETRY_PERCENT
+private val coldOverageRange = 0.0..MAX_COLD_OVERAGE
+private val coldSlackRange = 0.0..MAX_COLD_SLACK
 
 /** Part of the `key_withdrawal` bound left for processing after a decision; the rest is the configuration lease. */
 private val KEY_REVOCATION_MARGIN = 200.milliseconds
@@ -92,6 +96,8 @@
         retryRatio = retryPercent / HUNDRED_PERCENT,
         retrySlack = reader.number("retry_slack", defaults.retrySlack, retrySlackRange),
         storeReadDelay = storeReadDelay,
+        coldOverage = reader.number("cold_overage", defaults.coldOverage, coldOverageRange),
+        coldSlack = reader.number("cold_slack", defaults.coldSlack, coldSlackRange),
     )
 }
 
--- a/cli/src/test/kotlin/org/ragwortbank/cli/settings/GatewaySettingsTest.kt
+++ b/cli/src/test/kotlin/org/ragwortbank/cli/settings/GatewaySettingsTest.kt
@@ -57,6 +57,12 @@
         assertSimilar(1_499.8125.milliseconds, gateway.storeReadDelay)
     }
 
+    @Test
+    fun `given bounds on cold upstreams, then they are read`() {
+        val gateway = validWithBounds("cold_overage = 1.5\ncold_slack = 5").value.gateway
+        assertEquals(1.5 to 5.0, gateway.coldOverage to gateway.coldSlack)
+    }
+
     @Test
     fun `given features, then those that are known and true are asked for`() {
         val settings = validWithBounds("[features]\nplaces = true\npressure = false\nstream = true")
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewaySettings.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewaySettings.kt
@@ -26,6 +26,8 @@
  * @property drainTimeout time after which a draining process stops even with requests under way
  * @property storeReadDelay time between a reply of the store and the next read of its changes
  * @property sweepInterval time between checks of deadlines
+ * @property coldOverage requests to a cold upstream in a second, as a multiple of what its service states
+ * @property coldSlack requests to a cold upstream in a second in addition
  * @property features parts of the product that this deployment asks for
  */
 data class GatewaySettings(
@@ -44,6 +46,8 @@
     val drainTimeout: Duration = 7.seconds,
     val storeReadDelay: Duration = 750.milliseconds,
     val sweepInterval: Duration = 20.milliseconds,
+    val coldOverage: Double = 1.0,
+    val coldSlack: Double = 0.0,
     val features: PersistentSet<Feature> = persistentSetOf(),
 ) {
     /** Time after a stop request after which nothing more is sent, since its answer would likely be cut off. */
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewayTables.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewayTables.kt
@@ -12,6 +12,7 @@
 import org.ragwortbank.core.log.LogLine
 import org.ragwortbank.core.log.LogPart
 import org.ragwortbank.core.model.AccountId
+import org.ragwortbank.core.pacing.MemberListRow
 import org.ragwortbank.core.serving.AdapterKey
 import org.ragwortbank.core.serving.RequestNumber
 import org.ragwortbank.core.serving.ServiceName
@@ -70,6 +71,7 @@
  * @property traitsClearedAt when a trait was last added to these
  * @property blocks traits whose requests are refused
  * @property replacedBlocks traits whose requests were refused before a broader trait took their place, and when it did
+ * @property memberList how this gateway knows of the others; null where no service has a bound on cold upstreams
  * @property peerDigestSendTimes when the latest digests to the other gateways were sent, by their numbers
  */
 data class GatewayTables(
@@ -105,6 +107,7 @@
     val peerDigestNumber: Long = 0,
     val peerDigestSendTimes: PersistentMap<Long, Timestamp> = persistentMapOf(),
     val demandDigestNumber: Long = 0,
+    val memberList: MemberListRow? = null,
     val lastSweepAt: Timestamp? = null,
     val lastTickAt: Timestamp? = null,
     val catchUpUntil: Timestamp? = null,
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/UpstreamRow.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/UpstreamRow.kt
@@ -4,6 +4,7 @@
 import kotlinx.collections.immutable.PersistentSet
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.persistentSetOf
+import org.ragwortbank.core.pacing.ColdRow
 import org.ragwortbank.core.serving.AdapterKey
 import org.ragwortbank.core.serving.EngineDigest
 import org.ragwortbank.core.serving.UpstreamRegistration
@@ -64,6 +65,7 @@
  * @property isLeaving whether it has said in an answer that it is about to stop
  * @property quietUntil until when it wants no requests, as it has said in an answer; null if it hasn't
  * @property isSuperseded whether a later incarnation has the same endpoint, so that this one has terminated
+ * @property cold whether it may be cold; null where its service has no bound for that, and until it is known
  */
 data class UpstreamRow(
     val registration: UpstreamRegistration,
@@ -81,6 +83,7 @@
     val isLeaving: Boolean = false,
     val quietUntil: Timestamp? = null,
     val isSuperseded: Boolean = false,
+    val cold: ColdRow? = null,
 ) {
     /** Whether it accepts new work according to its registration and to itself. */
     val isAccepting: Boolean get() = registration.isAccepting && !isSuperseded && !isLeaving
--- a/core/src/main/kotlin/org/ragwortbank/core/selection/UpstreamPolicyBuilder.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/selection/UpstreamPolicyBuilder.kt
@@ -6,6 +6,8 @@
 import org.ragwortbank.core.eligibility.NotAccepting
 import org.ragwortbank.core.eligibility.QuietTime
 import org.ragwortbank.core.eligibility.RepeatedAttempt
+import org.ragwortbank.core.pacing.ColdLimit
+import org.ragwortbank.core.pacing.ColdObserver
 import org.ragwortbank.core.pacing.SendLimit
 import org.ragwortbank.core.ranking.AdapterDelay
 import org.ragwortbank.core.ranking.DelayTerm
@@ -55,6 +57,8 @@
         exclude(QuietTime())
         exclude(BackedOff())
         exclude(ModelMissing())
+        limit(ColdLimit())
+        observe(ColdObserver())
         rank(AdapterDelay())
         rank(QueueDelay())
         rank(LearnedDelay())
--- a/core/src/main/kotlin/org/ragwortbank/core/serving/UpstreamRegistration.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/serving/UpstreamRegistration.kt
@@ -4,6 +4,7 @@
 import kotlinx.collections.immutable.PersistentSet
 import org.ragwortbank.core.hash.RendezvousHash
 import org.ragwortbank.core.model.FailureDomain
+import kotlin.time.Duration
 
 /**
  * An upstream's own entry on the instance list.
@@ -14,6 +15,7 @@
  * @property startedMillis start of this incarnation in Unix milliseconds; 0 when the entry doesn't say
  * @property residentModels base models that are loaded
  * @property resident versions of the adapters that are loaded
+ * @property coldRemaining how much longer it is cold, as it says; null when the entry doesn't say
  */
 data class UpstreamRegistration(
     val id: UpstreamId,
@@ -25,6 +27,7 @@
     val startedMillis: Long,
     val residentModels: PersistentSet<String>,
     val resident: PersistentMap<AdapterKey, Long>,
+    val coldRemaining: Duration? = null,
 ) {
     /** The start of the upstream that registered. */
     val incarnation: UpstreamIncarnation get() = UpstreamIncarnation(id, startedMillis)
