Spare emptied failure domains and keep requests in their home regions

Exclusions, a table of evacuations and a system that moves what waits; placers send no commands to engines of an emptied domain.

--- a/cli/src/main/kotlin/org/ragwortbank/cli/settings/GatewayReader.kt
+++ b/cli/src/main/kotlin/org/ragwortbank/cli/settings/GatewayReader.kt
@@ -1,6 +1,8 @@
 package org.ragwortbank.cli.settings
 
+import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.PersistentSet
+import kotlinx.collections.immutable.toPersistentMap
 import kotlinx.collections.immutable.toPersistentSet
 import org.ragwortbank.cli.toml.TomlReader
 import org.ragwortbank.cli.toml.address
@@ -9,8 +11,11 @@
 import org.ragwortbank.cli.toml.number
 import org.ragwortbank.cli.toml.optionalBoolean
 import org.ragwortbank.cli.toml.string
+import org.ragwortbank.cli.toml.stringContent
 import org.ragwortbank.clients.http.Address
 import org.ragwortbank.core.gateway.GatewaySettings
+import org.ragwortbank.core.model.FailureDomain
+import org.ragwortbank.core.model.Region
 import org.ragwortbank.core.serving.Feature
 import org.ragwortbank.node.log.LogFormat
 import org.ragwortbank.node.settings.GatewayNodeSettings
@@ -30,7 +35,7 @@
 /** Part of the `key_withdrawal` bound left for processing after a decision; the rest is the configuration lease. */
 private val KEY_REVOCATION_MARGIN = 200.milliseconds
 
-/** Part of the shorter of the bounds on configuration and leaving upstreams that may pass before the store is read. */
+/** Part of the shortest of the bounds on changes in the store that may pass before the store is read. */
 private const val READ_DELAY_SHARE = 0.375
 private val DEFAULT_STORE_BOUND = 2.seconds
 
@@ -48,7 +53,10 @@
         isFirstStart = reader.optionalBoolean("first_start") ?: false,
         connectTimeout = reader.duration("connect_timeout", DEFAULT_CONNECT_TIMEOUT),
         gateway = reader.optionalSection("bounds", ::readGatewaySettings)
-            .copy(features = reader.section("features", ::readFeatures)),
+            .copy(
+                features = reader.section("features", ::readFeatures),
+                regions = reader.optionalSection("regions", ::readRegions),
+            ),
         logLevel = reader.section("log") { readLogLevel(it, LogFormat.JSON) },
         logFormat = reader.section("log") { readLogFormat(it, LogFormat.JSON) },
     )
@@ -74,6 +82,17 @@
     return if (needsPace) features.add(Feature.PACE) else features
 }
 
+/** Reads the region of each failure domain; a name that can't be read is reported, and its domain is in no region. */
+private fun readRegions(reader: TomlReader): PersistentMap<FailureDomain, Region> =
+    reader.names
+        .mapNotNull { domain ->
+            reader.value(domain, default = "", "the name of a region", ::stringContent)
+                ?.takeIf { it.isNotEmpty() }
+                ?.let { FailureDomain(domain) to Region(it) }
+        }
+        .toMap()
+        .toPersistentMap()
+
 /** Reads the bounds that operators set and derives the gateway's internal limits from them. */
 private fun readGatewaySettings(reader: TomlReader): GatewaySettings {
     val defaults = GatewaySettings()
@@ -84,7 +103,8 @@
     val retryPercent = reader.int("retry_percent", (defaults.retryRatio * HUNDRED_PERCENT).toInt(), retryPercentRange)
     val configurationBound = reader.duration("configuration", DEFAULT_STORE_BOUND)
     val leavingUpstreamBound = reader.duration("leaving_upstream", DEFAULT_STORE_BOUND)
-    val storeReadDelay = minOf(configurationBound, leavingUpstreamBound) * READ_DELAY_SHARE
+    val evacuationBound = reader.duration("evacuation", minOf(configurationBound, leavingUpstreamBound))
+    val storeReadDelay = minOf(configurationBound, leavingUpstreamBound, evacuationBound) * READ_DELAY_SHARE
     return defaults.copy(
         configurationLease = keyRevocationBound - KEY_REVOCATION_MARGIN,
         previousVersionLifetime = ((versionSwitchBound - storeReadDelay) / 2).coerceAtLeast(Duration.ZERO),
--- a/core/src/main/kotlin/org/ragwortbank/core/eligibility/Exclusion.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/eligibility/Exclusion.kt
@@ -19,6 +19,12 @@
     /** The request may not be sent there, again or at all. */
     ALREADY_TRIED("may not get this request", isLasting = true),
 
+    /** Its failure domain is emptied. */
+    EVACUATED("is in an emptied failure domain", isLasting = true),
+
+    /** It is in none of the home regions of the request. */
+    OUTSIDE_HOME("is outside the request's home regions", isLasting = true),
+
     /** It has asked for a time without requests. */
     QUIET("wants no requests now", isLasting = false),
 
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/AttemptOutcomes.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/AttemptOutcomes.kt
@@ -1,5 +1,6 @@
 package org.ragwortbank.core.gateway
 
+import org.ragwortbank.core.locality.isPlaceAllowed
 import org.ragwortbank.core.serving.UpstreamId
 import org.ragwortbank.core.tick.Timestamp
 import kotlin.time.Duration
@@ -27,7 +28,7 @@
 internal fun GatewayTables.hasUntriedUpstream(row: RequestRow, now: Timestamp): Boolean =
     row.triedUpstreams.size < row.route.maxAttempts &&
         upstreamsByService[row.service].orEmpty().any {
-            it !in row.triedUpstreams && upstreams[it]?.isAvailable(now) == true
+            it !in row.triedUpstreams && upstreams[it]?.isAvailable(now) == true && isPlaceAllowed(row, it)
         }
 
 /** Queues [row] again after a send that failed before its first byte; its upstream counts as untried. */
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/DemandSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/DemandSystem.kt
@@ -82,6 +82,7 @@
         loadRequests = requested.take(MAX_LOAD_REQUESTS).toPersistentList(),
         inUse = row.usedSinceDigest.addAll(row.inUse.keys),
         engine = engine.takeIf { requested.isNotEmpty() || !row.isInUse },
+        isEvacuated = row.registration.domain in tables.evacuations,
     )
 
     private fun digestInterval(tables: GatewayTables, isActive: Boolean): Duration {
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewayEffect.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewayEffect.kt
@@ -1,6 +1,7 @@
 package org.ragwortbank.core.gateway
 
 import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.PersistentSet
 import org.ragwortbank.core.crash.CrashTrait
 import org.ragwortbank.core.log.LogLine
 import org.ragwortbank.core.model.AccountId
@@ -90,6 +91,9 @@
     /** Send the totals of admitted tokens to the other gateways at [endpoints]. */
     data class SendPeerDigest(val endpoints: PersistentList<Endpoint>, val digest: PeerDigest) : GatewayEffect
 
+    /** Close the connections to [endpoints] that carry no request. */
+    data class CloseIdleConnections(val endpoints: PersistentSet<Endpoint>) : GatewayEffect
+
     /** Write a log line. */
     data class Log(val line: LogLine) : GatewayEffect
 
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewaySchedule.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewaySchedule.kt
@@ -1,6 +1,7 @@
 package org.ragwortbank.core.gateway
 
 import kotlinx.collections.immutable.persistentListOf
+import org.ragwortbank.core.locality.EvacuationSystem
 import org.ragwortbank.core.selection.UpstreamPolicy
 import org.ragwortbank.core.selection.defaultUpstreamPolicy
 import org.ragwortbank.core.tick.Schedule
@@ -14,6 +15,7 @@
             SuspensionSystem(),
             SettingsSystem(),
             StoreSystem(),
+            EvacuationSystem(),
             DigestIntakeSystem(),
             UpstreamNoticeSystem(),
             CrashSystem(),
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewaySettings.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewaySettings.kt
@@ -1,8 +1,11 @@
 package org.ragwortbank.core.gateway
 
+import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.PersistentSet
+import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.persistentSetOf
 import org.ragwortbank.core.model.FailureDomain
+import org.ragwortbank.core.model.Region
 import org.ragwortbank.core.serving.Feature
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -27,6 +30,7 @@
  * @property storeReadDelay time between a reply of the store and the next read of its changes
  * @property sweepInterval time between checks of deadlines
  * @property features parts of the product that this deployment asks for
+ * @property regions region of each failure domain
  */
 data class GatewaySettings(
     val configurationLease: Duration = 4_800.milliseconds,
@@ -45,6 +49,7 @@
     val storeReadDelay: Duration = 750.milliseconds,
     val sweepInterval: Duration = 20.milliseconds,
     val features: PersistentSet<Feature> = persistentSetOf(),
+    val regions: PersistentMap<FailureDomain, Region> = persistentMapOf(),
 ) {
     /** Time after a stop request after which nothing more is sent, since its answer would likely be cut off. */
     val lastSendAfterStop: Duration get() = (drainTimeout - USUAL_ANSWER_TIME).coerceAtLeast(Duration.ZERO)
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewayTables.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewayTables.kt
@@ -9,9 +9,11 @@
 import org.ragwortbank.core.crash.BlockRow
 import org.ragwortbank.core.crash.CrashTable
 import org.ragwortbank.core.crash.CrashTrait
+import org.ragwortbank.core.locality.EvacuationRow
 import org.ragwortbank.core.log.LogLine
 import org.ragwortbank.core.log.LogPart
 import org.ragwortbank.core.model.AccountId
+import org.ragwortbank.core.model.FailureDomain
 import org.ragwortbank.core.serving.AdapterKey
 import org.ragwortbank.core.serving.RequestNumber
 import org.ragwortbank.core.serving.ServiceName
@@ -70,6 +72,7 @@
  * @property traitsClearedAt when a trait was last added to these
  * @property blocks traits whose requests are refused
  * @property replacedBlocks traits whose requests were refused before a broader trait took their place, and when it did
+ * @property evacuations failure domains to whose upstreams nothing is sent
  * @property peerDigestSendTimes when the latest digests to the other gateways were sent, by their numbers
  */
 data class GatewayTables(
@@ -102,6 +105,7 @@
     val traitsClearedAt: Timestamp? = null,
     val blocks: PersistentMap<CrashTrait, BlockRow> = persistentMapOf(),
     val replacedBlocks: PersistentMap<CrashTrait, Timestamp> = persistentMapOf(),
+    val evacuations: PersistentMap<FailureDomain, EvacuationRow> = persistentMapOf(),
     val peerDigestNumber: Long = 0,
     val peerDigestSendTimes: PersistentMap<Long, Timestamp> = persistentMapOf(),
     val demandDigestNumber: Long = 0,
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/RoutingSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/RoutingSystem.kt
@@ -1,6 +1,7 @@
 package org.ragwortbank.core.gateway
 
 import org.ragwortbank.core.eligibility.ExclusionReason
+import org.ragwortbank.core.locality.describePlaces
 import org.ragwortbank.core.log.LogPart
 import org.ragwortbank.core.result.ResultCode
 import org.ragwortbank.core.selection.Candidate
@@ -48,7 +49,7 @@
                 step.refuseWhileQuiet(row, rows, now)
             members.any { ExclusionReason.MODEL_MISSING !in it.reasons } -> step
             step.tables.isModelLoading(row, rows) -> step.refuseWhileModelLoads(row, now)
-            else -> step.fail(row, ResultCode.NO_UPSTREAM, noUpstreamDetail(row), RETRY_AFTER)
+            else -> step.fail(row, ResultCode.NO_UPSTREAM, noUpstreamDetail(step.tables, row), RETRY_AFTER)
         }
     }
 
@@ -67,8 +68,8 @@
         }
     }
 
-    private fun noUpstreamDetail(row: RequestRow): String =
-        "no upstream of ${row.service} can run it, tried ${row.triedUpstreams}"
+    private fun noUpstreamDetail(tables: GatewayTables, row: RequestRow): String =
+        "no upstream of ${row.service} can run it, tried ${row.triedUpstreams}" + tables.describePlaces(row)
 
     private fun sendOrRequestLoad(step: GatewayStep, row: RequestRow, best: Candidate, now: Timestamp): GatewayStep =
         if (best.state.isUsable) send(step, row, best, now) else requestLoad(step, row, best, now)
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/StoreSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/StoreSystem.kt
@@ -2,13 +2,19 @@
 
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.PersistentMap
+import org.ragwortbank.core.locality.evacuate
+import org.ragwortbank.core.locality.liftEvacuation
+import org.ragwortbank.core.locality.liftedEvacuations
 import org.ragwortbank.core.serving.AdapterKey
 import org.ragwortbank.core.serving.StoreChange
 import org.ragwortbank.core.tick.Tick
 import org.ragwortbank.core.tick.TickSystem
 import org.ragwortbank.core.tick.Timestamp
 
-/** Applies the contents and changes of the store: configuration, upstreams, adapter versions, other gateways. */
+/**
+ * Applies the contents and changes of the store: configuration, upstreams, adapter versions, other gateways, blocks and
+ * evacuations.
+ */
 class StoreSystem : TickSystem<GatewayTables, GatewayInput, GatewayEffect> {
     override fun run(tick: Tick<GatewayInput>, step: GatewayStep): GatewayStep =
         tick.inputs.fold(step) { current, input ->
@@ -40,7 +46,8 @@
         val liftedBlocks = step.tables.blocks.values
             .filter { it.isStored && it.trait !in blocks }
             .map { StoreChange.BlockLifted(it.trait) }
-        val applied = applyAll(step, contents + removedUpstreams + removedPeers + liftedBlocks, now)
+        val removals = removedUpstreams + removedPeers + liftedBlocks + step.tables.liftedEvacuations(contents)
+        val applied = applyAll(step, contents + removals, now)
         return applied.update { it.copy(versions = agedVersions(step.tables, it, now)) }
     }
 
@@ -68,6 +75,8 @@
             is StoreChange.PeerRegistered -> step.update { it.registerPeer(change, now) }
             is StoreChange.BlockSet -> step.storeBlock(change.trait, now)
             is StoreChange.BlockLifted -> step.liftBlock(change.trait)
+            is StoreChange.DomainEvacuated -> step.evacuate(change, now)
+            is StoreChange.EvacuationLifted -> step.liftEvacuation(change.domain, now)
             is StoreChange.PeerRemoved -> step.update { it.unlistPeer(change.name) }
         }
 }
--- a/core/src/main/kotlin/org/ragwortbank/core/model/Identifiers.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/model/Identifiers.kt
@@ -30,6 +30,12 @@
     override fun toString(): String = value
 }
 
+/** Name of a region, which holds one or more failure domains. */
+@JvmInline
+value class Region(val value: String) {
+    override fun toString(): String = value
+}
+
 /** SHA-256 of a caller's key in lower-case hexadecimal; the key itself is never stored. */
 @JvmInline
 value class KeyHash(val hex: String) {
--- a/core/src/main/kotlin/org/ragwortbank/core/placer/CommandSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/placer/CommandSystem.kt
@@ -61,6 +61,7 @@
         val missingModel = engine?.models?.keys?.firstOrNull()?.takeIf { report?.residentModels?.isEmpty() == true }
         return when {
             report == null || engine == null || tables.isStopping || report.isLoadingModel -> null
+            tables.evacuationSenders(now).isNotEmpty() -> null
             missingModel != null -> EngineCommand.LoadModel(missingModel)
             else -> nextAdapterCommand(tables, report, engine, now)
         }
--- a/core/src/main/kotlin/org/ragwortbank/core/placer/PlacerTables.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/placer/PlacerTables.kt
@@ -27,6 +27,7 @@
  * @property loadingReportInterval time between reports while a base model or an adapter is loading
  * @property unresponsiveReportInterval time between report requests while there is no valid report
  * @property demandLifetime how long a gateway's load requests and adapters in use stay valid after its last digest
+ * @property evacuationLifetime how long an engine counts as emptied after a gateway has last said so
  * @property gatewayLifetime how long a gateway gets digests after its own last one
  * @property minIdleTime how long an adapter must have been unused before it may be evicted
  * @property maxLoadingAdapters largest number of adapters loading at the same time
@@ -36,6 +37,7 @@
     val loadingReportInterval: Duration = 30.milliseconds,
     val unresponsiveReportInterval: Duration = 100.milliseconds,
     val demandLifetime: Duration = 2.seconds,
+    val evacuationLifetime: Duration = 5.seconds,
     val gatewayLifetime: Duration = 15.seconds,
     val minIdleTime: Duration = 250.milliseconds,
     val maxLoadingAdapters: Int = 4,
@@ -147,6 +149,12 @@
     /** The gateways' newest digests that are recent enough for their load requests and adapters in use to hold. */
     fun currentDemand(now: Timestamp): List<DemandDigest> =
         gateways.values.filter { now - it.receivedAt <= settings.demandLifetime }.map { it.demand }
+
+    /** The gateways that say that the engine's failure domain is emptied. */
+    fun evacuationSenders(now: Timestamp): List<String> =
+        gateways.values
+            .filter { it.demand.isEvacuated && now - it.receivedAt <= settings.evacuationLifetime }
+            .map { it.name }
 }
 
 internal fun PlacerStep.log(part: LogPart, message: String): PlacerStep =
--- a/core/src/main/kotlin/org/ragwortbank/core/placer/ReportSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/placer/ReportSystem.kt
@@ -54,6 +54,17 @@
         return step
             .update { it.copy(gateways = it.gateways.put(digest.sender, row), engine = digest.engine ?: it.engine) }
             .update { it.copy(upstream = it.latestUpstream()) }
+            .logEvacuation(step.tables, now)
+    }
+
+    private fun PlacerStep.logEvacuation(before: PlacerTables, now: Timestamp): PlacerStep {
+        val senders = tables.evacuationSenders(now)
+        val wasEvacuated = before.evacuationSenders(now).isNotEmpty()
+        return when {
+            wasEvacuated == senders.isNotEmpty() -> this
+            wasEvacuated -> log(LogPart.PLACEMENT, "the engine's failure domain is in use again")
+            else -> log(LogPart.PLACEMENT, "the engine's failure domain is emptied, says $senders: no commands")
+        }
     }
 
     /**
--- a/core/src/main/kotlin/org/ragwortbank/core/selection/SelectionContext.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/selection/SelectionContext.kt
@@ -4,6 +4,8 @@
 import org.ragwortbank.core.gateway.GatewayTables
 import org.ragwortbank.core.gateway.RequestRow
 import org.ragwortbank.core.hash.RendezvousHash
+import org.ragwortbank.core.locality.HomeRegions
+import org.ragwortbank.core.locality.homesOf
 import org.ragwortbank.core.serving.ServiceSpec
 import org.ragwortbank.core.tick.Timestamp
 
@@ -21,5 +23,8 @@
         RendezvousHash.hashOf(request.call.adapterKey.toString())
     }
 
+    /** Regions to which the request is bound. */
+    val homes: HomeRegions = tables.homesOf(request)
+
     internal val adapterStates = AdapterStates(tables, request.call.adapterKey, now)
 }
--- a/core/src/main/kotlin/org/ragwortbank/core/selection/UpstreamPolicyBuilder.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/selection/UpstreamPolicyBuilder.kt
@@ -6,6 +6,8 @@
 import org.ragwortbank.core.eligibility.NotAccepting
 import org.ragwortbank.core.eligibility.QuietTime
 import org.ragwortbank.core.eligibility.RepeatedAttempt
+import org.ragwortbank.core.locality.EvacuatedDomain
+import org.ragwortbank.core.locality.OutsideHome
 import org.ragwortbank.core.pacing.SendLimit
 import org.ragwortbank.core.ranking.AdapterDelay
 import org.ragwortbank.core.ranking.DelayTerm
@@ -51,6 +53,8 @@
 fun defaultUpstreamPolicy(): UpstreamPolicy =
     upstreamPolicy {
         exclude(NotAccepting())
+        exclude(EvacuatedDomain())
+        exclude(OutsideHome())
         exclude(RepeatedAttempt())
         exclude(QuietTime())
         exclude(BackedOff())
--- a/core/src/main/kotlin/org/ragwortbank/core/serving/Digests.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/serving/Digests.kt
@@ -38,6 +38,7 @@
  * @property loadRequests adapters that requests are waiting for, longest wait first
  * @property inUse adapters with requests under way from this gateway, or sent since its last digest
  * @property engine capacity of the engine, as configured; null when an earlier digest has said it
+ * @property isEvacuated whether the engine's failure domain is emptied, so that it gets no commands
  */
 data class DemandDigest(
     val sender: String,
@@ -49,6 +50,7 @@
     val loadRequests: PersistentList<LoadRequest> = persistentListOf(),
     val inUse: PersistentSet<AdapterKey> = persistentSetOf(),
     val engine: EngineSpec? = null,
+    val isEvacuated: Boolean = false,
 ) {
     /** Identifies this digest. */
     val stamp: DigestStamp get() = DigestStamp(incarnation, number)
--- a/core/src/main/kotlin/org/ragwortbank/core/serving/ServingConfig.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/serving/ServingConfig.kt
@@ -2,9 +2,12 @@
 
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.PersistentSet
 import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.persistentSetOf
 import org.ragwortbank.core.model.AccountId
 import org.ragwortbank.core.model.KeyHash
+import org.ragwortbank.core.model.Region
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
@@ -15,6 +18,7 @@
  * @property tokensPerSecond rate limit over the whole fleet; 0 for no limit
  * @property burstTokens size of the account's token bucket
  * @property defaultRequestTokens tokens charged for a request that doesn't state its own
+ * @property homes regions whose upstreams may serve its requests; empty for any
  */
 data class ServingAccount(
     val id: AccountId,
@@ -22,6 +26,7 @@
     val tokensPerSecond: Long,
     val burstTokens: Long,
     val defaultRequestTokens: Long,
+    val homes: PersistentSet<Region> = persistentSetOf(),
 ) {
     val isRateLimited: Boolean get() = tokensPerSecond > 0
 }
--- a/core/src/main/kotlin/org/ragwortbank/core/serving/StoreChange.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/serving/StoreChange.kt
@@ -1,6 +1,7 @@
 package org.ragwortbank.core.serving
 
 import org.ragwortbank.core.crash.CrashTrait
+import org.ragwortbank.core.model.FailureDomain
 
 /** A decoded change in the platform's store. */
 sealed interface StoreChange {
@@ -25,6 +26,16 @@
     /** Requests with [trait] may run again. */
     data class BlockLifted(val trait: CrashTrait) : StoreChange
 
+    /**
+     * The operators want nothing more sent to the upstreams of [domain].
+     *
+     * @property isValueReadable whether the item's value, which isn't used, has a form that can be read
+     */
+    data class DomainEvacuated(val domain: FailureDomain, val isValueReadable: Boolean = true) : StoreChange
+
+    /** Upstreams of [domain] may be used again. */
+    data class EvacuationLifted(val domain: FailureDomain) : StoreChange
+
     /** Another gateway is no longer listed as a member. */
     data class PeerRemoved(val name: String) : StoreChange
 }
--- a/core/src/test/kotlin/org/ragwortbank/core/gateway/GatewayFixture.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/gateway/GatewayFixture.kt
@@ -10,6 +10,8 @@
 import org.ragwortbank.core.model.KeyHash
 import org.ragwortbank.core.model.RouteName
 import org.ragwortbank.core.result.Refusal
+import org.ragwortbank.core.selection.UpstreamPolicy
+import org.ragwortbank.core.selection.defaultUpstreamPolicy
 import org.ragwortbank.core.serving.AdapterKey
 import org.ragwortbank.core.serving.Endpoint
 import org.ragwortbank.core.serving.EngineDigest
@@ -34,8 +36,12 @@
 import kotlin.time.Duration.Companion.seconds
 
 /** A gateway in virtual time with two engines, two plain upstreams and one client account. */
-internal class GatewayFixture(isFirstStart: Boolean = true, readsStore: Boolean = true) {
-    private val schedule = gatewaySchedule()
+internal class GatewayFixture(
+    isFirstStart: Boolean = true,
+    readsStore: Boolean = true,
+    policy: UpstreamPolicy = defaultUpstreamPolicy(),
+) {
+    private val schedule = gatewaySchedule(policy)
     private var lastNumber = 0L
 
     var now = Timestamp(0) + 100.seconds
--- a/core/src/test/kotlin/org/ragwortbank/core/placer/CommandSystemTest.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/placer/CommandSystemTest.kt
@@ -99,6 +99,29 @@
         assertEquals(EngineCommand.DropAdapter(adapterKey("a1")), commands().single().command)
     }
 
+    @Test
+    fun `given a gateway that says the failure domain is emptied, then no command is sent until all say otherwise`() {
+        receiveReport(sequence = 7)
+        val evacuated = demandDigest(emptyList()).copy(sender = "gateway-2", isEvacuated = true)
+        tick(PlacerInput.DemandDigestReceived(evacuated, gatewayEndpoint))
+        requestLoad("a1")
+        assertTrue(commands().isEmpty())
+        val lifted = evacuated.copy(number = evacuated.number + 1, isEvacuated = false)
+        tick(PlacerInput.DemandDigestReceived(lifted, gatewayEndpoint))
+        assertEquals(EngineCommand.LoadAdapter(adapterKey("a1"), 2), commands().single().command)
+    }
+
+    @Test
+    fun `given a gateway that was lost after it said so, then commands are sent after a while`() {
+        receiveReport(sequence = 7)
+        val evacuated = demandDigest(emptyList()).copy(sender = "gateway-2", isEvacuated = true)
+        tick(PlacerInput.DemandDigestReceived(evacuated, gatewayEndpoint))
+        tickAfter(6.seconds)
+        receiveReport(sequence = 7)
+        requestLoad("a1")
+        assertEquals(1, commands().size)
+    }
+
     @Test
     fun `given several load requests, then the adapter that most requests wait for is loaded first`() {
         receiveReport(sequence = 1)
--- a/node/src/main/kotlin/org/ragwortbank/node/admin/StatusDocument.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/admin/StatusDocument.kt
@@ -13,6 +13,7 @@
  * @property upstreams number of upstreams that accept work; null for a sidecar or placer
  * @property adapters adapters resident on the engine of a sidecar or placer; null for an entry or gateway
  * @property blocked what the requests have in common that a gateway refuses because upstreams crash of them
+ * @property evacuated failure domains to whose upstreams a gateway sends nothing, with what is odd about each
  * @property fencing fencing token of a sidecar's commands; null while it has none and for other processes
  * @property stopping whether a graceful stop is in progress
  */
@@ -25,6 +26,7 @@
     val upstreams: Int? = null,
     val adapters: List<String>? = null,
     val blocked: List<String>? = null,
+    val evacuated: List<String>? = null,
     val fencing: Long? = null,
     val stopping: Boolean,
 ) {
--- a/node/src/main/kotlin/org/ragwortbank/node/datagram/DemandWire.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/datagram/DemandWire.kt
@@ -25,6 +25,7 @@
     loadRequests = loadRequests.map { it.toWire() },
     inUse = inUse.namesByModel(),
     engine = engine?.toWire(),
+    isEvacuated = isEvacuated,
 )
 
 private fun EngineSpec.toWire() = WireEngineSpec(
@@ -51,4 +52,5 @@
     loadRequests = loadRequests.map { it.toRequest() }.toPersistentList(),
     inUse = inUse.toKeys(),
     engine = engine?.toSpec(),
+    isEvacuated = isEvacuated,
 )
--- a/node/src/main/kotlin/org/ragwortbank/node/datagram/WireDigest.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/datagram/WireDigest.kt
@@ -47,6 +47,7 @@
     @SerialName("w") val loadRequests: List<WireAdapter> = emptyList(),
     @SerialName("o") val inUse: Map<String, List<String>> = emptyMap(),
     @SerialName("e") val engine: WireEngineSpec? = null,
+    @SerialName("v") val isEvacuated: Boolean = false,
 )
 
 /** Encoded form of an engine's capacity. */
--- a/node/src/main/kotlin/org/ragwortbank/node/gateway/GatewayNode.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/gateway/GatewayNode.kt
@@ -6,6 +6,7 @@
 import org.ragwortbank.core.gateway.GatewayInput
 import org.ragwortbank.core.gateway.GatewayTables
 import org.ragwortbank.core.gateway.gatewaySchedule
+import org.ragwortbank.core.locality.describeEvacuations
 import org.ragwortbank.core.model.FailureDomain
 import org.ragwortbank.core.serving.ClientLimits
 import org.ragwortbank.core.serving.Endpoint
@@ -115,6 +116,7 @@
             is GatewayEffect.SendDemandDigest ->
                 link.send(Endpoint(effect.host, settings.placerDigestPort), DigestCodec.encode(effect.digest))
             is GatewayEffect.SendPeerDigest -> link.sendAll(effect.endpoints, DigestCodec.encode(effect.digest))
+            is GatewayEffect.CloseIdleConnections -> effect.endpoints.forEach(connections::closeIdle)
             is GatewayEffect.SaveBlock -> store.saveBlock(effect.trait, ::onBlockReply)
             is GatewayEffect.DropBlock -> store.dropBlock(effect.trait, ::onBlockReply)
             is GatewayEffect.Log -> Logs.write(effect.line)
@@ -165,7 +167,7 @@
 
         override fun metricsText(): String {
             metrics.setOpenRequests(ticker.tables.requests.size)
-            metrics.setBlockedTraits(ticker.tables.blocks.size)
+            metrics.setRefusedAndSpared(ticker.tables.blocks.size, ticker.tables.evacuations.size)
             return metrics.toPrometheusText()
         }
 
@@ -178,6 +180,7 @@
                 requests = tables.requests.size,
                 upstreams = tables.upstreams.values.count { it.isAccepting },
                 blocked = tables.blocks.keys.map { it.toString() },
+                evacuated = tables.describeEvacuations(),
                 stopping = requests.isStopping,
             ).toJson()
         }
--- a/node/src/main/kotlin/org/ragwortbank/node/gateway/UpstreamConnections.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/gateway/UpstreamConnections.kt
@@ -60,6 +60,12 @@
         return exchange
     }
 
+    /** Closes the connections to [endpoint] that carry no request. */
+    fun closeIdle(endpoint: Endpoint) {
+        idleConnections[endpoint].orEmpty().forEach { it.channel.close() }
+        idleConnections = idleConnections.remove(endpoint)
+    }
+
     private fun takeIdle(endpoint: Endpoint, requestId: String): Channel? {
         val candidates = idleConnections[endpoint].orEmpty()
         val (usable, expired) = candidates.partition { it.channel.isActive && it.usableUntil > now() }
--- a/node/src/main/kotlin/org/ragwortbank/node/metrics/NodeMetrics.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/metrics/NodeMetrics.kt
@@ -44,6 +44,11 @@
         .help("Traits whose requests are refused because upstreams crash of them")
         .register(registry)
 
+    private val evacuatedDomains = Gauge.builder()
+        .name("ragwortbank_evacuated_domains")
+        .help("Failure domains to whose upstreams nothing is sent because operators have emptied them")
+        .register(registry)
+
     override fun onTick(inputs: Int, nanos: Long) {
         tickDurations.observe(nanos / NANOS_PER_SECOND)
         tickInputs.inc(inputs.toLong())
@@ -68,8 +73,11 @@
     /** Sets the number of open requests or runs. */
     fun setOpenRequests(count: Int) = openRequests.set(count.toDouble())
 
-    /** Sets the number of traits whose requests are refused because upstreams crash of them. */
-    fun setBlockedTraits(count: Int) = blockedTraits.set(count.toDouble())
+    /** Sets the number of traits whose requests are refused, and of failure domains that get no requests. */
+    fun setRefusedAndSpared(blockedTraits: Int, evacuatedDomains: Int) {
+        this.blockedTraits.set(blockedTraits.toDouble())
+        this.evacuatedDomains.set(evacuatedDomains.toDouble())
+    }
 
     /** Returns all metrics in the Prometheus text format. */
     fun toPrometheusText(): String {
