--- a/cli/src/test/kotlin/org/ragwortbank/cli/settings/GatewaySettingsTest.kt
+++ b/cli/src/test/kotlin/org/ragwortbank/cli/settings/GatewaySettingsTest.kt
@@ -1,6 +1,8 @@
 package org.ragwortbank.cli.settings
 
 import org.ragwortbank.cli.toml.Validated
+import org.ragwortbank.core.model.FailureDomain
+import org.ragwortbank.core.model.Region
 import org.ragwortbank.core.serving.Feature
 import org.ragwortbank.node.settings.GatewayNodeSettings
 import java.nio.file.Files
@@ -68,6 +70,22 @@
         assertEquals(emptySet(), validWithBounds("").value.gateway.features)
     }
 
+    @Test
+    fun `given a bound on evacuation, then the pause between reads of the store fits into half of it`() {
+        val others = "configuration = \"4s\"\nleaving_upstream = \"3s\""
+        assertSimilar(1_125.milliseconds, validWithBounds(others).value.gateway.storeReadDelay)
+        assertSimilar(1_125.milliseconds, validWithBounds("$others\nevacuation = \"5s\"").value.gateway.storeReadDelay)
+        assertSimilar(375.milliseconds, validWithBounds("$others\nevacuation = \"1s\"").value.gateway.storeReadDelay)
+    }
+
+    @Test
+    fun `given regions, then each names a failure domain, and one that can't be read is reported and left out`() {
+        val settings = validWithBounds("[regions]\n\"smoky-a\" = \"smoky\"\nb = 7\nc = \"\"")
+        assertEquals(mapOf(FailureDomain("smoky-a") to Region("smoky")), settings.value.gateway.regions.toMap())
+        assertEquals(2, settings.warnings.size)
+        assertContains(settings.warnings.joinToString("\n"), "regions.b: found '7', expected the name of a region")
+    }
+
     @Test
     fun `given unreadable bounds, then each is reported with key, found and expected and its default is in force`() {
         val settings = validWithBounds(
--- a/node/src/test/kotlin/org/ragwortbank/node/datagram/DigestCodecTest.kt
+++ b/node/src/test/kotlin/org/ragwortbank/node/datagram/DigestCodecTest.kt
@@ -39,6 +39,8 @@
         val inUse = persistentSetOf(adapter)
         val demandDigest = DemandDigest("e", 1, 2, UpstreamId("i"), 9, 700.milliseconds, loadRequests, inUse, engine)
         assertEquals(ReceivedDigest.Demand(demandDigest), DigestCodec.decode(DigestCodec.encode(demandDigest)))
+        val evacuated = demandDigest.copy(isEvacuated = true)
+        assertEquals(ReceivedDigest.Demand(evacuated), DigestCodec.decode(DigestCodec.encode(evacuated)))
         val resident = persistentMapOf(adapter to 3L)
         val engineDigest = EngineDigest(UpstreamId("i"), 1, 2, resident, runningRequests = 4, queuedRequests = 5)
         assertEquals(ReceivedDigest.Engine(engineDigest), DigestCodec.decode(DigestCodec.encode(engineDigest)))
--- a/node/src/test/kotlin/org/ragwortbank/node/gateway/UpstreamConnectionsTest.kt
+++ b/node/src/test/kotlin/org/ragwortbank/node/gateway/UpstreamConnectionsTest.kt
@@ -53,6 +53,24 @@
         }
     }
 
+    @Test
+    fun `given idle connections to an endpoint that are closed, then the next request goes on a new one`() {
+        val completed = LinkedBlockingQueue<String>()
+        sockets.send("r1", CompletionListener("r1", completed))
+        server.accept().use { upstream ->
+            upstream.answer(answerTo("r1"))
+            assertEquals("r1", completed.poll(READ_TIMEOUT_MILLIS.toLong(), TimeUnit.MILLISECONDS))
+            process.run { sockets.connections.closeIdle(endpoint()) }
+            upstream.soTimeout = READ_TIMEOUT_MILLIS
+            assertEquals(-1, upstream.getInputStream().read())
+        }
+        sockets.send("r2", CompletionListener("r2", completed))
+        server.accept().use { upstream ->
+            upstream.answer(answerTo("r2"))
+            assertEquals("r2", completed.poll(READ_TIMEOUT_MILLIS.toLong(), TimeUnit.MILLISECONDS))
+        }
+    }
+
     @Test
     fun `given two requests on one connection, then their traces have its number and count what it carried before`() {
         val traces = LinkedBlockingQueue<ExchangeTrace>()
