--- a/core/src/main/kotlin/org/ragwortbank/core/locality/EvacuationSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/locality/EvacuationSystem.kt
@@ -17,9 +17,10 @@
 import org.ragwortbank.core.tick.TickSystem
 
 /**
- * Moves what waits for upstreams of a failure domain as soon as that is emptied: requests that wait for a load there are
- * routed anew in the same tick, the placers there learn that nothing is requested any more, and idle connections are
- * closed. Requests under way there end where they are.
+ * Moves what waits for upstreams of a failure domain as soon as that is emptied.
+ *
+ * Requests that wait for a load there are routed anew in the same tick, the placers there learn that nothing is
+ * requested any more, and idle connections are closed. Requests under way there end where they are.
  */
 class EvacuationSystem : TickSystem<GatewayTables, GatewayInput, GatewayEffect> {
     override fun run(tick: Tick<GatewayInput>, step: GatewayStep): GatewayStep {
@@ -69,9 +70,10 @@
 
     private fun warnIfNothingIsLeft(step: GatewayStep): GatewayStep {
         val accepting = step.tables.upstreams.values.filter { it.isAccepting }
-        val isNothingLeft = accepting.isNotEmpty() && accepting.all { it.registration.domain in step.tables.evacuations }
-        if (!isNothingLeft) return step
+        val isNothingLeft = accepting.all { it.registration.domain in step.tables.evacuations }
+        if (accepting.isEmpty() || !isNothingLeft) return step
         val domains = step.tables.evacuations.keys.joinToString()
-        return step.log(LogPart.MEMBERS, "all upstreams are in emptied failure domains ($domains): requests are refused")
+        val message = "all upstreams are in emptied failure domains ($domains): requests are refused"
+        return step.log(LogPart.MEMBERS, message)
     }
 }
--- a/core/src/main/kotlin/org/ragwortbank/core/serving/ServingRoute.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/serving/ServingRoute.kt
@@ -33,7 +33,7 @@
  * @property targets services that share the route's requests by weight
  * @property timeout limit on the time from a request to the end of its response
  * @property targetLatency time within which a response, or a stream's first event, earns its full credit
- * @property maxEventGap longest pause between events with which a stream still earns its full credit; null if none is set
+ * @property maxEventGap longest pause between events that still earns a stream its full credit; null for none
  * @property maxAttempts largest number of upstreams to which one request may be sent
  * @property priority rank, where 0 is the most urgent
  * @property isPublic whether requests need no API key
--- a/core/src/test/kotlin/org/ragwortbank/core/locality/EvacuationTest.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/locality/EvacuationTest.kt
@@ -1,12 +1,5 @@
 package org.ragwortbank.core.locality
 
-import kotlin.test.Test
-import kotlin.test.assertContains
-import kotlin.test.assertEquals
-import kotlin.test.assertNotNull
-import kotlin.test.assertTrue
-import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
 import kotlinx.collections.immutable.persistentSetOf
 import org.ragwortbank.core.gateway.AttemptFailure
 import org.ragwortbank.core.gateway.GatewayEffect
@@ -19,6 +12,13 @@
 import org.ragwortbank.core.serving.AdapterKey
 import org.ragwortbank.core.serving.StoreChange
 import org.ragwortbank.core.serving.UpstreamId
+import kotlin.test.Test
+import kotlin.test.assertContains
+import kotlin.test.assertEquals
+import kotlin.test.assertNotNull
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 class EvacuationTest {
     private val fleet = PlacedFleet()
--- a/core/src/test/kotlin/org/ragwortbank/core/locality/HomeRegionsTest.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/locality/HomeRegionsTest.kt
@@ -1,12 +1,5 @@
 package org.ragwortbank.core.locality
 
-import kotlin.test.Test
-import kotlin.test.assertContains
-import kotlin.test.assertEquals
-import kotlin.test.assertFalse
-import kotlin.test.assertNotNull
-import kotlin.test.assertTrue
-import kotlin.time.Duration.Companion.seconds
 import kotlinx.collections.immutable.PersistentSet
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentMapOf
@@ -21,6 +14,13 @@
 import org.ragwortbank.core.result.Execution
 import org.ragwortbank.core.result.ResultCode
 import org.ragwortbank.core.serving.StoreChange
+import kotlin.test.Test
+import kotlin.test.assertContains
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertNotNull
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.seconds
 
 class HomeRegionsTest {
     private val fleet = PlacedFleet()
--- a/standins/src/main/kotlin/org/ragwortbank/standins/prepared/PreparedFleet.kt
+++ b/standins/src/main/kotlin/org/ragwortbank/standins/prepared/PreparedFleet.kt
@@ -12,8 +12,13 @@
  * A placer and a gateway that run as separate processes against a [PreparedDeployment].
  *
  * @property jvmFlags extra JVM flags of the process with the given role
+ * @property moreGatewaySettings lines at the end of the gateway's settings
  */
-class PreparedFleet(private val launcher: Launcher, private val jvmFlags: (String) -> List<String> = { emptyList() }) {
+class PreparedFleet(
+    private val launcher: Launcher,
+    private val moreGatewaySettings: String = "",
+    private val jvmFlags: (String) -> List<String> = { emptyList() },
+) {
     private val eventLoops: EventLoopGroup = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
 
     /** The store and workers that the processes connect to. */
@@ -55,7 +60,7 @@
         name = "gateway-1"
         store_address = "${deployment.storeAddress}"
         placer_port = ${placer.address("peer").port}
-        """.trimIndent(),
+        """.trimIndent() + "\n" + moreGatewaySettings,
     )
 
     private companion object {
--- a/standins/src/main/kotlin/org/ragwortbank/standins/prepared/WorkerState.kt
+++ b/standins/src/main/kotlin/org/ragwortbank/standins/prepared/WorkerState.kt
@@ -45,11 +45,11 @@
         putJsonArray("pending") { loadingAdapters.forEach { add("$model/$it@1") } }
     }.toString()
 
-    /** Encodes the registration of the worker as an instance of [service] at [address]. */
-    fun toRegistrationJson(service: String, address: Address): String = buildJsonObject {
+    /** Encodes the registration of the worker as an instance of [service] at [address] in [zone]. */
+    fun toRegistrationJson(service: String, address: Address, zone: String = "zone-a"): String = buildJsonObject {
         put("service", service)
         put("address", address.toString())
-        put("zone", "zone-a")
+        put("zone", zone)
         put("slots", REQUEST_SLOTS)
         put("state", "ready")
         put("sequence", sequence)
