--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/CancellationSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/CancellationSystem.kt
@@ -51,23 +51,13 @@
         val answerDue = if (row.upstream == null) row.deadline else row.deadline + ANSWER_GRACE
         return when {
             answerDue <= now -> expire(step, row, now)
-            step.tables.isUnanswered(row, now) -> step.backOff(row.upstream, now + SILENCE_BACKOFF)
+            step.tables.silentSince(row, now) != null -> step.backOff(row.upstream, now + SILENCE_BACKOFF)
             isWaiting && waited > maxWait ->
                 step.fail(row, ResultCode.QUEUE_TIMEOUT, "no upstream available in $waited", RETRY_AFTER)
             else -> step
         }
     }
 
-    /**
-     * Whether the upstream of [row] has begun no answer at all since the request was sent, for longer than a sound one
-     * takes under load. The request itself goes on waiting; new ones go elsewhere.
-     */
-    private fun GatewayTables.isUnanswered(row: RequestRow, now: Timestamp): Boolean {
-        val sent = row.stage as? RequestStage.Sent ?: return false
-        val lastSign = upstreams[sent.upstream]?.answeredAt?.let { maxOf(it, sent.sentAt) } ?: sent.sentAt
-        return now - lastSign > MAX_SILENCE
-    }
-
     private fun expire(step: GatewayStep, row: RequestRow, now: Timestamp): GatewayStep {
         val cancel = GatewayEffect.CancelAttempt(row.number, row.attemptCount, CancelCause.DEADLINE)
         val withCancel = if (row.upstream == null) step else step.emit(cancel)
@@ -81,7 +71,6 @@
         /** Share of the time to its deadline that a request may spend waiting for an upstream. */
         const val MAX_WAIT_SHARE = 0.5
         val RETRY_AFTER = 500.milliseconds
-        val MAX_SILENCE = 1_500.milliseconds
         val SILENCE_BACKOFF = 500.milliseconds
 
         /** An upstream that reaches the deadline reports it in its own answer, which arrives a moment later. */
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewaySchedule.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewaySchedule.kt
@@ -1,6 +1,7 @@
 package org.ragwortbank.core.gateway
 
 import kotlinx.collections.immutable.persistentListOf
+import org.ragwortbank.core.locality.DomainLossSystem
 import org.ragwortbank.core.locality.EvacuationSystem
 import org.ragwortbank.core.selection.UpstreamPolicy
 import org.ragwortbank.core.selection.defaultUpstreamPolicy
@@ -23,6 +24,7 @@
             AdmissionSystem(),
             BlockSystem(),
             CancellationSystem(policy),
+            DomainLossSystem(),
             RoutingSystem(policy),
             DemandSystem(),
             PeerSystem(),
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewayTables.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewayTables.kt
@@ -10,6 +10,7 @@
 import org.ragwortbank.core.crash.CrashTable
 import org.ragwortbank.core.crash.CrashTrait
 import org.ragwortbank.core.locality.EvacuationRow
+import org.ragwortbank.core.locality.LostDomainRow
 import org.ragwortbank.core.log.LogLine
 import org.ragwortbank.core.log.LogPart
 import org.ragwortbank.core.model.AccountId
@@ -73,6 +74,8 @@
  * @property blocks traits whose requests are refused
  * @property replacedBlocks traits whose requests were refused before a broader trait took their place, and when it did
  * @property evacuations failure domains to whose upstreams nothing is sent
+ * @property lostDomains failure domains that are likely lost, so that others are preferred for a while
+ * @property lossSweptAt when failed upstreams were last compared by their domains
  * @property peerDigestSendTimes when the latest digests to the other gateways were sent, by their numbers
  */
 data class GatewayTables(
@@ -106,6 +109,8 @@
     val blocks: PersistentMap<CrashTrait, BlockRow> = persistentMapOf(),
     val replacedBlocks: PersistentMap<CrashTrait, Timestamp> = persistentMapOf(),
     val evacuations: PersistentMap<FailureDomain, EvacuationRow> = persistentMapOf(),
+    val lostDomains: PersistentMap<FailureDomain, LostDomainRow> = persistentMapOf(),
+    val lossSweptAt: Timestamp? = null,
     val peerDigestNumber: Long = 0,
     val peerDigestSendTimes: PersistentMap<Long, Timestamp> = persistentMapOf(),
     val demandDigestNumber: Long = 0,
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/UpstreamRow.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/UpstreamRow.kt
@@ -63,6 +63,8 @@
  * @property answeredAt when the latest part of an answer's beginning arrived from it
  * @property isLeaving whether it has said in an answer that it is about to stop
  * @property quietUntil until when it wants no requests, as it has said in an answer; null if it hasn't
+ * @property sentAt when this gateway's latest request was sent there
+ * @property failedAt when a request of this gateway last failed there without an answer
  * @property isSuperseded whether a later incarnation has the same endpoint, so that this one has terminated
  */
 data class UpstreamRow(
@@ -81,6 +83,8 @@
     val isLeaving: Boolean = false,
     val quietUntil: Timestamp? = null,
     val isSuperseded: Boolean = false,
+    val sentAt: Timestamp? = null,
+    val failedAt: Timestamp? = null,
 ) {
     /** Whether it accepts new work according to its registration and to itself. */
     val isAccepting: Boolean get() = registration.isAccepting && !isSuperseded && !isLeaving
--- a/core/src/main/kotlin/org/ragwortbank/core/locality/EvacuationSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/locality/EvacuationSystem.kt
@@ -1,18 +1,12 @@
 package org.ragwortbank.core.locality
 
-import kotlinx.collections.immutable.PersistentMap
-import kotlinx.collections.immutable.toPersistentMap
 import kotlinx.collections.immutable.toPersistentSet
 import org.ragwortbank.core.gateway.GatewayEffect
 import org.ragwortbank.core.gateway.GatewayInput
 import org.ragwortbank.core.gateway.GatewayStep
 import org.ragwortbank.core.gateway.GatewayTables
-import org.ragwortbank.core.gateway.RequestRow
-import org.ragwortbank.core.gateway.RequestStage
-import org.ragwortbank.core.gateway.SentDemand
 import org.ragwortbank.core.gateway.log
 import org.ragwortbank.core.log.LogPart
-import org.ragwortbank.core.serving.UpstreamId
 import org.ragwortbank.core.tick.Tick
 import org.ragwortbank.core.tick.TickSystem
 
@@ -32,15 +26,13 @@
     private fun apply(step: GatewayStep, row: EvacuationRow): GatewayStep {
         val upstreams = step.tables.upstreamsIn(row.domain)
         val ids = upstreams.map { it.registration.id }.toPersistentSet()
-        val moved = step.tables.waiting
-            .mapNotNull { step.tables.requests[it] }
-            .filter { it.loadingUpstream in ids }
+        val moved = step.tables.requestsWaitingFor(ids)
         val endpoints = upstreams.map { it.registration.endpoint }.toPersistentSet()
         val connectionsClosed =
             if (endpoints.isEmpty()) step else step.emit(GatewayEffect.CloseIdleConnections(endpoints))
         return connectionsClosed
             .log(LogPart.MEMBERS, describe(row, upstreams.size, upstreams.sumOf { it.inFlight }, moved.size))
-            .update { withdrawLoadRequests(moveWaiting(it, moved), ids) }
+            .update { it.withRerouted(moved).withDigestsDueTo(ids) }
             .update { it.copy(evacuations = it.evacuations.put(row.domain, row.copy(isApplied = true))) }
     }
 
@@ -53,21 +45,6 @@
         return "failure domain ${row.domain} is emptied$value: $effect"
     }
 
-    private fun moveWaiting(tables: GatewayTables, moved: List<RequestRow>): GatewayTables =
-        moved.fold(tables) { updated, row -> updated.put(row.copy(stage = RequestStage.Waiting())) }
-
-    /** Makes digests due to the placers that have load requests of this gateway. */
-    private fun withdrawLoadRequests(tables: GatewayTables, upstreams: Set<UpstreamId>): GatewayTables =
-        tables.copy(
-            sentDemand = tables.sentDemand.withoutLoadRequestsTo(upstreams),
-            demandSweptAt = null,
-        )
-
-    private fun PersistentMap<UpstreamId, SentDemand>.withoutLoadRequestsTo(
-        upstreams: Set<UpstreamId>,
-    ): PersistentMap<UpstreamId, SentDemand> =
-        filterNot { (id, sent) -> id in upstreams && sent.loadRequests.isNotEmpty() }.toPersistentMap()
-
     private fun warnIfNothingIsLeft(step: GatewayStep): GatewayStep {
         val accepting = step.tables.upstreams.values.filter { it.isAccepting }
         val isNothingLeft = accepting.all { it.registration.domain in step.tables.evacuations }
--- a/core/src/main/kotlin/org/ragwortbank/core/selection/SelectionContext.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/selection/SelectionContext.kt
@@ -6,7 +6,9 @@
 import org.ragwortbank.core.hash.RendezvousHash
 import org.ragwortbank.core.locality.HomeRegions
 import org.ragwortbank.core.locality.homesOf
+import org.ragwortbank.core.locality.trialUpstreams
 import org.ragwortbank.core.serving.ServiceSpec
+import org.ragwortbank.core.serving.UpstreamId
 import org.ragwortbank.core.tick.Timestamp
 
 /** A request that looks for an upstream at [now], with the tables of its gateway. */
@@ -26,5 +28,10 @@
     /** Regions to which the request is bound. */
     val homes: HomeRegions = tables.homesOf(request)
 
+    /** Upstreams that the request may go to in order to try a failure domain that is likely lost. */
+    val trialUpstreams: Set<UpstreamId> by lazy(LazyThreadSafetyMode.NONE) {
+        tables.trialUpstreams(request.service, now)
+    }
+
     internal val adapterStates = AdapterStates(tables, request.call.adapterKey, now)
 }
--- a/core/src/main/kotlin/org/ragwortbank/core/selection/UpstreamPolicyBuilder.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/selection/UpstreamPolicyBuilder.kt
@@ -6,7 +6,9 @@
 import org.ragwortbank.core.eligibility.NotAccepting
 import org.ragwortbank.core.eligibility.QuietTime
 import org.ragwortbank.core.eligibility.RepeatedAttempt
+import org.ragwortbank.core.locality.DomainLossObserver
 import org.ragwortbank.core.locality.EvacuatedDomain
+import org.ragwortbank.core.locality.LostDomainDelay
 import org.ragwortbank.core.locality.OutsideHome
 import org.ragwortbank.core.pacing.SendLimit
 import org.ragwortbank.core.ranking.AdapterDelay
@@ -62,4 +64,6 @@
         rank(AdapterDelay())
         rank(QueueDelay())
         rank(LearnedDelay())
+        rank(LostDomainDelay())
+        observe(DomainLossObserver())
     }
