--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewaySchedule.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewaySchedule.kt
@@ -1,6 +1,8 @@
 package org.ragwortbank.core.gateway
 
 import kotlinx.collections.immutable.persistentListOf
+import org.ragwortbank.core.locality.DomainLossSystem
+import org.ragwortbank.core.locality.EvacuationSystem
 import org.ragwortbank.core.pacing.ColdSystem
 import org.ragwortbank.core.selection.UpstreamPolicy
 import org.ragwortbank.core.selection.defaultUpstreamPolicy
@@ -16,6 +18,7 @@
             SettingsSystem(),
             StoreSystem(),
             ColdSystem(),
+            EvacuationSystem(),
             DigestIntakeSystem(),
             UpstreamNoticeSystem(),
             CrashSystem(),
@@ -23,6 +26,7 @@
             AdmissionSystem(),
             BlockSystem(),
             CancellationSystem(policy),
+            DomainLossSystem(),
             RoutingSystem(policy),
             DemandSystem(),
             PeerSystem(),
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewaySettings.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewaySettings.kt
@@ -1,8 +1,11 @@
 package org.ragwortbank.core.gateway
 
+import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.PersistentSet
+import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.persistentSetOf
 import org.ragwortbank.core.model.FailureDomain
+import org.ragwortbank.core.model.Region
 import org.ragwortbank.core.serving.Feature
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -29,6 +32,7 @@
  * @property coldOverage requests to a cold upstream in a second, as a multiple of what its service states
  * @property coldSlack requests to a cold upstream in a second in addition
  * @property features parts of the product that this deployment asks for
+ * @property regions region of each failure domain
  */
 data class GatewaySettings(
     val configurationLease: Duration = 4_800.milliseconds,
@@ -49,6 +53,7 @@
     val coldOverage: Double = 1.0,
     val coldSlack: Double = 0.0,
     val features: PersistentSet<Feature> = persistentSetOf(),
+    val regions: PersistentMap<FailureDomain, Region> = persistentMapOf(),
 ) {
     /** Time after a stop request after which nothing more is sent, since its answer would likely be cut off. */
     val lastSendAfterStop: Duration get() = (drainTimeout - USUAL_ANSWER_TIME).coerceAtLeast(Duration.ZERO)
--- a/core/src/main/kotlin/org/ragwortbank/core/selection/UpstreamPolicyBuilder.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/selection/UpstreamPolicyBuilder.kt
@@ -6,6 +6,10 @@
 import org.ragwortbank.core.eligibility.NotAccepting
 import org.ragwortbank.core.eligibility.QuietTime
 import org.ragwortbank.core.eligibility.RepeatedAttempt
+import org.ragwortbank.core.locality.DomainLossObserver
+import org.ragwortbank.core.locality.EvacuatedDomain
+import org.ragwortbank.core.locality.LostDomainDelay
+import org.ragwortbank.core.locality.OutsideHome
 import org.ragwortbank.core.pacing.ColdLimit
 import org.ragwortbank.core.pacing.ColdObserver
 import org.ragwortbank.core.pacing.SendLimit
@@ -53,6 +57,8 @@
 fun defaultUpstreamPolicy(): UpstreamPolicy =
     upstreamPolicy {
         exclude(NotAccepting())
+        exclude(EvacuatedDomain())
+        exclude(OutsideHome())
         exclude(RepeatedAttempt())
         exclude(QuietTime())
         exclude(BackedOff())
@@ -62,4 +68,6 @@
         rank(AdapterDelay())
         rank(QueueDelay())
         rank(LearnedDelay())
+        rank(LostDomainDelay())
+        observe(DomainLossObserver())
     }
