--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewaySchedule.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewaySchedule.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.collections.immutable.persistentListOf
 import org.ragwortbank.core.pacing.ColdSystem
+import org.ragwortbank.core.pacing.PaceSystem
 import org.ragwortbank.core.selection.UpstreamPolicy
 import org.ragwortbank.core.selection.defaultUpstreamPolicy
 import org.ragwortbank.core.tick.Schedule
@@ -23,6 +24,7 @@
             AdmissionSystem(),
             BlockSystem(),
             CancellationSystem(policy),
+            PaceSystem(),
             RoutingSystem(policy),
             DemandSystem(),
             PeerSystem(),
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewayTables.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewayTables.kt
@@ -12,6 +12,7 @@
 import org.ragwortbank.core.log.LogLine
 import org.ragwortbank.core.log.LogPart
 import org.ragwortbank.core.model.AccountId
+import org.ragwortbank.core.pacing.DelayNorm
 import org.ragwortbank.core.pacing.MemberListRow
 import org.ragwortbank.core.serving.AdapterKey
 import org.ragwortbank.core.serving.RequestNumber
@@ -72,6 +73,8 @@
  * @property blocks traits whose requests are refused
  * @property replacedBlocks traits whose requests were refused before a broader trait took their place, and when it did
  * @property memberList how this gateway knows of the others; null where no service has a bound on cold upstreams
+ * @property delayNorms usual time to the first event of the answers of each paced service
+ * @property pacedAt when the pace of upstreams was reviewed last
  * @property peerDigestSendTimes when the latest digests to the other gateways were sent, by their numbers
  */
 data class GatewayTables(
@@ -108,6 +111,8 @@
     val peerDigestSendTimes: PersistentMap<Long, Timestamp> = persistentMapOf(),
     val demandDigestNumber: Long = 0,
     val memberList: MemberListRow? = null,
+    val delayNorms: PersistentMap<ServiceName, DelayNorm> = persistentMapOf(),
+    val pacedAt: Timestamp? = null,
     val lastSweepAt: Timestamp? = null,
     val lastTickAt: Timestamp? = null,
     val catchUpUntil: Timestamp? = null,
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/UpstreamRow.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/UpstreamRow.kt
@@ -5,6 +5,7 @@
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.persistentSetOf
 import org.ragwortbank.core.pacing.ColdRow
+import org.ragwortbank.core.pacing.PaceRow
 import org.ragwortbank.core.serving.AdapterKey
 import org.ragwortbank.core.serving.EngineDigest
 import org.ragwortbank.core.serving.UpstreamRegistration
@@ -66,6 +67,7 @@
  * @property quietUntil until when it wants no requests, as it has said in an answer; null if it hasn't
  * @property isSuperseded whether a later incarnation has the same endpoint, so that this one has terminated
  * @property cold whether it may be cold; null where its service has no bound for that, and until it is known
+ * @property pace limit on this gateway's requests there; null where its service has none, and right after a start
  */
 data class UpstreamRow(
     val registration: UpstreamRegistration,
@@ -84,6 +86,7 @@
     val quietUntil: Timestamp? = null,
     val isSuperseded: Boolean = false,
     val cold: ColdRow? = null,
+    val pace: PaceRow? = null,
 ) {
     /** Whether it accepts new work according to its registration and to itself. */
     val isAccepting: Boolean get() = registration.isAccepting && !isSuperseded && !isLeaving
--- /dev/null
+++ b/core/src/main/kotlin/org/ragwortbank/core/pacing/PaceLimit.kt
@@ -0,0 +1,20 @@
+package org.ragwortbank.core.pacing
+
+import org.ragwortbank.core.gateway.GatewayTables
+import org.ragwortbank.core.gateway.UpstreamRow
+import org.ragwortbank.core.selection.SelectionContext
+import org.ragwortbank.core.serving.Feature
+import org.ragwortbank.core.serving.ServiceName
+
+/** Bounds this gateway's requests under way at an upstream by its pace. */
+class PaceLimit : SendLimit {
+    override fun roomFor(context: SelectionContext, upstream: UpstreamRow): Int {
+        val pace = upstream.pace
+        val isLimited = pace != null && pace.phase != PacePhase.FULL && isPaced(context.tables, context.request.service)
+        return if (pace == null || !isLimited) SendLimit.UNBOUNDED else (pace.allowed - upstream.inFlight).coerceAtLeast(0)
+    }
+}
+
+/** Whether upstreams of [service] have a pace. */
+fun isPaced(tables: GatewayTables, service: ServiceName): Boolean =
+    Feature.PACE in tables.settings.features && tables.config?.services?.containsKey(service) == true
--- /dev/null
+++ b/core/src/main/kotlin/org/ragwortbank/core/pacing/PaceSystem.kt
@@ -0,0 +1,141 @@
+package org.ragwortbank.core.pacing
+
+import org.ragwortbank.core.gateway.GatewayEffect
+import org.ragwortbank.core.gateway.GatewayInput
+import org.ragwortbank.core.gateway.GatewayStep
+import org.ragwortbank.core.gateway.GatewayTables
+import org.ragwortbank.core.gateway.UpstreamRow
+import org.ragwortbank.core.gateway.log
+import org.ragwortbank.core.hash.RendezvousHash
+import org.ragwortbank.core.log.LogPart
+import org.ragwortbank.core.serving.UpstreamId
+import org.ragwortbank.core.tick.Tick
+import org.ragwortbank.core.tick.TickSystem
+import org.ragwortbank.core.tick.Timestamp
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Gives each upstream of a paced service its pace, and lets that follow the samples of its attempts by [rule]. */
+class PaceSystem(
+    private val rule: PaceRule = LoadFollowingPace(),
+) : TickSystem<GatewayTables, GatewayInput, GatewayEffect> {
+    override fun run(tick: Tick<GatewayInput>, step: GatewayStep): GatewayStep {
+        val isTickLate = step.tables.pacedAt?.let { tick.now - it > LATE_TICK } ?: true
+        val paced = step.tables.upstreams.values.filter { isPaced(step.tables, it.registration.service) }
+        if (paced.isEmpty()) return step
+        return paced
+            .fold(step) { current, row -> review(current, row, isTickLate, tick.now) }
+            .update { it.copy(pacedAt = tick.now) }
+    }
+
+    private fun review(step: GatewayStep, row: UpstreamRow, isTickLate: Boolean, now: Timestamp): GatewayStep {
+        val conditions = conditions(step.tables, row, isTickLate, now)
+        val pace = row.pace ?: started(step.tables, row, conditions, now)
+        val judged = pace.samples.fold(pace) { current, sample -> rule.afterSample(current, sample, conditions, now) }
+        val isIdle = row.inFlight == 0 && !row.health.isBackedOff(now)
+        val current = if (isIdle) rule.whileIdle(judged, conditions, now) else judged
+        val reviewed = if (current.samples.isEmpty()) current else current.copy(samples = current.samples.clear())
+        if (reviewed === row.pace) return step
+        return step
+            .logChange(row, reviewed)
+            .update { tables -> tables.updateUpstream(row.registration.id) { it.copy(pace = reviewed).tryAgainSoon(now) } }
+            .update { it.recordDelays(row, pace.samples, isTickLate) }
+    }
+
+    private fun conditions(tables: GatewayTables, row: UpstreamRow, isTickLate: Boolean, now: Timestamp): PaceConditions {
+        val changedAt = row.pace?.changedAt
+        val reportedAt = row.loadReportedAt
+        val isLoadOfRound = changedAt != null && reportedAt != null && reportedAt > changedAt
+        return PaceConditions(
+            slots = row.registration.slots,
+            gateways = tables.gatewayCount,
+            inFlight = row.inFlight,
+            failures = row.health.failures,
+            load = row.reportedLoad.takeIf { isLoadOfRound },
+            hasRecentLoad = reportedAt != null && now - reportedAt < RECENT_REPORT,
+            norm = tables.delayNorms[row.registration.service] ?: DelayNorm(),
+            isTickLate = isTickLate,
+        )
+    }
+
+    /** An upstream that has run for some time and is listed anew has its full pace: it bears it already. */
+    private fun started(
+        tables: GatewayTables,
+        row: UpstreamRow,
+        conditions: PaceConditions,
+        now: Timestamp,
+    ): PaceRow {
+        val startedMillis = row.registration.startedMillis
+        val age = tables.identity.incarnation.milliseconds + (now - tables.startedAt) - startedMillis.milliseconds
+        val ranBefore = if (startedMillis == 0L) now - tables.startedAt < FIRST_READ_TIME else age > RECENT_START
+        val gatewayHash = RendezvousHash.hashOf(tables.identity.name)
+        val score = RendezvousHash.score(gatewayHash, RendezvousHash.hashOf("${row.registration.incarnation}"))
+        return PaceRow(
+            phase = if (ranBefore) PacePhase.FULL else PacePhase.RAMPING,
+            limit = rule.startLimit(conditions),
+            offset = (score.toLong() - Int.MIN_VALUE) / HASH_RANGE,
+            changedAt = now,
+        )
+    }
+
+    /** Since few requests are risked then, an upstream that failed is tried again sooner than without a pace. */
+    private fun UpstreamRow.tryAgainSoon(now: Timestamp): UpstreamRow {
+        val soon = now + LONGEST_BACKOFF
+        val isLonger = health.blockedUntil?.let { it > soon } ?: false
+        return if (isLonger) copy(health = health.copy(blockedUntil = soon)) else this
+    }
+
+    private fun GatewayStep.logChange(row: UpstreamRow, after: PaceRow): GatewayStep {
+        val before = row.pace?.phase
+        if (before == after.phase || (before == null && after.phase == PacePhase.FULL)) return this
+        val cause = if (before == null) "it has just started" else reason(after, row)
+        val limit = if (after.phase == PacePhase.FULL) "" else " at %.2f of this gateway's requests".format(after.limit)
+        return log(LogPart.ROUTING, "upstream ${row.registration.id} is at pace ${after.phase.label}$limit: $cause")
+    }
+
+    private fun reason(after: PaceRow, row: UpstreamRow): String =
+        when {
+            after.phase == PacePhase.FULL -> "its limit was not met for a while and its answers began in time"
+            else -> row.pace?.samples?.lastOrNull { it !is PaceSample.Began }?.let { describe(it) }
+                ?: "its answers begin late"
+        }
+
+    private fun describe(sample: PaceSample): String =
+        if (sample is PaceSample.Failed) "requests were lost there" else "it rejected requests or let them time out"
+
+    private fun GatewayTables.recordDelays(
+        row: UpstreamRow,
+        samples: List<PaceSample>,
+        isTickLate: Boolean,
+    ): GatewayTables {
+        val began = samples.filterIsInstance<PaceSample.Began>()
+        if (isTickLate || began.isEmpty()) return this
+        val service = row.registration.service
+        val norm = began.fold(delayNorms[service] ?: DelayNorm()) { norm, sample ->
+            norm.afterAnswer(sample.delay, sample.promptTokens)
+        }
+        return copy(delayNorms = delayNorms.put(service, norm))
+    }
+
+    private companion object {
+        const val HASH_RANGE = 4_294_967_296.0
+
+        /** While requests are under way, ticks are at most half as far apart. */
+        val LATE_TICK = 100.milliseconds
+
+        val LONGEST_BACKOFF = 1.seconds
+
+        /** An upstream that has reported within this time does so again soon. */
+        val RECENT_REPORT = 1.seconds
+
+        /** Time in which a process that starts has read the store, if that is up. */
+        val FIRST_READ_TIME = 3.seconds
+
+        /** An upstream that started less than this ago counts as just started; clocks may differ by less. */
+        val RECENT_START = 20.seconds
+    }
+}
+
+/** The tables in which the pace at [upstreams] begins anew, as they are used again after a time without requests. */
+fun GatewayTables.restartPace(upstreams: Iterable<UpstreamId>): GatewayTables =
+    upstreams.fold(this) { tables, id -> tables.updateUpstream(id) { it.copy(pace = null) } }
--- a/core/src/main/kotlin/org/ragwortbank/core/selection/UpstreamPolicyBuilder.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/selection/UpstreamPolicyBuilder.kt
@@ -8,6 +8,8 @@
 import org.ragwortbank.core.eligibility.RepeatedAttempt
 import org.ragwortbank.core.pacing.ColdLimit
 import org.ragwortbank.core.pacing.ColdObserver
+import org.ragwortbank.core.pacing.PaceLimit
+import org.ragwortbank.core.pacing.PaceObserver
 import org.ragwortbank.core.pacing.SendLimit
 import org.ragwortbank.core.ranking.AdapterDelay
 import org.ragwortbank.core.ranking.DelayTerm
@@ -58,7 +60,9 @@
         exclude(BackedOff())
         exclude(ModelMissing())
         limit(ColdLimit())
+        limit(PaceLimit())
         observe(ColdObserver())
+        observe(PaceObserver())
         rank(AdapterDelay())
         rank(QueueDelay())
         rank(LearnedDelay())
--- a/node/src/main/kotlin/org/ragwortbank/node/gateway/GatewayNode.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/gateway/GatewayNode.kt
@@ -166,6 +166,7 @@
         override fun metricsText(): String {
             metrics.setOpenRequests(ticker.tables.requests.size)
             metrics.setBlockedTraits(ticker.tables.blocks.size)
+            metrics.upstreams.update(ticker.tables)
             return metrics.toPrometheusText()
         }
 
--- a/node/src/main/kotlin/org/ragwortbank/node/metrics/NodeMetrics.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/metrics/NodeMetrics.kt
@@ -13,6 +13,9 @@
 class NodeMetrics : TickObserver {
     private val registry = PrometheusRegistry()
 
+    /** What a gateway may send to its upstreams. */
+    val upstreams: UpstreamMetrics by lazy { UpstreamMetrics(registry) }
+
     private val tickDurations = Histogram.builder()
         .name("ragwortbank_tick_seconds")
         .help("Time taken by a tick with its effects")
