--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewaySchedule.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewaySchedule.kt
@@ -4,6 +4,7 @@
 import org.ragwortbank.core.locality.DomainLossSystem
 import org.ragwortbank.core.locality.EvacuationSystem
 import org.ragwortbank.core.pacing.ColdSystem
+import org.ragwortbank.core.pacing.PaceSystem
 import org.ragwortbank.core.selection.UpstreamPolicy
 import org.ragwortbank.core.selection.defaultUpstreamPolicy
 import org.ragwortbank.core.tick.Schedule
@@ -27,6 +28,7 @@
             BlockSystem(),
             CancellationSystem(policy),
             DomainLossSystem(),
+            PaceSystem(),
             RoutingSystem(policy),
             DemandSystem(),
             PeerSystem(),
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewayTables.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewayTables.kt
@@ -15,6 +15,7 @@
 import org.ragwortbank.core.log.LogPart
 import org.ragwortbank.core.model.AccountId
 import org.ragwortbank.core.model.FailureDomain
+import org.ragwortbank.core.pacing.DelayNorm
 import org.ragwortbank.core.pacing.MemberListRow
 import org.ragwortbank.core.serving.AdapterKey
 import org.ragwortbank.core.serving.RequestNumber
@@ -78,6 +79,8 @@
  * @property evacuations failure domains to whose upstreams nothing is sent
  * @property lostDomains failure domains that are likely lost, so that others are preferred for a while
  * @property lossSweptAt when failed upstreams were last compared by their domains
+ * @property delayNorms usual time to the first event of the answers of each paced service
+ * @property pacedAt when the pace of upstreams was reviewed last
  * @property peerDigestSendTimes when the latest digests to the other gateways were sent, by their numbers
  */
 data class GatewayTables(
@@ -117,6 +120,8 @@
     val peerDigestSendTimes: PersistentMap<Long, Timestamp> = persistentMapOf(),
     val demandDigestNumber: Long = 0,
     val memberList: MemberListRow? = null,
+    val delayNorms: PersistentMap<ServiceName, DelayNorm> = persistentMapOf(),
+    val pacedAt: Timestamp? = null,
     val lastSweepAt: Timestamp? = null,
     val lastTickAt: Timestamp? = null,
     val catchUpUntil: Timestamp? = null,
--- a/node/src/main/kotlin/org/ragwortbank/node/gateway/GatewayNode.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/gateway/GatewayNode.kt
@@ -168,6 +168,7 @@
         override fun metricsText(): String {
             metrics.setOpenRequests(ticker.tables.requests.size)
             metrics.setRefusedAndSpared(ticker.tables.blocks.size, ticker.tables.evacuations.size)
+            metrics.upstreams.update(ticker.tables)
             return metrics.toPrometheusText()
         }
 
