--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/UpstreamRow.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/UpstreamRow.kt
@@ -7,14 +7,20 @@
 import org.ragwortbank.core.serving.AdapterKey
 import org.ragwortbank.core.serving.EngineDigest
 import org.ragwortbank.core.serving.UpstreamRegistration
+import org.ragwortbank.core.speed.MomentarySlowness
 import org.ragwortbank.core.tick.Timestamp
 import kotlin.time.Duration
 import kotlin.time.DurationUnit
 
-/** Load as reported by an upstream in an answer, or by its placer in a digest. */
+/**
+ * Load as reported by an upstream in an answer, or by its placer in a digest.
+ *
+ * @property slowness time that work takes there at this moment by the usual time; null when it isn't stated
+ */
 data class ReportedLoad(
     val running: Int,
     val waiting: Int,
+    val slowness: Double? = null,
 )
 
 /**
@@ -63,6 +69,7 @@
  * @property answeredAt when the latest part of an answer's beginning arrived from it
  * @property isLeaving whether it has said in an answer that it is about to stop
  * @property quietUntil until when it wants no requests, as it has said in an answer; null if it hasn't
+ * @property slowness how slow it is, as it has last stated in an answer; null if it never has
  * @property isSuperseded whether a later incarnation has the same endpoint, so that this one has terminated
  */
 data class UpstreamRow(
@@ -81,6 +88,7 @@
     val isLeaving: Boolean = false,
     val quietUntil: Timestamp? = null,
     val isSuperseded: Boolean = false,
+    val slowness: MomentarySlowness? = null,
 ) {
     /** Whether it accepts new work according to its registration and to itself. */
     val isAccepting: Boolean get() = registration.isAccepting && !isSuperseded && !isLeaving
@@ -148,7 +156,16 @@
 
     /** This row with [load] as the latest report; unchanged if there is none. */
     fun withReportedLoad(load: ReportedLoad?, now: Timestamp): UpstreamRow =
-        if (load == null) this else copy(reportedLoad = load, loadReportedAt = now, sentSinceReport = 0)
+        if (load == null) {
+            this
+        } else {
+            copy(
+                reportedLoad = load,
+                loadReportedAt = now,
+                sentSinceReport = 0,
+                slowness = load.slowness?.let { MomentarySlowness(it, now) } ?: slowness,
+            )
+        }
 
     private fun PersistentMap<AdapterKey, Int>.adjust(
         adapter: AdapterKey?,
--- a/core/src/main/kotlin/org/ragwortbank/core/placer/EngineDigestSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/placer/EngineDigestSystem.kt
@@ -61,6 +61,7 @@
             queuedRequests = report.queuedRequests,
             freeSlots = tables.freeSlots(report, now),
             requestedLoads = tables.unmetLoads(report, now).size,
+            millisPerToken = tables.speed.millisPerToken(now) ?: 0.0,
         )
         val sentRows = recipients.associate { it.name to it.copy(sentReport = report, sentAt = now) }
         return step
--- a/core/src/main/kotlin/org/ragwortbank/core/placer/PlacerTables.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/placer/PlacerTables.kt
@@ -11,6 +11,7 @@
 import org.ragwortbank.core.serving.Endpoint
 import org.ragwortbank.core.serving.EngineSpec
 import org.ragwortbank.core.serving.UpstreamId
+import org.ragwortbank.core.speed.GenerationSpeed
 import org.ragwortbank.core.tick.Step
 import org.ragwortbank.core.tick.Timestamp
 import kotlin.time.Duration
@@ -51,6 +52,7 @@
  * @property isLoadingModel whether the engine is executing a command for a base model
  * @property runningRequests requests that the engine is serving, of all gateways
  * @property queuedRequests requests waiting at the engine
+ * @property generating tokens in memory of each run that has begun to generate, by its ID
  */
 data class EngineReport(
     val residentModels: PersistentSet<String>,
@@ -61,6 +63,7 @@
     val isLoadingModel: Boolean,
     val runningRequests: Int,
     val queuedRequests: Int,
+    val generating: PersistentMap<String, Long> = persistentMapOf(),
 )
 
 /** A change of the loaded adapters and base models that an engine is asked to make. */
@@ -120,6 +123,7 @@
  *   reflect it
  * @property lastUsedAt when each adapter was last in use or loaded
  * @property inUse adapters that gateways have requests under way for
+ * @property speed how fast the engine generates, learned up to the report that was requested at [measuredAt]
  */
 data class PlacerTables(
     val name: String,
@@ -139,6 +143,8 @@
     val lastUsedAt: PersistentMap<AdapterKey, Timestamp> = persistentMapOf(),
     val lastDigestNumber: Long = 0,
     val inUse: PersistentSet<AdapterKey> = persistentSetOf(),
+    val speed: GenerationSpeed = GenerationSpeed(),
+    val measuredAt: Timestamp? = null,
     val isStopping: Boolean = false,
 ) {
     /** Whether the engine is loading a base model or an adapter. */
--- a/core/src/main/kotlin/org/ragwortbank/core/selection/SelectionContext.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/selection/SelectionContext.kt
@@ -1,10 +1,12 @@
 package org.ragwortbank.core.selection
 
+import kotlinx.collections.immutable.toPersistentList
 import org.ragwortbank.core.gateway.AdapterStates
 import org.ragwortbank.core.gateway.GatewayTables
 import org.ragwortbank.core.gateway.RequestRow
 import org.ragwortbank.core.hash.RendezvousHash
 import org.ragwortbank.core.serving.ServiceSpec
+import org.ragwortbank.core.speed.UpstreamSpeeds
 import org.ragwortbank.core.tick.Timestamp
 
 /** A request that looks for an upstream at [now], with the tables of its gateway. */
@@ -21,5 +23,11 @@
         RendezvousHash.hashOf(request.call.adapterKey.toString())
     }
 
+    /** Speeds of the upstreams of the request's service. */
+    val speeds: UpstreamSpeeds by lazy(LazyThreadSafetyMode.NONE) {
+        val rows = tables.upstreamsByService[request.service].orEmpty().mapNotNull { tables.upstreams[it] }
+        UpstreamSpeeds(rows.toPersistentList(), now, tables.engineDigestLifetime)
+    }
+
     internal val adapterStates = AdapterStates(tables, request.call.adapterKey, now)
 }
--- a/core/src/main/kotlin/org/ragwortbank/core/selection/UpstreamPolicyBuilder.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/selection/UpstreamPolicyBuilder.kt
@@ -11,6 +11,8 @@
 import org.ragwortbank.core.ranking.DelayTerm
 import org.ragwortbank.core.ranking.LearnedDelay
 import org.ragwortbank.core.ranking.QueueDelay
+import org.ragwortbank.core.speed.CompletionDelay
+import org.ragwortbank.core.speed.MomentaryDelay
 
 /** Puts an [UpstreamPolicy] together. */
 class UpstreamPolicyBuilder internal constructor() {
@@ -58,4 +60,6 @@
         rank(AdapterDelay())
         rank(QueueDelay())
         rank(LearnedDelay())
+        rank(CompletionDelay())
+        rank(MomentaryDelay())
     }
--- a/core/src/main/kotlin/org/ragwortbank/core/serving/Digests.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/serving/Digests.kt
@@ -75,6 +75,7 @@
  * @property queuedRequests requests waiting at the engine
  * @property freeSlots slots that can take another adapter now, including those of unused adapters
  * @property requestedLoads adapters that requests of all gateways wait for and whose load has not begun
+ * @property millisPerToken time for one token of a run in milliseconds, as learned; 0 when it isn't known
  */
 data class EngineDigest(
     val upstream: UpstreamId,
@@ -88,6 +89,7 @@
     val queuedRequests: Int = 0,
     val freeSlots: Int = 0,
     val requestedLoads: Int = 0,
+    val millisPerToken: Double = 0.0,
 ) {
     /** Identifies this digest. */
     val stamp: DigestStamp get() = DigestStamp(incarnation, number)
--- a/core/src/main/kotlin/org/ragwortbank/core/serving/ServingCall.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/serving/ServingCall.kt
@@ -31,6 +31,10 @@
     val sharedPromptParts: PersistentList<PromptPartId> = persistentListOf(),
     val fingerprint: RequestFingerprint? = null,
 ) {
+    /** Tokens that the answer may have; 0 when the request doesn't say. */
+    val answerTokens: Long
+        get() = if (tokens == null || promptTokens == null) 0 else (tokens - promptTokens).coerceAtLeast(0)
+
     /** The requested adapter; null for the base model itself or a service without models. */
     val adapterKey: AdapterKey? get() = if (model != null && adapter != null) AdapterKey(model, adapter) else null
 }
--- /dev/null
+++ b/core/src/main/kotlin/org/ragwortbank/core/speed/CompletionDelay.kt
@@ -0,0 +1,14 @@
+package org.ragwortbank.core.speed
+
+import org.ragwortbank.core.gateway.AdapterState
+import org.ragwortbank.core.gateway.UpstreamRow
+import org.ragwortbank.core.ranking.DelayTerm
+import org.ragwortbank.core.selection.SelectionContext
+
+/** The time in which an upstream generates the answer, by its learned speed. */
+class CompletionDelay : DelayTerm {
+    override fun millisAt(context: SelectionContext, upstream: UpstreamRow, state: AdapterState): Double {
+        if (!context.speeds.isUneven) return 0.0
+        return context.request.call.answerTokens * context.speeds.millisPerToken(upstream)
+    }
+}
