--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/UpstreamRow.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/UpstreamRow.kt
@@ -8,6 +8,7 @@
 import org.ragwortbank.core.serving.EngineDigest
 import org.ragwortbank.core.serving.UpstreamRegistration
 import org.ragwortbank.core.speed.MomentarySlowness
+import org.ragwortbank.core.speed.PromptReading
 import org.ragwortbank.core.tick.Timestamp
 import kotlin.time.Duration
 import kotlin.time.DurationUnit
@@ -70,6 +71,7 @@
  * @property isLeaving whether it has said in an answer that it is about to stop
  * @property quietUntil until when it wants no requests, as it has said in an answer; null if it hasn't
  * @property slowness how slow it is, as it has last stated in an answer; null if it never has
+ * @property reading how long it takes to read prompts
  * @property isSuperseded whether a later incarnation has the same endpoint, so that this one has terminated
  */
 data class UpstreamRow(
@@ -89,6 +91,7 @@
     val quietUntil: Timestamp? = null,
     val isSuperseded: Boolean = false,
     val slowness: MomentarySlowness? = null,
+    val reading: PromptReading = PromptReading(),
 ) {
     /** Whether it accepts new work according to its registration and to itself. */
     val isAccepting: Boolean get() = registration.isAccepting && !isSuperseded && !isLeaving
--- a/core/src/main/kotlin/org/ragwortbank/core/selection/UpstreamPolicyBuilder.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/selection/UpstreamPolicyBuilder.kt
@@ -13,6 +13,8 @@
 import org.ragwortbank.core.ranking.QueueDelay
 import org.ragwortbank.core.speed.CompletionDelay
 import org.ragwortbank.core.speed.MomentaryDelay
+import org.ragwortbank.core.speed.PromptReadingObserver
+import org.ragwortbank.core.speed.StallDelay
 
 /** Puts an [UpstreamPolicy] together. */
 class UpstreamPolicyBuilder internal constructor() {
@@ -62,4 +64,6 @@
         rank(LearnedDelay())
         rank(CompletionDelay())
         rank(MomentaryDelay())
+        rank(StallDelay())
+        observe(PromptReadingObserver())
     }
--- a/core/src/main/kotlin/org/ragwortbank/core/speed/UpstreamSpeeds.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/speed/UpstreamSpeeds.kt
@@ -28,9 +28,16 @@
     fun millisPerToken(upstream: UpstreamRow): Double =
         learnedMillisPerToken(upstream) ?: usualMillisPerToken ?: 0.0
 
-    /** Time that work takes at [upstream] by the time that it takes at the median upstream. */
-    fun relativeSlowness(upstream: UpstreamRow): Double =
-        usualMillisPerToken?.takeIf { it > 0.0 }?.let { millisPerToken(upstream) / it } ?: 1.0
+    /** Time to read a prompt token at the usual upstream, in milliseconds; null while it isn't known. */
+    val usualMillisPerPromptToken: Double? by lazy(LazyThreadSafetyMode.NONE) {
+        upstreams.fold(PromptReading()) { sum, row -> sum + row.reading }.millisPerToken
+    }
+
+    /** Time that work takes at [upstream] now by the time that it usually takes at the median upstream. */
+    fun slownessAt(upstream: UpstreamRow): Double {
+        val lasting = usualMillisPerToken?.takeIf { it > 0.0 }?.let { millisPerToken(upstream) / it } ?: 1.0
+        return lasting * (1.0 + (upstream.slowness?.excessAt(now) ?: 0.0))
+    }
 
     private fun learnedMillisPerToken(upstream: UpstreamRow): Double? =
         upstream.freshDigest(now, digestLifetime)?.millisPerToken?.takeIf { it > 0.0 }
