--- a/core/src/main/kotlin/org/ragwortbank/core/placer/PlacerTables.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/placer/PlacerTables.kt
@@ -123,7 +123,7 @@
  *   reflect it
  * @property lastUsedAt when each adapter was last in use or loaded
  * @property inUse adapters that gateways have requests under way for
- * @property speed how fast the engine generates, learned up to the report that was requested at [measuredAt]
+ * @property speed how fast the engine generates, as learned from its reports
  */
 data class PlacerTables(
     val name: String,
@@ -144,7 +144,6 @@
     val lastDigestNumber: Long = 0,
     val inUse: PersistentSet<AdapterKey> = persistentSetOf(),
     val speed: GenerationSpeed = GenerationSpeed(),
-    val measuredAt: Timestamp? = null,
     val isStopping: Boolean = false,
 ) {
     /** Whether the engine is loading a base model or an adapter. */
--- a/core/src/main/kotlin/org/ragwortbank/core/placer/ReportSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/placer/ReportSystem.kt
@@ -33,21 +33,16 @@
         val logged = if (tables.isEngineReachable) step else step.log(LogPart.PLATFORM, "the engine answers")
         val fence = tables.fence?.after(input.report) ?: CommandFence.of(input.report)
         return logged.update {
-            it.learnSpeed(input)
-                .copy(report = input.report, fence = fence, isAwaitingReport = false, isEngineReachable = true)
+            it.copy(
+                report = input.report,
+                fence = fence,
+                isAwaitingReport = false,
+                isEngineReachable = true,
+                speed = it.speed.after(input.report.generating, input.requestedAt),
+            )
         }
     }
 
-    /** Compares the runs of the newest report with those of the report before, if the same engine made both. */
-    private fun PlacerTables.learnSpeed(input: PlacerInput.ReportReceived): PlacerTables {
-        val isSameEngine = report?.startedMillis == input.report.startedMillis
-        val before = report?.generating.takeIf { isSameEngine }
-        val since = measuredAt
-        if (before == null || since == null) return copy(measuredAt = input.requestedAt)
-        val learned = speed.after(before, input.report.generating, input.requestedAt - since, input.requestedAt)
-        return copy(speed = learned, measuredAt = input.requestedAt)
-    }
-
     private fun recordReportFailure(step: PlacerStep, cause: String): PlacerStep {
         val wasReachable = step.tables.isEngineReachable
         val logged = if (wasReachable) step.log(LogPart.PLATFORM, "the engine does not answer: $cause") else step
--- a/core/src/main/kotlin/org/ragwortbank/core/selection/UpstreamPolicyBuilder.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/selection/UpstreamPolicyBuilder.kt
@@ -14,6 +14,7 @@
 import org.ragwortbank.core.speed.CompletionDelay
 import org.ragwortbank.core.speed.MomentaryDelay
 import org.ragwortbank.core.speed.PromptReadingObserver
+import org.ragwortbank.core.speed.SpreadChoice
 import org.ragwortbank.core.speed.StallDelay
 
 /** Puts an [UpstreamPolicy] together. */
@@ -65,5 +66,6 @@
         rank(CompletionDelay())
         rank(MomentaryDelay())
         rank(StallDelay())
+        choose(SpreadChoice())
         observe(PromptReadingObserver())
     }
--- a/core/src/main/kotlin/org/ragwortbank/core/speed/CompletionDelay.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/speed/CompletionDelay.kt
@@ -9,6 +9,6 @@
 class CompletionDelay : DelayTerm {
     override fun millisAt(context: SelectionContext, upstream: UpstreamRow, state: AdapterState): Double {
         if (!context.speeds.isUneven) return 0.0
-        return context.request.call.answerTokens * context.speeds.millisPerToken(upstream)
+        return context.request.call.answerTokens * 0.25 * context.speeds.millisPerToken(upstream)
     }
 }
--- a/core/src/main/kotlin/org/ragwortbank/core/speed/GenerationSpeed.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/speed/GenerationSpeed.kt
@@ -1,56 +1,68 @@
 package org.ragwortbank.core.speed
 
+import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.toPersistentList
 import org.ragwortbank.core.tick.Timestamp
-import kotlin.math.exp
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.DurationUnit
 
 /**
- * How fast an engine generates, learned from successive reports.
+ * What the runs of an engine generated between two of its reports, the second at [endedAt].
  *
- * Both sums fade with time, so that the ratio follows a change within some seconds and averages over shorter ones.
+ * @property millisPerToken time for one token of a run, in milliseconds
+ */
+data class SpeedSample(
+    val millisPerToken: Double,
+    val endedAt: Timestamp,
+)
+
+/**
+ * How fast an engine generates, learned from its reports.
  *
- * @property runMillis time that runs have spent generating, in milliseconds
- * @property tokens tokens that they have generated meanwhile
- * @property seenAt when two reports last had a generating run in common; null before
+ * @property samples latest samples, the oldest first
+ * @property generating tokens in memory of each run that generated at [measuredAt], by its ID
+ * @property measuredAt when the report was requested with which later ones are compared; null before the first
  */
 data class GenerationSpeed(
-    val runMillis: Double = 0.0,
-    val tokens: Double = 0.0,
-    val seenAt: Timestamp? = null,
+    val samples: PersistentList<SpeedSample> = persistentListOf(),
+    val generating: PersistentMap<String, Long> = persistentMapOf(),
+    val measuredAt: Timestamp? = null,
 ) {
-    /** Time for one token of a run in milliseconds; null while there is no recent evidence. */
-    fun millisPerToken(now: Timestamp): Double? =
-        if (seenAt == null || now - seenAt > LIFETIME || tokens <= 0.0) null else runMillis / tokens
-
     /**
-     * The speed after two reports that are [elapsed] apart, the second at [now].
+     * Time for one token of a run in milliseconds; null while there is no recent evidence.
      *
-     * @param before tokens in memory of each run that generated at the first report, by its ID
-     * @param after the same at the second report
+     * The fastest of the latest samples: the others contain slow moments of the machine and pauses for prompts, which
+     * pass and depend on what is sent there.
      */
-    fun after(
-        before: PersistentMap<String, Long>,
-        after: PersistentMap<String, Long>,
-        elapsed: Duration,
-        now: Timestamp,
-    ): GenerationSpeed {
-        val generated = after.mapNotNull { (id, tokens) -> before[id]?.let { tokens - it }?.takeIf { it >= 0 } }
-        if (generated.isEmpty() || elapsed <= Duration.ZERO) return this
-        val fade = seenAt?.let { exp(-((now - it) / MEMORY)) } ?: 0.0
-        val elapsedMillis = elapsed.toDouble(DurationUnit.MILLISECONDS)
-        return GenerationSpeed(
-            runMillis = runMillis * fade + elapsedMillis * generated.size,
-            tokens = tokens * fade + generated.sum(),
-            seenAt = now,
-        )
+    fun millisPerToken(now: Timestamp): Double? =
+        samples.filter { now - it.endedAt <= LIFETIME }.minOfOrNull { it.millisPerToken }
+
+    /** The speed after a report that was requested at [now], with the tokens of each run that generates. */
+    fun after(report: PersistentMap<String, Long>, now: Timestamp): GenerationSpeed {
+        val elapsed = measuredAt?.let { now - it } ?: return copy(generating = report, measuredAt = now)
+        if (elapsed < MIN_INTERVAL) return this
+        val sample = sample(report, elapsed, now)
+        val kept = if (sample == null) samples else (samples + sample).takeLast(MAX_SAMPLES).toPersistentList()
+        return GenerationSpeed(kept, report, now)
+    }
+
+    private fun sample(report: PersistentMap<String, Long>, elapsed: Duration, now: Timestamp): SpeedSample? {
+        val generated = report.mapNotNull { (id, tokens) -> generating[id]?.let { tokens - it }?.takeIf { it > 0 } }
+        if (generated.isEmpty()) return null
+        return SpeedSample(elapsed.toDouble(DurationUnit.MILLISECONDS) * generated.size / generated.sum(), now)
     }
 
     private companion object {
+        /** Shorter times between two reports hold too few tokens to tell the speed. */
+        val MIN_INTERVAL = 300.milliseconds
+
         /** Covers several of the short slow moments that a shared machine has. */
-        val MEMORY = 4.seconds
+        const val MAX_SAMPLES = 8
 
         /** After this time without runs, the machine's speed may have changed. */
         val LIFETIME = 20.seconds
