--- a/core/src/main/kotlin/org/ragwortbank/core/selection/UpstreamPolicyBuilder.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/selection/UpstreamPolicyBuilder.kt
@@ -6,6 +6,7 @@
 import org.ragwortbank.core.eligibility.NotAccepting
 import org.ragwortbank.core.eligibility.QuietTime
 import org.ragwortbank.core.eligibility.RepeatedAttempt
+import org.ragwortbank.core.locality.DomainDelay
 import org.ragwortbank.core.pacing.SendLimit
 import org.ragwortbank.core.ranking.AdapterDelay
 import org.ragwortbank.core.ranking.DelayTerm
@@ -14,7 +15,6 @@
 import org.ragwortbank.core.speed.CompletionDelay
 import org.ragwortbank.core.speed.MomentaryDelay
 import org.ragwortbank.core.speed.PromptReadingObserver
-import org.ragwortbank.core.speed.SpreadChoice
 import org.ragwortbank.core.speed.StallDelay
 
 /** Puts an [UpstreamPolicy] together. */
@@ -66,6 +66,6 @@
         rank(CompletionDelay())
         rank(MomentaryDelay())
         rank(StallDelay())
-        choose(SpreadChoice())
+        rank(DomainDelay())
         observe(PromptReadingObserver())
     }
--- a/core/src/main/kotlin/org/ragwortbank/core/speed/MomentaryDelay.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/speed/MomentaryDelay.kt
@@ -5,10 +5,11 @@
 import org.ragwortbank.core.ranking.DelayTerm
 import org.ragwortbank.core.selection.SelectionContext
 
-/** What the beginning of an answer takes longer because the upstream is slow, or quick, at this moment. */
+/** What the request loses because the upstream has stated lately that it is slow at the moment. */
 class MomentaryDelay : DelayTerm {
     override fun millisAt(context: SelectionContext, upstream: UpstreamRow, state: AdapterState): Double {
-        val excess = upstream.slowness?.excessAt(context.now) ?: return 0.0
-        return upstream.health.delayMillis * excess
+        val slowness = upstream.slowness ?: return 0.0
+        val answerMillis = context.request.call.answerTokens * context.speeds.millisPerToken(upstream)
+        return slowness.lossMillis(upstream.health.delayMillis + answerMillis, context.now)
     }
 }
--- a/core/src/main/kotlin/org/ragwortbank/core/speed/MomentarySlowness.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/speed/MomentarySlowness.kt
@@ -1,7 +1,9 @@
 package org.ragwortbank.core.speed
 
 import org.ragwortbank.core.tick.Timestamp
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.DurationUnit
 
 /**
  * How long work takes at an upstream at a moment, as it has stated itself.
@@ -13,11 +15,18 @@
     val reportedAt: Timestamp,
 ) {
     /** Time that work takes beyond the usual, as a share of it; fades to 0 with the age of the statement. */
-    fun excessAt(now: Timestamp): Double =
-        (factor - 1.0) * (1.0 - (now - reportedAt) / LIFETIME).coerceIn(0.0, 1.0)
+    fun excessAt(now: Timestamp): Double = (factor - 1.0) * (remainingAt(now) / LIFETIME)
+
+    /** What work of [workMillis] that begins at [now] loses while the upstream stays slow, in milliseconds. */
+    fun lossMillis(workMillis: Double, now: Timestamp): Double {
+        val remainingMillis = remainingAt(now).toDouble(DurationUnit.MILLISECONDS)
+        return if (factor <= 1.0) 0.0 else minOf(workMillis * (factor - 1.0), remainingMillis * (1.0 - 1.0 / factor))
+    }
+
+    private fun remainingAt(now: Timestamp): Duration = (LIFETIME - (now - reportedAt)).coerceIn(Duration.ZERO, LIFETIME)
 
     private companion object {
-        /** The figure changes many times a second. */
-        val LIFETIME = 300.milliseconds
+        /** Time within which the figure of a shared machine has likely changed. */
+        val LIFETIME = 500.milliseconds
     }
 }
