--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/RoutingSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/RoutingSystem.kt
@@ -7,6 +7,7 @@
 import org.ragwortbank.core.selection.Selection
 import org.ragwortbank.core.selection.SelectionContext
 import org.ragwortbank.core.selection.UpstreamPolicy
+import org.ragwortbank.core.speed.describeSpeed
 import org.ragwortbank.core.tick.Tick
 import org.ragwortbank.core.tick.TickSystem
 import org.ragwortbank.core.tick.Timestamp
@@ -114,7 +115,8 @@
 
     private fun describe(best: Candidate, now: Timestamp): String {
         val age = best.row.loadReportedAt?.let { "${(now - it).inWholeMilliseconds} ms old" } ?: "none"
-        return "expected ${best.expectedMillis.toInt()} ms, load ${best.row.load}, reported load $age"
+        val expectedText = "expected ${best.expectedMillis.toInt()} ms, load ${best.row.load}, reported load $age"
+        return expectedText + best.row.describeSpeed(now)
     }
 
     private companion object {
--- a/node/src/main/kotlin/org/ragwortbank/node/metrics/NodeMetrics.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/metrics/NodeMetrics.kt
@@ -44,6 +44,11 @@
         .help("Traits whose requests are refused because upstreams crash of them")
         .register(registry)
 
+    private val tokenMillis = Gauge.builder()
+        .name("ragwortbank_engine_token_milliseconds")
+        .help("Time for one token of a run at the engine beside a placer, as learned; 0 while it isn't known")
+        .register(registry)
+
     override fun onTick(inputs: Int, nanos: Long) {
         tickDurations.observe(nanos / NANOS_PER_SECOND)
         tickInputs.inc(inputs.toLong())
@@ -71,6 +76,9 @@
     /** Sets the number of traits whose requests are refused because upstreams crash of them. */
     fun setBlockedTraits(count: Int) = blockedTraits.set(count.toDouble())
 
+    /** Sets the learned time for one token of a run, in milliseconds. */
+    fun setTokenMillis(millis: Double) = tokenMillis.set(millis)
+
     /** Returns all metrics in the Prometheus text format. */
     fun toPrometheusText(): String {
         val output = ByteArrayOutputStream()
--- a/node/src/main/kotlin/org/ragwortbank/node/placer/PlacerNode.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/placer/PlacerNode.kt
@@ -96,7 +96,10 @@
     private inner class PlacerAdminPages : AdminPages {
         override fun isReady(): Boolean = ticker.tables.report != null
 
-        override fun metricsText(): String = metrics.toPrometheusText()
+        override fun metricsText(): String {
+            metrics.setTokenMillis(ticker.tables.speed.millisPerToken(clock.now()) ?: 0.0)
+            return metrics.toPrometheusText()
+        }
 
         override fun statusJson(): String {
             val tables = ticker.tables
