--- a/core/src/main/kotlin/org/ragwortbank/core/selection/UpstreamPolicyBuilder.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/selection/UpstreamPolicyBuilder.kt
@@ -7,7 +7,6 @@
 import org.ragwortbank.core.eligibility.QuietTime
 import org.ragwortbank.core.eligibility.RepeatedAttempt
 import org.ragwortbank.core.locality.DomainDelay
-import org.ragwortbank.core.locality.LoadBacklogDelay
 import org.ragwortbank.core.pacing.SendLimit
 import org.ragwortbank.core.ranking.AdapterDelay
 import org.ragwortbank.core.ranking.DelayTerm
@@ -68,6 +67,5 @@
         rank(MomentaryDelay())
         rank(StallDelay())
         rank(DomainDelay())
-        rank(LoadBacklogDelay())
         observe(PromptReadingObserver())
     }
