--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/UpstreamRow.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/UpstreamRow.kt
@@ -9,14 +9,21 @@
 import org.ragwortbank.core.serving.AdapterKey
 import org.ragwortbank.core.serving.EngineDigest
 import org.ragwortbank.core.serving.UpstreamRegistration
+import org.ragwortbank.core.speed.MomentarySlowness
+import org.ragwortbank.core.speed.PromptReading
 import org.ragwortbank.core.tick.Timestamp
 import kotlin.time.Duration
 import kotlin.time.DurationUnit
 
-/** Load as reported by an upstream in an answer, or by its placer in a digest. */
+/**
+ * Load as reported by an upstream in an answer, or by its placer in a digest.
+ *
+ * @property slowness time that work takes there at this moment by the usual time; null when it isn't stated
+ */
 data class ReportedLoad(
     val running: Int,
     val waiting: Int,
+    val slowness: Double? = null,
 )
 
 /**
@@ -67,6 +74,8 @@
  * @property quietUntil until when it wants no requests, as it has said in an answer; null if it hasn't
  * @property sentAt when this gateway's latest request was sent there
  * @property failedAt when a request of this gateway last failed there without an answer
+ * @property slowness how slow it is, as it has last stated in an answer; null if it never has
+ * @property reading how long it takes to read prompts
  * @property isSuperseded whether a later incarnation has the same endpoint, so that this one has terminated
  * @property cold whether it may be cold; null where its service has no bound for that, and until it is known
  * @property pace limit on this gateway's requests there; null where its service has none, and right after a start
@@ -91,6 +100,8 @@
     val sentAt: Timestamp? = null,
     val failedAt: Timestamp? = null,
     val pace: PaceRow? = null,
+    val slowness: MomentarySlowness? = null,
+    val reading: PromptReading = PromptReading(),
 ) {
     /** Whether it accepts new work according to its registration and to itself. */
     val isAccepting: Boolean get() = registration.isAccepting && !isSuperseded && !isLeaving
@@ -158,7 +169,16 @@
 
     /** This row with [load] as the latest report; unchanged if there is none. */
     fun withReportedLoad(load: ReportedLoad?, now: Timestamp): UpstreamRow =
-        if (load == null) this else copy(reportedLoad = load, loadReportedAt = now, sentSinceReport = 0)
+        if (load == null) {
+            this
+        } else {
+            copy(
+                reportedLoad = load,
+                loadReportedAt = now,
+                sentSinceReport = 0,
+                slowness = load.slowness?.let { MomentarySlowness(it, now) } ?: slowness,
+            )
+        }
 
     private fun PersistentMap<AdapterKey, Int>.adjust(
         adapter: AdapterKey?,
--- a/core/src/main/kotlin/org/ragwortbank/core/placer/ReportSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/placer/ReportSystem.kt
@@ -33,7 +33,13 @@
         val logged = if (tables.isEngineReachable) step else step.log(LogPart.PLATFORM, "the engine answers")
         val fence = tables.fence?.after(input.report) ?: CommandFence.of(input.report)
         return logged.update {
-            it.copy(report = input.report, fence = fence, isAwaitingReport = false, isEngineReachable = true)
+            it.copy(
+                report = input.report,
+                fence = fence,
+                isAwaitingReport = false,
+                isEngineReachable = true,
+                speed = it.speed.after(input.report.generating, input.requestedAt),
+            )
         }
     }
 
--- a/core/src/main/kotlin/org/ragwortbank/core/selection/UpstreamPolicyBuilder.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/selection/UpstreamPolicyBuilder.kt
@@ -6,6 +6,7 @@
 import org.ragwortbank.core.eligibility.NotAccepting
 import org.ragwortbank.core.eligibility.QuietTime
 import org.ragwortbank.core.eligibility.RepeatedAttempt
+import org.ragwortbank.core.locality.DomainDelay
 import org.ragwortbank.core.locality.DomainLossObserver
 import org.ragwortbank.core.locality.EvacuatedDomain
 import org.ragwortbank.core.locality.LostDomainDelay
@@ -19,6 +20,10 @@
 import org.ragwortbank.core.ranking.DelayTerm
 import org.ragwortbank.core.ranking.LearnedDelay
 import org.ragwortbank.core.ranking.QueueDelay
+import org.ragwortbank.core.speed.CompletionDelay
+import org.ragwortbank.core.speed.MomentaryDelay
+import org.ragwortbank.core.speed.PromptReadingObserver
+import org.ragwortbank.core.speed.StallDelay
 
 /** Puts an [UpstreamPolicy] together. */
 class UpstreamPolicyBuilder internal constructor() {
@@ -74,4 +79,9 @@
         rank(LearnedDelay())
         rank(LostDomainDelay())
         observe(DomainLossObserver())
+        rank(CompletionDelay())
+        rank(MomentaryDelay())
+        rank(StallDelay())
+        rank(DomainDelay())
+        observe(PromptReadingObserver())
     }
--- a/node/src/main/kotlin/org/ragwortbank/node/metrics/NodeMetrics.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/metrics/NodeMetrics.kt
@@ -52,6 +52,11 @@
         .help("Failure domains to whose upstreams nothing is sent because operators have emptied them")
         .register(registry)
 
+    private val tokenMillis = Gauge.builder()
+        .name("ragwortbank_engine_token_milliseconds")
+        .help("Time for one token of a run at the engine beside a placer, as learned; 0 while it isn't known")
+        .register(registry)
+
     override fun onTick(inputs: Int, nanos: Long) {
         tickDurations.observe(nanos / NANOS_PER_SECOND)
         tickInputs.inc(inputs.toLong())
@@ -82,6 +87,9 @@
         this.evacuatedDomains.set(evacuatedDomains.toDouble())
     }
 
+    /** Sets the learned time for one token of a run, in milliseconds. */
+    fun setTokenMillis(millis: Double) = tokenMillis.set(millis)
+
     /** Returns all metrics in the Prometheus text format. */
     fun toPrometheusText(): String {
         val output = ByteArrayOutputStream()
