--- a/cli/src/main/kotlin/org/ragwortbank/cli/settings/GatewayReader.kt
+++ b/cli/src/main/kotlin/org/ragwortbank/cli/settings/GatewayReader.kt
@@ -7,10 +7,12 @@
 import org.ragwortbank.cli.toml.duration
 import org.ragwortbank.cli.toml.int
 import org.ragwortbank.cli.toml.number
+import org.ragwortbank.cli.toml.optionalBytes
 import org.ragwortbank.cli.toml.optionalBoolean
 import org.ragwortbank.cli.toml.string
 import org.ragwortbank.clients.http.Address
 import org.ragwortbank.core.gateway.GatewaySettings
+import org.ragwortbank.core.pressure.PressureLimits
 import org.ragwortbank.core.serving.Feature
 import org.ragwortbank.node.log.LogFormat
 import org.ragwortbank.node.settings.GatewayNodeSettings
@@ -48,7 +50,8 @@
         isFirstStart = reader.optionalBoolean("first_start") ?: false,
         connectTimeout = reader.duration("connect_timeout", DEFAULT_CONNECT_TIMEOUT),
         gateway = reader.optionalSection("bounds", ::readGatewaySettings)
-            .copy(features = reader.section("features", ::readFeatures)),
+            .copy(features = reader.section("features", ::readFeatures))
+            .copy(pressure = reader.optionalSection("limits", ::readPressureLimits)),
         logLevel = reader.section("log") { readLogLevel(it, LogFormat.JSON) },
         logFormat = reader.section("log") { readLogFormat(it, LogFormat.JSON) },
     )
@@ -74,6 +77,10 @@
     return if (needsPace) features.add(Feature.PACE) else features
 }
 
+/** Derives what is held for slow readers from the memory that the process may use. */
+private fun readPressureLimits(reader: TomlReader): PressureLimits =
+    reader.optionalBytes("memory")?.let { PressureLimits.of(it, Runtime.getRuntime().maxMemory()) } ?: PressureLimits()
+
 /** Reads the bounds that operators set and derives the gateway's internal limits from them. */
 private fun readGatewaySettings(reader: TomlReader): GatewaySettings {
     val defaults = GatewaySettings()
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewayEffect.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewayEffect.kt
@@ -4,6 +4,7 @@
 import org.ragwortbank.core.crash.CrashTrait
 import org.ragwortbank.core.log.LogLine
 import org.ragwortbank.core.model.AccountId
+import org.ragwortbank.core.pressure.CutReason
 import org.ragwortbank.core.result.Refusal
 import org.ragwortbank.core.serving.DemandDigest
 import org.ragwortbank.core.serving.Endpoint
@@ -54,6 +55,9 @@
     /** The process stops. */
     STOP("the process stops"),
 
+    /** The caller reads too slowly. */
+    SLOW_CALLER("the caller reads too slowly"),
+
     /** Requests with a trait of this one are refused from now on. */
     BLOCKED("requests like it are refused from now on"),
 }
@@ -81,6 +85,12 @@
     /** Abort an answer that has begun, so that the caller sees that it is incomplete. */
     data class AbortAnswer(val number: RequestNumber, val refusal: Refusal) : GatewayEffect
 
+    /** Read the upstream of an answer until its caller's connection holds [bytes], beyond the usual mark. */
+    data class SetReadLimit(val number: RequestNumber, val bytes: Long) : GatewayEffect
+
+    /** Reset the connection of a caller that hasn't taken its answer, whether or not the answer is complete. */
+    data class CutAnswer(val number: RequestNumber, val reason: CutReason) : GatewayEffect
+
     /** Remove a request that needs no further decision: it was answered, or its caller disconnected. */
     data class RemoveRequest(val number: RequestNumber) : GatewayEffect
 
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewayInput.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewayInput.kt
@@ -1,6 +1,8 @@
 package org.ragwortbank.core.gateway
 
 import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.PersistentMap
+import org.ragwortbank.core.pressure.HeldMeasure
 import org.ragwortbank.core.serving.Endpoint
 import org.ragwortbank.core.serving.EngineDigest
 import org.ragwortbank.core.serving.PeerDigest
@@ -97,6 +99,9 @@
     /** Another gateway reported what it has admitted. */
     data class PeerDigestReceived(val digest: PeerDigest, val from: Endpoint) : GatewayInput
 
+    /** What the connections of callers hold; all that isn't named holds nothing. */
+    data class HeldBytesMeasured(val measures: PersistentMap<RequestNumber, HeldMeasure>) : GatewayInput
+
     /** The settings were reloaded. */
     data class SettingsReloaded(val settings: GatewaySettings) : GatewayInput
 
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewaySchedule.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewaySchedule.kt
@@ -1,6 +1,7 @@
 package org.ragwortbank.core.gateway
 
 import kotlinx.collections.immutable.persistentListOf
+import org.ragwortbank.core.pressure.PressureSystem
 import org.ragwortbank.core.selection.UpstreamPolicy
 import org.ragwortbank.core.selection.defaultUpstreamPolicy
 import org.ragwortbank.core.tick.Schedule
@@ -18,6 +19,7 @@
             UpstreamNoticeSystem(),
             CrashSystem(),
             AttemptSystem(policy),
+            PressureSystem(policy),
             AdmissionSystem(),
             BlockSystem(),
             CancellationSystem(policy),
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewaySettings.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewaySettings.kt
@@ -3,6 +3,7 @@
 import kotlinx.collections.immutable.PersistentSet
 import kotlinx.collections.immutable.persistentSetOf
 import org.ragwortbank.core.model.FailureDomain
+import org.ragwortbank.core.pressure.PressureLimits
 import org.ragwortbank.core.serving.Feature
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -26,6 +27,7 @@
  * @property drainTimeout time after which a draining process stops even with requests under way
  * @property storeReadDelay time between a reply of the store and the next read of its changes
  * @property sweepInterval time between checks of deadlines
+ * @property pressure bounds on what is held for slow readers, with [Feature.PRESSURE]
  * @property features parts of the product that this deployment asks for
  */
 data class GatewaySettings(
@@ -44,6 +46,7 @@
     val drainTimeout: Duration = 7.seconds,
     val storeReadDelay: Duration = 750.milliseconds,
     val sweepInterval: Duration = 20.milliseconds,
+    val pressure: PressureLimits = PressureLimits(),
     val features: PersistentSet<Feature> = persistentSetOf(),
 ) {
     /** Time after a stop request after which nothing more is sent, since its answer would likely be cut off. */
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewayTables.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewayTables.kt
@@ -12,6 +12,7 @@
 import org.ragwortbank.core.log.LogLine
 import org.ragwortbank.core.log.LogPart
 import org.ragwortbank.core.model.AccountId
+import org.ragwortbank.core.pressure.HeldRow
 import org.ragwortbank.core.serving.AdapterKey
 import org.ragwortbank.core.serving.RequestNumber
 import org.ragwortbank.core.serving.ServiceName
@@ -70,6 +71,7 @@
  * @property traitsClearedAt when a trait was last added to these
  * @property blocks traits whose requests are refused
  * @property replacedBlocks traits whose requests were refused before a broader trait took their place, and when it did
+ * @property held answers of which callers haven't taken a part, by the latest measurement
  * @property peerDigestSendTimes when the latest digests to the other gateways were sent, by their numbers
  */
 data class GatewayTables(
@@ -102,6 +104,7 @@
     val traitsClearedAt: Timestamp? = null,
     val blocks: PersistentMap<CrashTrait, BlockRow> = persistentMapOf(),
     val replacedBlocks: PersistentMap<CrashTrait, Timestamp> = persistentMapOf(),
+    val held: PersistentMap<RequestNumber, HeldRow> = persistentMapOf(),
     val peerDigestNumber: Long = 0,
     val peerDigestSendTimes: PersistentMap<Long, Timestamp> = persistentMapOf(),
     val demandDigestNumber: Long = 0,
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/MembershipChanges.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/MembershipChanges.kt
@@ -65,8 +65,10 @@
     val service = registration.service
     val previous = existing?.registration
     val isSame = previous != null && previous.startedMillis == registration.startedMillis && previous.service == service
-    val row =
-        if (isSame) existing.copy(registration = registration) else newUpstream(registration, existing?.inFlight ?: 0)
+    val row = when {
+        isSame -> existing.copy(registration = registration)
+        else -> newUpstream(registration, existing?.inFlight ?: 0).copy(tokensInFlight = existing?.tokensInFlight ?: 0)
+    }
     val previousService = previous?.service
     val isInOtherService = previousService != null && previousService != service
     val updatedServices =
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/RequestCompletion.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/RequestCompletion.kt
@@ -41,7 +41,7 @@
 /** The tables with [row] no longer counted at its upstream, if it has one. */
 internal fun GatewayTables.releaseUpstream(row: RequestRow): GatewayTables {
     val upstream = row.upstream ?: return this
-    return updateUpstream(upstream) { it.withRequestCompleted(row.call.adapterKey) }
+    return updateUpstream(upstream) { it.withRequestCompleted(row.call.adapterKey, row.call.tokens ?: 0) }
 }
 
 /** The tables with the tokens of [row] returned to its account, if it has certainly not run. */
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/UpstreamRow.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/UpstreamRow.kt
@@ -61,6 +61,8 @@
  * @property reportedLoad latest load report, received at [loadReportedAt]
  * @property sentSinceReport requests sent by this gateway since [loadReportedAt]
  * @property answeredAt when the latest part of an answer's beginning arrived from it
+ * @property tokensInFlight tokens of this gateway's requests that are under way there
+ * @property tokensSinceDigest tokens of those that the latest digest of its placer can't contain
  * @property isLeaving whether it has said in an answer that it is about to stop
  * @property quietUntil until when it wants no requests, as it has said in an answer; null if it hasn't
  * @property isSuperseded whether a later incarnation has the same endpoint, so that this one has terminated
@@ -78,6 +80,8 @@
     val sentSinceReport: Int = 0,
     val health: UpstreamHealth = UpstreamHealth(),
     val answeredAt: Timestamp? = null,
+    val tokensInFlight: Long = 0,
+    val tokensSinceDigest: Long = 0,
     val isLeaving: Boolean = false,
     val quietUntil: Timestamp? = null,
     val isSuperseded: Boolean = false,
@@ -104,6 +108,7 @@
         val dropped = digest?.resident.orEmpty().filterKeys { it !in received.resident }
         val kept = if (previouslyResident.size > MAX_PREVIOUSLY_RESIDENT) persistentMapOf() else previouslyResident
         return copy(digest = received, digestReceivedAt = now, previouslyResident = kept.putAll(dropped))
+            .copy(tokensSinceDigest = 0)
             .withReportedLoad(ReportedLoad(received.runningRequests, received.queuedRequests), now)
     }
 
@@ -133,18 +138,24 @@
             )
         }
 
-    /** This row with a request for [adapter] sent. */
-    fun withRequestSent(adapter: AdapterKey?): UpstreamRow =
+    /** This row with a request of [tokens] for [adapter] sent. */
+    fun withRequestSent(adapter: AdapterKey?, tokens: Long): UpstreamRow =
         copy(
+            tokensInFlight = tokensInFlight + tokens,
+            tokensSinceDigest = tokensSinceDigest + tokens,
             inFlight = inFlight + 1,
             sentSinceReport = sentSinceReport + 1,
             inUse = inUse.adjust(adapter, 1),
             usedSinceDigest = adapter?.let(usedSinceDigest::add) ?: usedSinceDigest,
         )
 
-    /** This row with a request for [adapter] completed. */
-    fun withRequestCompleted(adapter: AdapterKey?): UpstreamRow =
-        copy(inFlight = (inFlight - 1).coerceAtLeast(0), inUse = inUse.adjust(adapter, -1))
+    /** This row with a request of [tokens] for [adapter] completed. */
+    fun withRequestCompleted(adapter: AdapterKey?, tokens: Long): UpstreamRow =
+        copy(
+            inFlight = (inFlight - 1).coerceAtLeast(0),
+            inUse = inUse.adjust(adapter, -1),
+            tokensInFlight = (tokensInFlight - tokens).coerceAtLeast(0),
+        )
 
     /** This row with [load] as the latest report; unchanged if there is none. */
     fun withReportedLoad(load: ReportedLoad?, now: Timestamp): UpstreamRow =
--- a/core/src/main/kotlin/org/ragwortbank/core/placer/EngineDigestSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/placer/EngineDigestSystem.kt
@@ -59,6 +59,7 @@
             residentModels = report.residentModels,
             runningRequests = report.runningRequests,
             queuedRequests = report.queuedRequests,
+            usedTokens = report.usedTokens,
             freeSlots = tables.freeSlots(report, now),
             requestedLoads = tables.unmetLoads(report, now).size,
         )
--- a/core/src/main/kotlin/org/ragwortbank/core/placer/PlacerTables.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/placer/PlacerTables.kt
@@ -51,6 +51,7 @@
  * @property isLoadingModel whether the engine is executing a command for a base model
  * @property runningRequests requests that the engine is serving, of all gateways
  * @property queuedRequests requests waiting at the engine
+ * @property usedTokens memory of running requests of all gateways, in tokens; null when it doesn't say
  */
 data class EngineReport(
     val residentModels: PersistentSet<String>,
@@ -61,6 +62,7 @@
     val isLoadingModel: Boolean,
     val runningRequests: Int,
     val queuedRequests: Int,
+    val usedTokens: Long? = null,
 )
 
 /** A change of the loaded adapters and base models that an engine is asked to make. */
--- a/core/src/main/kotlin/org/ragwortbank/core/selection/UpstreamPolicyBuilder.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/selection/UpstreamPolicyBuilder.kt
@@ -7,6 +7,8 @@
 import org.ragwortbank.core.eligibility.QuietTime
 import org.ragwortbank.core.eligibility.RepeatedAttempt
 import org.ragwortbank.core.pacing.SendLimit
+import org.ragwortbank.core.pressure.ConnectionLimit
+import org.ragwortbank.core.pressure.TokenMemoryLimit
 import org.ragwortbank.core.ranking.AdapterDelay
 import org.ragwortbank.core.ranking.DelayTerm
 import org.ragwortbank.core.ranking.LearnedDelay
@@ -55,6 +57,8 @@
         exclude(QuietTime())
         exclude(BackedOff())
         exclude(ModelMissing())
+        limit(TokenMemoryLimit())
+        limit(ConnectionLimit())
         rank(AdapterDelay())
         rank(QueueDelay())
         rank(LearnedDelay())
--- a/core/src/main/kotlin/org/ragwortbank/core/serving/Digests.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/serving/Digests.kt
@@ -73,6 +73,7 @@
  * @property residentModels base models that are loaded
  * @property runningRequests requests that the engine is serving, of all gateways
  * @property queuedRequests requests waiting at the engine
+ * @property usedTokens memory of running requests of all gateways, in tokens; null when the engine doesn't say
  * @property freeSlots slots that can take another adapter now, including those of unused adapters
  * @property requestedLoads adapters that requests of all gateways wait for and whose load has not begun
  */
@@ -86,6 +87,7 @@
     val residentModels: PersistentSet<String> = persistentSetOf(),
     val runningRequests: Int = 0,
     val queuedRequests: Int = 0,
+    val usedTokens: Long? = null,
     val freeSlots: Int = 0,
     val requestedLoads: Int = 0,
 ) {
--- a/node/src/main/kotlin/org/ragwortbank/node/datagram/EngineWire.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/datagram/EngineWire.kt
@@ -30,6 +30,7 @@
     queuedRequests = queuedRequests,
     freeSlots = freeSlots,
     requestedLoads = requestedLoads,
+    usedTokens = usedTokens,
 )
 
 internal fun WireEngine.toDigest() = EngineDigest(
@@ -44,4 +45,5 @@
     queuedRequests = queuedRequests,
     freeSlots = freeSlots,
     requestedLoads = requestedLoads,
+    usedTokens = usedTokens,
 )
--- a/node/src/main/kotlin/org/ragwortbank/node/datagram/WireDigest.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/datagram/WireDigest.kt
@@ -70,6 +70,7 @@
     @SerialName("q") val queuedRequests: Int = 0,
     @SerialName("f") val freeSlots: Int = 0,
     @SerialName("l") val requestedLoads: Int = 0,
+    @SerialName("k") val usedTokens: Long? = null,
 )
 
 /** Encoded form of a peer digest: tokens that a gateway has admitted. */
--- a/node/src/main/kotlin/org/ragwortbank/node/gateway/AnswerSink.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/gateway/AnswerSink.kt
@@ -33,6 +33,12 @@
     /** Whether the process is stopping, so that each connection closes after its current answer. */
     val isStopping: Boolean
 
+    /** Where the bodies of requests count; null where what is held for callers and upstreams isn't bounded. */
+    val bodies: BodyBudget?
+
+    /** A part of [bytes] bytes of the answer that [sink] writes can't be passed on to its caller at once. */
+    fun onHeld(sink: AnswerSink, answer: HeldAnswer, bytes: Int)
+
     /** A complete request was received. */
     fun onRequest(request: CallerRequest, sink: AnswerSink)
 
--- a/node/src/main/kotlin/org/ragwortbank/node/gateway/BufferBudget.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/gateway/BufferBudget.kt
@@ -1,7 +1,7 @@
 package org.ragwortbank.node.gateway
 
 /** Bounds the bytes of answers that a process holds and doesn't relay yet; used on the event loop's thread only. */
-internal class BufferBudget(private val maxBytes: Long = DEFAULT_MAX_BYTES) {
+internal class BufferBudget(var maxBytes: Long = DEFAULT_MAX_BYTES) {
     private var usedBytes = 0L
 
     /** Whether nothing more should be held, so that answers are relayed as they arrive. */
@@ -17,7 +17,8 @@
         usedBytes -= bytes
     }
 
-    private companion object {
+    companion object {
+        /** Bound where the settings don't give another. */
         const val DEFAULT_MAX_BYTES = 16_777_216L
     }
 }
--- a/node/src/main/kotlin/org/ragwortbank/node/gateway/CallerRequest.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/gateway/CallerRequest.kt
@@ -9,8 +9,16 @@
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpVersion
 
-/** A complete request of a caller. */
-internal class CallerRequest(val head: HttpRequest, val body: ByteArray) {
+/**
+ * A complete request of a caller.
+ *
+ * @property onReleased called when the request and its body are no longer held
+ */
+internal class CallerRequest(
+    val head: HttpRequest,
+    val body: ByteArray,
+    val onReleased: () -> Unit = {},
+) {
     val headers: HttpHeaders get() = head.headers()
 
     /** Whether the caller's version of HTTP has the chunked transfer coding. */
--- a/node/src/main/kotlin/org/ragwortbank/node/gateway/GatewayHttpHandler.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/gateway/GatewayHttpHandler.kt
@@ -11,13 +11,13 @@
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.util.ReferenceCountUtil
-import kotlinx.collections.immutable.PersistentList
-import kotlinx.collections.immutable.persistentListOf
 import org.ragwortbank.core.result.Refusal
 import org.ragwortbank.core.result.ResultCode
 import org.ragwortbank.core.serving.ClientLimits
 import org.ragwortbank.node.http.Assembly
 import org.ragwortbank.node.http.RequestAssembler
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /** Reads the requests of one caller's connection and answers them one at a time, in the order of their arrival. */
 internal class GatewayHttpHandler(
@@ -25,10 +25,11 @@
     private val listener: CallerListener,
 ) : ChannelInboundHandlerAdapter() {
     private val assembler = RequestAssembler(limits.maxBodyBytes)
+    private val reservation = BodyReservation(limits.maxBodyBytes) { listener.bodies }
+    private val pipelinedParts = PipelinedParts { listener.bodies }
     private val readTimeout = ReadTimeout()
     private var currentAnswer: HttpAnswerSink? = null
     private var isClosing = false
-    private var pipelinedParts: PersistentList<HttpObject> = persistentListOf()
 
     override fun channelActive(ctx: ChannelHandlerContext) = readTimeout.start(ctx, limits.idleTimeout) { ctx.close() }
 
@@ -36,8 +37,7 @@
         when {
             message !is HttpObject || isClosing -> ReferenceCountUtil.release(message)
             currentAnswer == null -> read(ctx, message)
-            pipelinedParts.size >= MAX_PIPELINED_PARTS -> ctx.close().also { ReferenceCountUtil.release(message) }
-            else -> pipelinedParts = pipelinedParts.add(message)
+            !pipelinedParts.add(message) -> ctx.close()
         }
     }
 
@@ -48,9 +48,10 @@
     override fun channelInactive(ctx: ChannelHandlerContext) {
         readTimeout.cancel()
         assembler.clear()
-        pipelinedParts.forEach { ReferenceCountUtil.release(it) }
-        pipelinedParts = persistentListOf()
+        reservation.release()
+        pipelinedParts.release()
         currentAnswer?.let(listener::onCallerDisconnected)
+        currentAnswer?.onWritabilityChanged()
         currentAnswer = null
     }
 
@@ -65,6 +66,11 @@
     }
 
     private fun read(ctx: ChannelHandlerContext, message: HttpObject) {
+        if (!reservation.add(message)) {
+            ReferenceCountUtil.release(message)
+            refuse(ctx, fullRefusal)
+            return
+        }
         if (message is HttpRequest) {
             readTimeout.start(ctx, limits.idleTimeout) { refuse(ctx, slowSenderRefusal) }
             if (HttpUtil.is100ContinueExpected(message)) ctx.writeAndFlush(continueResponse())
@@ -72,23 +78,42 @@
         when (val assembly = assembler.addPart(ctx, message)) {
             Assembly.Incomplete -> Unit
             is Assembly.Rejected -> refuse(ctx, assembly.refusal)
-            is Assembly.Complete -> passOn(ctx, CallerRequest(assembly.request, assembly.body))
+            is Assembly.Complete ->
+                passOn(ctx, CallerRequest(assembly.request, assembly.body, reservation.handOver()))
         }
     }
 
     private fun passOn(ctx: ChannelHandlerContext, request: CallerRequest) {
         readTimeout.cancel()
-        val answer = HttpAnswerSink(
+        val isBounded = listener.bodies != null
+        lateinit var answer: HttpAnswerSink
+        val onHeld = { held: HeldAnswer, bytes: Int -> listener.onHeld(answer, held, bytes) }
+        answer = HttpAnswerSink(
             ctx = ctx,
             keepAlive = HttpUtil.isKeepAlive(request.head),
             isStopping = { listener.isStopping },
             knowsChunks = request.knowsChunks,
-            onLastWrite = { staysOpen, lastWrite -> onAnswerWritten(ctx, staysOpen, lastWrite) },
+            outbound = CallerOutbound(ctx, onHeld.takeIf { isBounded }),
+            onLastWrite = { staysOpen, lastWrite -> onLastWrite(ctx, staysOpen, lastWrite, isBounded) },
         )
         currentAnswer = answer
         listener.onRequest(request, answer)
     }
 
+    /** Where what is held is bounded, the next request begins when the caller has taken this answer. */
+    private fun onLastWrite(
+        ctx: ChannelHandlerContext,
+        staysOpen: Boolean,
+        lastWrite: ChannelFuture,
+        isBounded: Boolean,
+    ) {
+        if (isBounded) {
+            lastWrite.addListener { if (it.isSuccess) onAnswerWritten(ctx, staysOpen, lastWrite) }
+        } else {
+            onAnswerWritten(ctx, staysOpen, lastWrite)
+        }
+    }
+
     private fun onAnswerWritten(ctx: ChannelHandlerContext, staysOpen: Boolean, lastWrite: ChannelFuture) {
         currentAnswer = null
         if (!staysOpen) {
@@ -97,23 +122,37 @@
             return
         }
         readTimeout.start(ctx, limits.idleTimeout) { ctx.close() }
-        val pending = pipelinedParts
-        pipelinedParts = persistentListOf()
-        pending.forEach { channelRead(ctx, it) }
+        pipelinedParts.take().forEach { channelRead(ctx, it) }
     }
 
     private fun refuse(ctx: ChannelHandlerContext, refusal: Refusal) {
         readTimeout.cancel()
         assembler.clear()
+        reservation.release()
         listener.onUnreadableRequest(refusal)
-        HttpAnswerSink(ctx, keepAlive = false, { true }) { _, lastWrite -> onAnswerWritten(ctx, false, lastWrite) }
-            .writeRefusal(refusal)
+        HttpAnswerSink(ctx, keepAlive = false, { true }) { _, lastWrite ->
+            if (refusal == fullRefusal) closeLater(ctx) else onAnswerWritten(ctx, false, lastWrite)
+        }.writeRefusal(refusal)
+    }
+
+    /** A close while the caller still sends would reset the connection, and the caller might not see its answer. */
+    private fun closeLater(ctx: ChannelHandlerContext) {
+        isClosing = true
+        readTimeout.start(ctx, REFUSED_BODY_TIME) { ctx.close() }
     }
 
     private companion object {
-        const val MAX_PIPELINED_PARTS = 64
         val slowSenderRefusal = Refusal.notRun(ResultCode.SLOW_SENDER)
+        val fullRefusal = Refusal.notRun(
+            ResultCode.OVERLOADED,
+            "the bodies of other requests take the room for this one",
+            FULL_RETRY_AFTER,
+        )
 
         fun continueResponse() = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE)
     }
 }
+
+/** Time for which the rest of a body that was refused is read and dropped. */
+private val REFUSED_BODY_TIME = 500.milliseconds
+private val FULL_RETRY_AFTER = 1.seconds
--- a/node/src/main/kotlin/org/ragwortbank/node/gateway/GatewayHttpServer.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/gateway/GatewayHttpServer.kt
@@ -5,10 +5,12 @@
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoopGroup
+import io.netty.channel.WriteBufferWaterMark
 import io.netty.channel.group.DefaultChannelGroup
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioServerSocketChannel
 import io.netty.handler.codec.http.HttpServerCodec
+import org.ragwortbank.core.pressure.PressureLimits
 import org.ragwortbank.core.serving.ClientLimits
 
 /** HTTP server for callers. */
@@ -26,6 +28,7 @@
             .group(group)
             .channelFactory { NioServerSocketChannel(socket.channel) }
             .childOption(ChannelOption.TCP_NODELAY, true)
+            .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, waterMarks)
             .childHandler(CallerChannelInitializer())
             .register()
             .sync()
@@ -54,5 +57,6 @@
 
     private companion object {
         const val MAX_CHUNK_BYTES = 16_384
+        val waterMarks = WriteBufferWaterMark(PressureLimits.LOW_WATER_BYTES, PressureLimits.HIGH_WATER_BYTES)
     }
 }
--- a/node/src/main/kotlin/org/ragwortbank/node/gateway/GatewayNode.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/gateway/GatewayNode.kt
@@ -61,6 +61,7 @@
     private val observer = LoggingConnectionObserver(metrics)
     private val connections = UpstreamConnections(process.loop, dialect, settings.connectTimeout, observer, clock::now)
     private val requests = RequestRegistry(dialect, connections, metrics, clock::now, post = ticker::post)
+    private val pressure = AnswerPressure(process.loop, requests, metrics.pressure, ticker::postDeferred)
     private val httpServer =
         GatewayHttpServer(process.group, { ticker.tables.config?.limits ?: ClientLimits() }, requests)
     private val link = DatagramLink(process.group, ::onDigest)
@@ -76,6 +77,7 @@
     override fun start(): ListenAddresses {
         val digestEndpoint = link.open(settings.digestAddress.endpoint())
         process.run {
+            pressure.apply(settings.gateway)
             ticker.start()
             storeWatcher.start()
         }
@@ -97,7 +99,10 @@
 
     /** Applies the gateway settings of [changed] to the running process. */
     fun apply(changed: GatewayNodeSettings) =
-        process.loop.execute { ticker.post(GatewayInput.SettingsReloaded(changed.gateway)) }
+        process.loop.execute {
+            pressure.apply(changed.gateway)
+            ticker.post(GatewayInput.SettingsReloaded(changed.gateway))
+        }
 
     override fun stop(requestedAgo: Duration) = process.loop.execute {
         if (!requests.isStopping) {
@@ -117,6 +122,7 @@
             is GatewayEffect.SendPeerDigest -> link.sendAll(effect.endpoints, DigestCodec.encode(effect.digest))
             is GatewayEffect.SaveBlock -> store.saveBlock(effect.trait, ::onBlockReply)
             is GatewayEffect.DropBlock -> store.dropBlock(effect.trait, ::onBlockReply)
+            is GatewayEffect.SetReadLimit, is GatewayEffect.CutAnswer -> pressure.perform(effect)
             is GatewayEffect.Log -> Logs.write(effect.line)
             GatewayEffect.Stopped -> onStopped()
             else -> requests.perform(effect)
@@ -165,6 +171,7 @@
 
         override fun metricsText(): String {
             metrics.setOpenRequests(ticker.tables.requests.size)
+            pressure.updateMetrics()
             metrics.setBlockedTraits(ticker.tables.blocks.size)
             return metrics.toPrometheusText()
         }
--- a/node/src/main/kotlin/org/ragwortbank/node/gateway/HttpAnswerSink.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/gateway/HttpAnswerSink.kt
@@ -6,7 +6,6 @@
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelOption
 import io.netty.handler.codec.http.DefaultFullHttpResponse
-import io.netty.handler.codec.http.DefaultHttpContent
 import io.netty.handler.codec.http.DefaultHttpResponse
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpResponse
@@ -32,6 +31,7 @@
  * @property keepAlive whether the caller allows the connection to be reused
  * @property isStopping whether the process is stopping, so that the connection closes after this answer
  * @property knowsChunks whether the caller's version of HTTP has the chunked transfer coding
+ * @property outbound writes the body
  * @property onLastWrite called with whether the connection stays open and with the future of the last write
  */
 internal class HttpAnswerSink(
@@ -39,21 +39,21 @@
     private val keepAlive: Boolean,
     private val isStopping: () -> Boolean,
     private val knowsChunks: Boolean = true,
+    private val outbound: CallerOutbound = CallerOutbound(ctx),
     private val onLastWrite: (Boolean, ChannelFuture) -> Unit,
 ) : AnswerSink {
-    private var writabilityAction: () -> Unit = {}
     private var staysOpen = keepAlive
     private var isOver = false
     private var endsWithConnection = false
 
-    override val isWritable: Boolean get() = ctx.channel().isWritable
+    override val isWritable: Boolean get() = outbound.isWritable
 
     override fun onWritabilityChange(action: () -> Unit) {
-        writabilityAction = action
+        outbound.onReadingChange = action
     }
 
     /** Called when the connection has become writable or is no longer writable. */
-    fun onWritabilityChanged() = writabilityAction()
+    fun onWritabilityChanged() = outbound.onReadingChange()
 
     override fun writeHead(response: HttpResponse) {
         if (isOver) return
@@ -73,13 +73,15 @@
     }
 
     override fun writeContent(content: ByteBuf) {
-        if (isOver) content.release() else ctx.writeAndFlush(DefaultHttpContent(content))
+        if (isOver) content.release() else outbound.write(content)
     }
 
     override fun complete() {
         if (isOver) return
         isOver = true
-        onLastWrite(staysOpen, ctx.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT))
+        val lastWrite = ctx.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
+        outbound.end(lastWrite)
+        onLastWrite(staysOpen, lastWrite)
     }
 
     override fun abort() {
--- a/node/src/main/kotlin/org/ragwortbank/node/gateway/RequestRegistry.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/gateway/RequestRegistry.kt
@@ -32,15 +32,27 @@
     private var openRequests: PersistentMap<RequestNumber, OpenRequest> = persistentMapOf()
     private var numbersBySink: PersistentMap<AnswerSink, RequestNumber> = persistentMapOf()
     private var lastNumber = 0L
-    private val answerBudget = BufferBudget()
+
+    /** Counts what is held back of all answers. */
+    val answerBudget = BufferBudget()
+
+    /** Called with an answer that its caller doesn't take at once, and with the size of the part. */
+    var onAnswerHeld: (RequestNumber, HeldAnswer, Int) -> Unit = { _, _, _ -> }
 
     override var isStopping = false
 
+    override var bodies: BodyBudget? = null
+
+    override fun onHeld(sink: AnswerSink, answer: HeldAnswer, bytes: Int) {
+        numbersBySink[sink]?.let { onAnswerHeld(it, answer, bytes) }
+    }
+
     override fun onRequest(request: CallerRequest, sink: AnswerSink) {
         val call = dialect.decode(request.head)
         if (call == null) {
             onUnreadableRequest(malformedRequest)
             sink.writeRefusal(malformedRequest)
+            request.onReleased()
             return
         }
         val number = RequestNumber(++lastNumber)
@@ -55,7 +67,8 @@
     }
 
     override fun onUnreadableRequest(refusal: Refusal) {
-        metrics.recordBadInput(BadInput.HTTP)
+        val isBad = refusal.code != ResultCode.OVERLOADED
+        if (isBad) metrics.recordBadInput(BadInput.HTTP) else metrics.recordRefused(refusal)
         Logs.http.info("request refused: {} {}: {}", refusal.code.number, refusal.code, refusal.detail)
     }
 
@@ -76,8 +89,8 @@
             is GatewayEffect.Relay -> relay(effect.number, effect.attempt)?.relay()
             is GatewayEffect.CancelAttempt -> cancel(effect)
             is GatewayEffect.RemoveRequest -> remove(effect.number)
-            is GatewayEffect.Refuse -> remove(effect.number)?.let { refuse(it, effect.refusal) }
-            is GatewayEffect.AbortAnswer -> remove(effect.number)?.let { abort(it, effect.refusal) }
+            is GatewayEffect.Refuse -> end(effect.number, effect.refusal) { it.writeRefusal(effect.refusal) }
+            is GatewayEffect.AbortAnswer -> end(effect.number, effect.refusal) { it.abort() }
             else -> Unit
         }
     }
@@ -90,14 +103,10 @@
         relay.cancel()
     }
 
-    private fun refuse(call: OpenRequest, refusal: Refusal) {
-        metrics.recordRefused(refusal)
-        call.sink.writeRefusal(refusal)
-    }
-
-    private fun abort(call: OpenRequest, refusal: Refusal) {
+    private fun end(number: RequestNumber, refusal: Refusal, write: (AnswerSink) -> Unit) {
+        val call = remove(number) ?: return
         metrics.recordRefused(refusal)
-        call.sink.abort()
+        write(call.sink)
     }
 
     private fun relay(number: RequestNumber, attemptNumber: Int): AttemptRelay? =
@@ -107,6 +116,7 @@
         val call = openRequests[number]
         openRequests = openRequests.remove(number)
         if (call != null) numbersBySink = numbersBySink.remove(call.sink)
+        call?.request?.onReleased()
         return call
     }
 
--- a/node/src/main/kotlin/org/ragwortbank/node/metrics/NodeMetrics.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/metrics/NodeMetrics.kt
@@ -44,6 +44,9 @@
         .help("Traits whose requests are refused because upstreams crash of them")
         .register(registry)
 
+    /** Metrics of what is held for slow readers. */
+    val pressure = PressureMetrics(registry)
+
     override fun onTick(inputs: Int, nanos: Long) {
         tickDurations.observe(nanos / NANOS_PER_SECOND)
         tickInputs.inc(inputs.toLong())
