--- a/node/src/main/kotlin/org/ragwortbank/node/gateway/GatewayHttpServer.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/gateway/GatewayHttpServer.kt
@@ -2,6 +2,7 @@
 
 import io.netty.bootstrap.ServerBootstrap
 import io.netty.channel.Channel
+import io.netty.channel.ChannelException
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoopGroup
@@ -12,6 +13,7 @@
 import io.netty.handler.codec.http.HttpServerCodec
 import org.ragwortbank.core.pressure.PressureLimits
 import org.ragwortbank.core.serving.ClientLimits
+import org.ragwortbank.node.log.Logs
 
 /** HTTP server for callers. */
 internal class GatewayHttpServer(
@@ -48,6 +50,7 @@
         override fun initChannel(channel: SocketChannel) {
             val currentLimits = limits()
             connections.add(channel)
+            if (listener.bodies != null) limitSendBuffer(channel)
             channel.pipeline().addLast(
                 HttpServerCodec(currentLimits.maxHeaderBytes, currentLimits.maxHeaderBytes, MAX_CHUNK_BYTES),
                 GatewayHttpHandler(currentLimits, listener),
@@ -55,8 +58,20 @@
         }
     }
 
+    /** What the system holds for a caller is memory as well; without a limit it grows to some megabytes. */
+    private fun limitSendBuffer(channel: SocketChannel) {
+        try {
+            channel.config().sendBufferSize = SEND_BUFFER_BYTES
+        } catch (e: ChannelException) {
+            Logs.http.debug("the send buffer of a connection stays as it is: {}", e.message)
+        }
+    }
+
     private companion object {
         const val MAX_CHUNK_BYTES = 16_384
+
+        /** What a link of 100 Mbit/s has on its way within 20 ms. */
+        const val SEND_BUFFER_BYTES = 262_144
         val waterMarks = WriteBufferWaterMark(PressureLimits.LOW_WATER_BYTES, PressureLimits.HIGH_WATER_BYTES)
     }
 }
--- a/node/src/test/kotlin/org/ragwortbank/node/gateway/GatewayRig.kt
+++ b/node/src/test/kotlin/org/ragwortbank/node/gateway/GatewayRig.kt
@@ -11,13 +11,17 @@
 import org.ragwortbank.core.gateway.GatewayEffect
 import org.ragwortbank.core.gateway.GatewayIdentity
 import org.ragwortbank.core.gateway.GatewayInput
+import org.ragwortbank.core.gateway.GatewaySettings
 import org.ragwortbank.core.gateway.GatewayTables
 import org.ragwortbank.core.gateway.UpstreamAttempt
 import org.ragwortbank.core.gateway.gatewaySchedule
 import org.ragwortbank.core.model.FailureDomain
 import org.ragwortbank.core.model.RouteName
+import org.ragwortbank.core.pressure.CutReason
+import org.ragwortbank.core.pressure.PressureLimits
 import org.ragwortbank.core.serving.ClientLimits
 import org.ragwortbank.core.serving.Endpoint
+import org.ragwortbank.core.serving.Feature
 import org.ragwortbank.core.serving.RequestKind
 import org.ragwortbank.core.serving.ServiceName
 import org.ragwortbank.core.serving.ServiceSpec
@@ -36,6 +40,7 @@
 import org.ragwortbank.node.port.RequestDialect
 import java.io.IOException
 import java.net.InetAddress
+import java.net.InetSocketAddress
 import java.net.ServerSocket
 import java.net.Socket
 import java.util.concurrent.LinkedBlockingQueue
@@ -46,7 +51,15 @@
 import kotlin.time.Duration.Companion.seconds
 
 /** A gateway's callers' server, registry, ticks and connections over real sockets; the test scripts the upstreams. */
-internal class GatewayRig(upstreamCount: Int = 1) : AutoCloseable {
+internal class GatewayRig(
+    upstreamCount: Int = 1,
+    pressure: PressureLimits? = null,
+    clientLimits: ClientLimits = ClientLimits(),
+) : AutoCloseable {
+    private val settings = when (pressure) {
+        null -> GatewaySettings()
+        else -> GatewaySettings(features = persistentSetOf(Feature.PRESSURE), pressure = pressure)
+    }
     private val process = ProcessEventLoop()
     private val metrics = NodeMetrics()
     private val now = { Timestamp(System.nanoTime()) }
@@ -55,28 +68,41 @@
     private val ticker = EventLoopTicker(
         loop = process.loop,
         schedule = gatewaySchedule(),
-        initial = GatewayTables(GatewayIdentity("g", 1, isFirstStart = true), startedAt = now()),
+        initial = GatewayTables(GatewayIdentity("g", 1, isFirstStart = true), settings, now()),
         timing = TickTiming(now) { TICK_INTERVAL },
         observer = metrics,
         perform = ::perform,
     )
     private val connections = UpstreamConnections(process.loop, RoutedIdDialect, 2.seconds, now = now)
     private val requests = RequestRegistry(RoutedIdDialect, connections, metrics, now, post = ticker::post)
-    private val httpServer = GatewayHttpServer(process.group, { ClientLimits() }, requests)
+    private val pressure = AnswerPressure(process.loop, requests, metrics.pressure, ticker::postDeferred)
+    private val httpServer = GatewayHttpServer(process.group, { clientLimits }, requests)
     private val callerSocket = ListeningSocket.open(Address(InetAddress.getLoopbackAddress().hostAddress, 0))
 
     init {
         servers.forEach { server -> thread(isDaemon = true) { accept(server) } }
         httpServer.open(callerSocket)
         process.run {
+            this.pressure.apply(settings)
             ticker.start()
             ticker.post(GatewayInput.StoreRead(contents(), now()))
         }
     }
 
+    /** Why answers to slow callers were ended. */
+    val cuts = LinkedBlockingQueue<CutReason>()
+
     /** Opens a caller's connection. */
     fun connect() = RawConnection(Socket(callerSocket.address.host, callerSocket.address.port))
 
+    /** Opens a connection of a caller whose system takes little before the caller reads. */
+    fun connectSlow() = RawConnection(
+        Socket().apply {
+            receiveBufferSize = SMALL_BUFFER_BYTES
+            connect(InetSocketAddress(callerSocket.address.host, callerSocket.address.port))
+        },
+    )
+
     /** The next connection that the gateway opens to any of its upstreams. */
     fun nextUpstream(): RawConnection = checkNotNull(arrivals.poll(WAIT_SECONDS, TimeUnit.SECONDS)) { "not connected" }
 
@@ -103,7 +129,9 @@
     }
 
     private fun perform(effect: GatewayEffect) {
+        if (effect is GatewayEffect.CutAnswer) cuts.add(effect.reason)
         if (effect is GatewayEffect.Send) requests.send(effect.attempt) else requests.perform(effect)
+        pressure.perform(effect)
     }
 
     private fun accept(server: ServerSocket) {
@@ -173,7 +201,8 @@
     }
 
     private companion object {
-        const val BACKLOG = 16
+        const val BACKLOG = 256
+        const val SMALL_BUFFER_BYTES = 4_096
         const val SLOTS = 16
         const val WAIT_SECONDS = 5L
         const val SHORT_WAIT_MILLIS = 150L
--- a/node/src/test/kotlin/org/ragwortbank/node/gateway/RawConnection.kt
+++ b/node/src/test/kotlin/org/ragwortbank/node/gateway/RawConnection.kt
@@ -74,6 +74,15 @@
     /** Reads until the connection ends, whatever arrives. */
     fun readRest(): String = readBytes(Int.MAX_VALUE)
 
+    /** Reads up to [count] bytes as they are; -1 when the connection has ended. */
+    fun readSome(count: Int): Int =
+        try {
+            input.read(ByteArray(count))
+        } catch (_: IOException) {
+            isReset = true
+            -1
+        }
+
     /** Ends the connection with a reset. */
     fun reset() {
         socket.setSoLinger(true, 0)
