--- a/cli/src/test/kotlin/org/ragwortbank/cli/settings/GatewaySettingsTest.kt
+++ b/cli/src/test/kotlin/org/ragwortbank/cli/settings/GatewaySettingsTest.kt
@@ -1,6 +1,7 @@
 package org.ragwortbank.cli.settings
 
 import org.ragwortbank.cli.toml.Validated
+import org.ragwortbank.core.pressure.PressureLimits
 import org.ragwortbank.core.serving.Feature
 import org.ragwortbank.node.settings.GatewayNodeSettings
 import java.nio.file.Files
@@ -63,6 +64,22 @@
         assertEquals(setOf(Feature.PLACES, Feature.PACE), settings.value.gateway.features)
     }
 
+    @Test
+    fun `given the memory of the process, then what is held for slow readers follows from it`() {
+        val small = validWithBounds("[limits]\nmemory = \"60MB\"").value.gateway.pressure
+        assertEquals(10_000_000, small.bodyBytes + small.untakenBytes + small.heldBackBytes)
+        assertEquals(PressureLimits(), validWithBounds("").value.gateway.pressure)
+    }
+
+    @Test
+    fun `given memory that can't be read, then it is reported and the default holds`() {
+        listOf("330", "\"330\"", "\"-1MB\"", "\"xMB\"").forEach { memory ->
+            val settings = validWithBounds("[limits]\nmemory = $memory")
+            assertEquals(PressureLimits(), settings.value.gateway.pressure)
+            assertContains(settings.warnings.single(), "limits.memory: found")
+        }
+    }
+
     @Test
     fun `given no features, then none is in force`() {
         assertEquals(emptySet(), validWithBounds("").value.gateway.features)
--- a/core/src/main/kotlin/org/ragwortbank/core/pressure/PressureDecision.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/pressure/PressureDecision.kt
@@ -5,7 +5,6 @@
 import org.ragwortbank.core.serving.RequestNumber
 import org.ragwortbank.core.tick.Timestamp
 import kotlin.time.Duration.Companion.seconds
-import kotlin.time.DurationUnit
 
 /** Why the answer to a slow caller is ended; [label] is for log lines and metrics. */
 enum class CutReason(val label: String) {
@@ -30,14 +29,19 @@
     val cuts: PersistentMap<RequestNumber, CutReason> = persistentMapOf(),
 )
 
-/** Decides about the answers in [rows] at [now]. */
-fun decide(rows: Collection<HeldRow>, limits: PressureLimits, now: Timestamp): PressureDecision =
-    PressureDecider(rows, limits, now).decide()
+/** Decides about the answers in [rows] at [now]; where not all fit, [order] says which of them end. */
+fun decide(
+    rows: Collection<HeldRow>,
+    limits: PressureLimits,
+    now: Timestamp,
+    order: CutOrder = MostForLongest(),
+): PressureDecision = PressureDecider(rows, limits, now, order).decide()
 
 private class PressureDecider(
     private val rows: Collection<HeldRow>,
     private val limits: PressureLimits,
     private val now: Timestamp,
+    private val order: CutOrder,
 ) {
     fun decide(): PressureDecision {
         val stalled = rows.filter(::isStalled).fold(PressureDecision()) { result, row ->
@@ -65,17 +69,11 @@
     private tailrec fun cutUntilFits(decision: PressureDecision): PressureDecision {
         val kept = rows.filter { it.number !in decision.cuts }
         val reserved = kept.sumOf { maxOf(it.reservedBytes, decision.readLimits[it.number] ?: 0) }
-        val worst = kept.maxWithOrNull(worstLast)
+        val worst = order.firstOf(kept, now)
         if (worst == null || reserved <= limits.untakenBytes) return decision
         return cutUntilFits(decision.cut(worst, CutReason.PROCESS_FULL))
     }
 
-    /** Bytes times the time without progress; of equals the one that holds more. */
-    private val worstLast = compareBy<HeldRow>(
-        { it.measure.bytes * (now - it.progressAt).toDouble(DurationUnit.SECONDS) },
-        { it.measure.bytes },
-    )
-
     private fun PressureDecision.cut(row: HeldRow, reason: CutReason): PressureDecision =
         copy(cuts = cuts.put(row.number, reason), readLimits = readLimits.remove(row.number))
 
--- a/core/src/main/kotlin/org/ragwortbank/core/pressure/PressureSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/pressure/PressureSystem.kt
@@ -22,12 +22,23 @@
 import org.ragwortbank.core.tick.TickSystem
 import org.ragwortbank.core.tick.Timestamp
 
-/** Keeps the table of answers that callers haven't taken, and ends some of them before the process holds too much. */
-class PressureSystem(private val policy: UpstreamPolicy) : TickSystem<GatewayTables, GatewayInput, GatewayEffect> {
+/**
+ * Keeps the table of answers that callers haven't taken, and ends some of them before the process holds too much.
+ *
+ * After a suspension of the process the table begins anew: what callers have taken meanwhile isn't known yet.
+ */
+class PressureSystem(
+    private val policy: UpstreamPolicy,
+    private val order: CutOrder = MostForLongest(),
+) : TickSystem<GatewayTables, GatewayInput, GatewayEffect> {
     override fun run(tick: Tick<GatewayInput>, step: GatewayStep): GatewayStep {
         val measured = tick.inputs.filterIsInstance<GatewayInput.HeldBytesMeasured>().lastOrNull()
-        val isInForce = Feature.PRESSURE in step.tables.settings.features && !step.tables.isCatchingUp(tick.now)
-        return if (measured == null || !isInForce) step else handle(step, measured.measures, tick.now)
+        val isInForce = Feature.PRESSURE in step.tables.settings.features
+        return when {
+            step.tables.isCatchingUp(tick.now) -> step.update { it.copy(held = persistentMapOf()) }
+            measured == null || !isInForce -> step
+            else -> handle(step, measured.measures, tick.now)
+        }
     }
 
     private fun handle(
@@ -39,7 +50,7 @@
             val row = step.tables.held[number]?.after(measure, now) ?: HeldRow.first(number, measure, now)
             result.put(number, row)
         }
-        val decision = decide(rows.values, step.tables.settings.pressure, now)
+        val decision = decide(rows.values, step.tables.settings.pressure, now, order)
         val afterCuts = decision.cuts.entries.fold(step) { result, (number, reason) ->
             cut(result, rows.getValue(number), reason, now)
         }
--- a/core/src/main/kotlin/org/ragwortbank/core/pressure/UpstreamMemoryLimits.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/pressure/UpstreamMemoryLimits.kt
@@ -17,15 +17,21 @@
         val tokens = context.request.call.tokens ?: 0
         val isInForce = context.tables.limitsPressure && memory > 0 && tokens > 0
         if (!isInForce) return SendLimit.UNBOUNDED
-        val used = maxOf(upstream.tokensInFlight, fleetTokens(context, upstream, tokens))
-        return ((memory - used) / tokens).toRoom(upstream)
+        val free = minOf(memory - upstream.tokensInFlight, freeOfFleet(context, upstream, memory))
+        return (free / tokens).toRoom(upstream)
     }
 
-    /** What the engine's placer reported, with waiting requests taken to be as large as this one, and what followed. */
-    private fun fleetTokens(context: SelectionContext, upstream: UpstreamRow, tokens: Long): Long {
+    /**
+     * What this gateway may send of the memory that was free at the latest digest, where waiting requests are taken to
+     * be as large as this one. All gateways read the same digest, so that each uses its share, and one request at least.
+     */
+    private fun freeOfFleet(context: SelectionContext, upstream: UpstreamRow, memory: Long): Long {
         val digest = upstream.freshDigest(context.now, context.tables.engineDigestLifetime)
-        val usedTokens = digest?.usedTokens ?: return 0
-        return usedTokens + digest.queuedRequests * tokens + upstream.tokensSinceDigest
+        val usedTokens = digest?.usedTokens ?: return memory
+        val tokens = context.request.call.tokens ?: 0
+        val free = memory - usedTokens - digest.queuedRequests * tokens
+        val share = maxOf(free * SHARES / context.tables.gatewayCount, tokens)
+        return minOf(free, share) - upstream.tokensSinceDigest
     }
 }
 
@@ -37,15 +43,14 @@
     override fun roomFor(context: SelectionContext, upstream: UpstreamRow): Int {
         val connections = context.service?.maxConnections
         if (connections == null || !context.tables.limitsPressure) return SendLimit.UNBOUNDED
-        val share = (connections.toLong() * SHARES / context.tables.gatewayCount).coerceAtMost(connections.toLong())
+        val share = (connections * SHARES / context.tables.gatewayCount).coerceAtMost(connections.toLong())
         return (share - upstream.inFlight).toRoom(upstream)
     }
-
-    private companion object {
-        const val SHARES = 2
-    }
 }
 
+/** Equal shares that one gateway may use, as gateways are unequally busy. */
+private const val SHARES = 2L
+
 private val GatewayTables.limitsPressure: Boolean get() = Feature.PRESSURE in settings.features
 
 /** The room as a count, 1 at least where nothing is known to be under way. */
--- a/core/src/test/kotlin/org/ragwortbank/core/pressure/PressureSystemTest.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/pressure/PressureSystemTest.kt
@@ -18,6 +18,7 @@
 import kotlin.test.assertTrue
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 class PressureSystemTest {
     private val gateway = GatewayFixture()
@@ -74,6 +75,18 @@
         assertTrue(gateway.tables.held.isEmpty())
     }
 
+    @Test
+    fun `given a process that was suspended, then the time without progress counts anew`() {
+        turnOn()
+        val number = relaying("/look/x")
+        gateway.tick(GatewayInput.AnswerCompleted(number, 1))
+        val measure = HeldMeasure(500_000, 0, isUpstreamRead = true, isComplete = true)
+        gateway.tick(measured(number to measure))
+        gateway.suspendFor(11.seconds, measured(number to measure))
+        gateway.advance(200.milliseconds, measured(number to measure))
+        assertEquals(emptyList(), pressureEffects())
+    }
+
     // The load of the first test, in a deployment that doesn't ask for this.
     @Test
     fun `given a deployment that doesn't ask for it, then nothing is held in the table and nothing is cut`() {
--- a/core/src/test/kotlin/org/ragwortbank/core/pressure/UpstreamMemoryLimitsTest.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/pressure/UpstreamMemoryLimitsTest.kt
@@ -1,11 +1,16 @@
 package org.ragwortbank.core.pressure
 
 import kotlinx.collections.immutable.persistentSetOf
+import kotlinx.collections.immutable.toPersistentMap
 import org.ragwortbank.core.gateway.AnswerFacts
 import org.ragwortbank.core.gateway.GatewayFixture
 import org.ragwortbank.core.gateway.GatewayInput
 import org.ragwortbank.core.gateway.GatewaySettings
+import org.ragwortbank.core.gateway.GatewayTables
+import org.ragwortbank.core.gateway.PeerRow
 import org.ragwortbank.core.result.ResultCode
+import org.ragwortbank.core.selection.SelectionContext
+import org.ragwortbank.core.serving.Endpoint
 import org.ragwortbank.core.serving.EngineDigest
 import org.ragwortbank.core.serving.Feature
 import org.ragwortbank.core.serving.RequestNumber
@@ -63,6 +68,28 @@
         assertEquals(listOf(0, 2), engines.map { gateway.tables.upstreams.getValue(it).inFlight })
     }
 
+    // Load: many gateways that read in the same digest that an engine has room.
+    @Test
+    fun `given twenty gateways, then each sends its share of what was free at the digest, and one request at least`() {
+        turnOn()
+        receiveDigest(engines[0], usedTokens = 0, running = 1)
+        val endpoint = Endpoint("10.0.1.1", 80)
+        val peers = (1..19).associate { "g$it" to PeerRow("g$it", endpoint, addedAt = gateway.now) }.toPersistentMap()
+        val tables = gateway.tables.copy(peers = peers)
+        assertEquals(2, roomAt(tables, tokens = 50))
+        assertEquals(1, roomAt(tables, tokens = 400))
+        assertEquals(0, roomAt(tables, tokens = 400, sentSinceDigest = 400))
+        assertEquals(20, roomAt(gateway.tables, tokens = 50))
+    }
+
+    private fun roomAt(tables: GatewayTables, tokens: Long, sentSinceDigest: Long = 0): Int {
+        val number = send(tokens)
+        val request = gateway.tables.requests.getValue(number)
+        val upstream = tables.upstreams.getValue(engines[0])
+            .copy(tokensInFlight = 0, tokensSinceDigest = sentSinceDigest)
+        return TokenMemoryLimit().roomFor(SelectionContext(tables, request, gateway.now), upstream)
+    }
+
     @Test
     fun `given a digest that is too old, then only this gateway's own tokens count`() {
         turnOn()
--- a/node/src/test/kotlin/org/ragwortbank/node/datagram/DigestCodecTest.kt
+++ b/node/src/test/kotlin/org/ragwortbank/node/datagram/DigestCodecTest.kt
@@ -47,6 +47,14 @@
         assertEquals(ReceivedDigest.Peer(peerDigest), DigestCodec.decode(DigestCodec.encode(peerDigest)))
     }
 
+    @Test
+    fun `given an engine digest with memory in use, then that is decoded and takes few bytes`() {
+        val without = EngineDigest(UpstreamId("i"), 1, 2)
+        val full = without.copy(usedTokens = 148_245)
+        assertEquals(ReceivedDigest.Engine(full), DigestCodec.decode(DigestCodec.encode(full)))
+        assertTrue(DigestCodec.encode(full).size - DigestCodec.encode(without).size <= 7)
+    }
+
     @Test
     fun `given a digest with crashes, cleared traits and blocks, then decoding returns what was encoded`() {
         val part = CrashTrait.PromptPart(PromptPartId("5c1e07a2"))
