--- a/cli/src/main/kotlin/org/ragwortbank/cli/settings/GatewayReader.kt
+++ b/cli/src/main/kotlin/org/ragwortbank/cli/settings/GatewayReader.kt
@@ -7,8 +7,8 @@
 import org.ragwortbank.cli.toml.duration
 import org.ragwortbank.cli.toml.int
 import org.ragwortbank.cli.toml.number
-import org.ragwortbank.cli.toml.optionalBytes
 import org.ragwortbank.cli.toml.optionalBoolean
+import org.ragwortbank.cli.toml.optionalBytes
 import org.ragwortbank.cli.toml.string
 import org.ragwortbank.clients.http.Address
 import org.ragwortbank.core.gateway.GatewaySettings
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/RoutingSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/RoutingSystem.kt
@@ -106,7 +106,9 @@
             .log(LogPart.ROUTING, "request ${row.call.id} $attemptText, ${describe(best, now)}")
             .emit(GatewayEffect.Send(attempt))
             .update { tables ->
-                tables.put(sent).updateUpstream(registration.id) { it.withRequestSent(row.call.adapterKey, row.call.tokens ?: 0) }
+                tables.put(sent).updateUpstream(registration.id) {
+                    it.withRequestSent(row.call.adapterKey, row.call.tokens ?: 0)
+                }
             }
             .update { policy.recordSent(it, registration.id, sent, now) }
             .update { if (sent.attemptCount == 1) it.addRetryCredit(sent) else it }
--- a/core/src/main/kotlin/org/ragwortbank/core/pressure/PressureDecision.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/pressure/PressureDecision.kt
@@ -60,10 +60,12 @@
 
     /** Lets the upstream of [row] be read on, or ends answers: its own at its bound, else those that hold most. */
     private fun readOn(decision: PressureDecision, row: HeldRow): PressureDecision {
-        if (row.number in decision.cuts) return decision
         val limit = row.measure.bytes + READ_STEP_BYTES
-        if (limit > limits.connectionBytes) return decision.cut(row, CutReason.CONNECTION_FULL)
-        return cutUntilFits(decision.copy(readLimits = decision.readLimits.put(row.number, limit)))
+        return when {
+            row.number in decision.cuts -> decision
+            limit > limits.connectionBytes -> decision.cut(row, CutReason.CONNECTION_FULL)
+            else -> cutUntilFits(decision.copy(readLimits = decision.readLimits.put(row.number, limit)))
+        }
     }
 
     private tailrec fun cutUntilFits(decision: PressureDecision): PressureDecision {
--- a/core/src/main/kotlin/org/ragwortbank/core/pressure/UpstreamMemoryLimits.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/pressure/UpstreamMemoryLimits.kt
@@ -22,8 +22,9 @@
     }
 
     /**
-     * What this gateway may send of the memory that was free at the latest digest, where waiting requests are taken to
-     * be as large as this one. All gateways read the same digest, so that each uses its share, and one request at least.
+     * What this gateway may send of the memory that was free at the latest digest, where waiting requests are taken
+     * to be as large as this one. All gateways read the same digest, so that each uses its share, and one request at
+     * least.
      */
     private fun freeOfFleet(context: SelectionContext, upstream: UpstreamRow, memory: Long): Long {
         val digest = upstream.freshDigest(context.now, context.tables.engineDigestLifetime)
@@ -36,8 +37,8 @@
 }
 
 /**
- * Bounds the requests of this gateway at an upstream by its share of the connections that the upstream accepts. Gateways
- * are unequally busy, so that each may use a multiple of an equal share.
+ * Bounds the requests of this gateway at an upstream by its share of the connections that the upstream accepts.
+ * Gateways are unequally busy, so that each may use a multiple of an equal share.
  */
 class ConnectionLimit : SendLimit {
     override fun roomFor(context: SelectionContext, upstream: UpstreamRow): Int {
--- a/node/src/main/kotlin/org/ragwortbank/node/gateway/GatewayHttpHandler.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/gateway/GatewayHttpHandler.kt
@@ -83,6 +83,7 @@
         }
     }
 
+    /** Where what is held is bounded, the next request begins when the caller has taken this answer. */
     private fun passOn(ctx: ChannelHandlerContext, request: CallerRequest) {
         readTimeout.cancel()
         val isBounded = listener.bodies != null
@@ -94,26 +95,15 @@
             isStopping = { listener.isStopping },
             knowsChunks = request.knowsChunks,
             outbound = CallerOutbound(ctx, onHeld.takeIf { isBounded }),
-            onLastWrite = { staysOpen, lastWrite -> onLastWrite(ctx, staysOpen, lastWrite, isBounded) },
+            onLastWrite = { staysOpen, lastWrite ->
+                val end = { onAnswerWritten(ctx, staysOpen, lastWrite) }
+                if (isBounded) lastWrite.addListener { if (it.isSuccess) end() } else end()
+            },
         )
         currentAnswer = answer
         listener.onRequest(request, answer)
     }
 
-    /** Where what is held is bounded, the next request begins when the caller has taken this answer. */
-    private fun onLastWrite(
-        ctx: ChannelHandlerContext,
-        staysOpen: Boolean,
-        lastWrite: ChannelFuture,
-        isBounded: Boolean,
-    ) {
-        if (isBounded) {
-            lastWrite.addListener { if (it.isSuccess) onAnswerWritten(ctx, staysOpen, lastWrite) }
-        } else {
-            onAnswerWritten(ctx, staysOpen, lastWrite)
-        }
-    }
-
     private fun onAnswerWritten(ctx: ChannelHandlerContext, staysOpen: Boolean, lastWrite: ChannelFuture) {
         currentAnswer = null
         if (!staysOpen) {
@@ -125,22 +115,22 @@
         pipelinedParts.take().forEach { channelRead(ctx, it) }
     }
 
+    /**
+     * Refuses the request and closes the connection; later if the caller still sends a body that has no room, since a
+     * close would reset the connection then, and the caller might not see its answer.
+     */
     private fun refuse(ctx: ChannelHandlerContext, refusal: Refusal) {
         readTimeout.cancel()
         assembler.clear()
         reservation.release()
         listener.onUnreadableRequest(refusal)
         HttpAnswerSink(ctx, keepAlive = false, { true }) { _, lastWrite ->
-            if (refusal == fullRefusal) closeLater(ctx) else onAnswerWritten(ctx, false, lastWrite)
+            isClosing = true
+            val closeLater = { readTimeout.start(ctx, REFUSED_BODY_TIME) { ctx.close() } }
+            if (refusal == fullRefusal) closeLater() else onAnswerWritten(ctx, false, lastWrite)
         }.writeRefusal(refusal)
     }
 
-    /** A close while the caller still sends would reset the connection, and the caller might not see its answer. */
-    private fun closeLater(ctx: ChannelHandlerContext) {
-        isClosing = true
-        readTimeout.start(ctx, REFUSED_BODY_TIME) { ctx.close() }
-    }
-
     private companion object {
         val slowSenderRefusal = Refusal.notRun(ResultCode.SLOW_SENDER)
         val fullRefusal = Refusal.notRun(
--- a/node/src/test/kotlin/org/ragwortbank/node/gateway/SlowCallerTest.kt
+++ b/node/src/test/kotlin/org/ragwortbank/node/gateway/SlowCallerTest.kt
@@ -112,7 +112,7 @@
 
     // Guards against work that can't be repeated and is blocked by a caller that is gone.
     @Test
-    fun `given a non-idempotent request, when its caller leaves a paused answer, then the upstream is read to its end`() {
+    fun `given a non-idempotent request, when its caller leaves a paused answer, then that is read to its end`() {
         val slow = rig.connectSlow()
         slow.get("r1", "/once/a")
         val upstream = rig.nextUpstream().also { it.read() }
