--- a/cli/src/main/kotlin/org/ragwortbank/cli/settings/GatewayReader.kt
+++ b/cli/src/main/kotlin/org/ragwortbank/cli/settings/GatewayReader.kt
@@ -10,12 +10,14 @@
 import org.ragwortbank.cli.toml.int
 import org.ragwortbank.cli.toml.number
 import org.ragwortbank.cli.toml.optionalBoolean
+import org.ragwortbank.cli.toml.optionalBytes
 import org.ragwortbank.cli.toml.string
 import org.ragwortbank.cli.toml.stringContent
 import org.ragwortbank.clients.http.Address
 import org.ragwortbank.core.gateway.GatewaySettings
 import org.ragwortbank.core.model.FailureDomain
 import org.ragwortbank.core.model.Region
+import org.ragwortbank.core.pressure.PressureLimits
 import org.ragwortbank.core.serving.Feature
 import org.ragwortbank.node.log.LogFormat
 import org.ragwortbank.node.settings.GatewayNodeSettings
@@ -60,6 +62,7 @@
             .copy(
                 features = reader.section("features", ::readFeatures),
                 regions = reader.optionalSection("regions", ::readRegions),
+                pressure = reader.optionalSection("limits", ::readPressureLimits),
             ),
         logLevel = reader.section("log") { readLogLevel(it, LogFormat.JSON) },
         logFormat = reader.section("log") { readLogFormat(it, LogFormat.JSON) },
@@ -97,6 +100,10 @@
         .toMap()
         .toPersistentMap()
 
+/** Derives what is held for slow readers from the memory that the process may use. */
+private fun readPressureLimits(reader: TomlReader): PressureLimits =
+    reader.optionalBytes("memory")?.let { PressureLimits.of(it, Runtime.getRuntime().maxMemory()) } ?: PressureLimits()
+
 /** Reads the bounds that operators set and derives the gateway's internal limits from them. */
 private fun readGatewaySettings(reader: TomlReader): GatewaySettings {
     val defaults = GatewaySettings()
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewaySchedule.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewaySchedule.kt
@@ -5,6 +5,7 @@
 import org.ragwortbank.core.locality.EvacuationSystem
 import org.ragwortbank.core.pacing.ColdSystem
 import org.ragwortbank.core.pacing.PaceSystem
+import org.ragwortbank.core.pressure.PressureSystem
 import org.ragwortbank.core.selection.UpstreamPolicy
 import org.ragwortbank.core.selection.defaultUpstreamPolicy
 import org.ragwortbank.core.tick.Schedule
@@ -24,6 +25,7 @@
             UpstreamNoticeSystem(),
             CrashSystem(),
             AttemptSystem(policy),
+            PressureSystem(policy),
             AdmissionSystem(),
             BlockSystem(),
             CancellationSystem(policy),
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewaySettings.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewaySettings.kt
@@ -6,6 +6,7 @@
 import kotlinx.collections.immutable.persistentSetOf
 import org.ragwortbank.core.model.FailureDomain
 import org.ragwortbank.core.model.Region
+import org.ragwortbank.core.pressure.PressureLimits
 import org.ragwortbank.core.serving.Feature
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -31,6 +32,7 @@
  * @property sweepInterval time between checks of deadlines
  * @property coldOverage requests to a cold upstream in a second, as a multiple of what its service states
  * @property coldSlack requests to a cold upstream in a second in addition
+ * @property pressure bounds on what is held for slow readers, with [Feature.PRESSURE]
  * @property features parts of the product that this deployment asks for
  * @property regions region of each failure domain
  */
@@ -52,6 +54,7 @@
     val sweepInterval: Duration = 20.milliseconds,
     val coldOverage: Double = 1.0,
     val coldSlack: Double = 0.0,
+    val pressure: PressureLimits = PressureLimits(),
     val features: PersistentSet<Feature> = persistentSetOf(),
     val regions: PersistentMap<FailureDomain, Region> = persistentMapOf(),
 ) {
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewayTables.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewayTables.kt
@@ -17,6 +17,7 @@
 import org.ragwortbank.core.model.FailureDomain
 import org.ragwortbank.core.pacing.DelayNorm
 import org.ragwortbank.core.pacing.MemberListRow
+import org.ragwortbank.core.pressure.HeldRow
 import org.ragwortbank.core.serving.AdapterKey
 import org.ragwortbank.core.serving.RequestNumber
 import org.ragwortbank.core.serving.ServiceName
@@ -81,6 +82,7 @@
  * @property lossSweptAt when failed upstreams were last compared by their domains
  * @property delayNorms usual time to the first event of the answers of each paced service
  * @property pacedAt when the pace of upstreams was reviewed last
+ * @property held answers of which callers haven't taken a part, by the latest measurement
  * @property peerDigestSendTimes when the latest digests to the other gateways were sent, by their numbers
  */
 data class GatewayTables(
@@ -116,6 +118,7 @@
     val evacuations: PersistentMap<FailureDomain, EvacuationRow> = persistentMapOf(),
     val lostDomains: PersistentMap<FailureDomain, LostDomainRow> = persistentMapOf(),
     val lossSweptAt: Timestamp? = null,
+    val held: PersistentMap<RequestNumber, HeldRow> = persistentMapOf(),
     val peerDigestNumber: Long = 0,
     val peerDigestSendTimes: PersistentMap<Long, Timestamp> = persistentMapOf(),
     val demandDigestNumber: Long = 0,
--- a/core/src/main/kotlin/org/ragwortbank/core/placer/PlacerTables.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/placer/PlacerTables.kt
@@ -55,6 +55,7 @@
  * @property runningRequests requests that the engine is serving, of all gateways
  * @property queuedRequests requests waiting at the engine
  * @property generating tokens in memory of each run that has begun to generate, by its ID
+ * @property usedTokens memory of running requests of all gateways, in tokens; null when it doesn't say
  */
 data class EngineReport(
     val residentModels: PersistentSet<String>,
@@ -66,6 +67,7 @@
     val runningRequests: Int,
     val queuedRequests: Int,
     val generating: PersistentMap<String, Long> = persistentMapOf(),
+    val usedTokens: Long? = null,
 )
 
 /** A change of the loaded adapters and base models that an engine is asked to make. */
--- a/core/src/main/kotlin/org/ragwortbank/core/selection/UpstreamPolicyBuilder.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/selection/UpstreamPolicyBuilder.kt
@@ -16,6 +16,8 @@
 import org.ragwortbank.core.pacing.PaceLimit
 import org.ragwortbank.core.pacing.PaceObserver
 import org.ragwortbank.core.pacing.SendLimit
+import org.ragwortbank.core.pressure.ConnectionLimit
+import org.ragwortbank.core.pressure.TokenMemoryLimit
 import org.ragwortbank.core.ranking.AdapterDelay
 import org.ragwortbank.core.ranking.DelayTerm
 import org.ragwortbank.core.ranking.LearnedDelay
@@ -74,6 +76,8 @@
         limit(PaceLimit())
         observe(ColdObserver())
         observe(PaceObserver())
+        limit(TokenMemoryLimit())
+        limit(ConnectionLimit())
         rank(AdapterDelay())
         rank(QueueDelay())
         rank(LearnedDelay())
--- a/node/src/main/kotlin/org/ragwortbank/node/datagram/EngineWire.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/datagram/EngineWire.kt
@@ -31,6 +31,7 @@
     freeSlots = freeSlots,
     requestedLoads = requestedLoads,
     millisPerToken = millisPerToken.toFloat(),
+    usedTokens = usedTokens,
 )
 
 internal fun WireEngine.toDigest() = EngineDigest(
@@ -46,4 +47,5 @@
     freeSlots = freeSlots,
     requestedLoads = requestedLoads,
     millisPerToken = millisPerToken.toDouble(),
+    usedTokens = usedTokens,
 )
--- a/node/src/main/kotlin/org/ragwortbank/node/datagram/WireDigest.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/datagram/WireDigest.kt
@@ -72,6 +72,7 @@
     @SerialName("f") val freeSlots: Int = 0,
     @SerialName("l") val requestedLoads: Int = 0,
     @SerialName("g") val millisPerToken: Float = 0f,
+    @SerialName("k") val usedTokens: Long? = null,
 )
 
 /** Encoded form of a peer digest: tokens that a gateway has admitted. */
--- a/node/src/main/kotlin/org/ragwortbank/node/gateway/GatewayNode.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/gateway/GatewayNode.kt
@@ -62,8 +62,13 @@
     private val observer = LoggingConnectionObserver(metrics)
     private val connections = UpstreamConnections(process.loop, dialect, settings.connectTimeout, observer, clock::now)
     private val requests = RequestRegistry(dialect, connections, metrics, clock::now, post = ticker::post)
-    private val httpServer =
-        GatewayHttpServer(process.group, { ticker.tables.config?.limits ?: ClientLimits() }, requests)
+    private val pressure = AnswerPressure(process.loop, requests, metrics.pressure, ticker::postDeferred)
+    private val httpServer = GatewayHttpServer(
+        process.group,
+        { ticker.tables.config?.limits ?: ClientLimits() },
+        requests,
+        pressure::sendBufferBytes,
+    )
     private val link = DatagramLink(process.group, ::onDigest)
     private val storeWatcher = StoreWatcher(
         process.loop,
@@ -77,6 +82,7 @@
     override fun start(): ListenAddresses {
         val digestEndpoint = link.open(settings.digestAddress.endpoint())
         process.run {
+            pressure.apply(settings.gateway)
             ticker.start()
             storeWatcher.start()
         }
@@ -98,7 +104,10 @@
 
     /** Applies the gateway settings of [changed] to the running process. */
     fun apply(changed: GatewayNodeSettings) =
-        process.loop.execute { ticker.post(GatewayInput.SettingsReloaded(changed.gateway)) }
+        process.loop.execute {
+            pressure.apply(changed.gateway)
+            ticker.post(GatewayInput.SettingsReloaded(changed.gateway))
+        }
 
     override fun stop(requestedAgo: Duration) = process.loop.execute {
         if (!requests.isStopping) {
@@ -119,6 +128,7 @@
             is GatewayEffect.CloseIdleConnections -> effect.endpoints.forEach(connections::closeIdle)
             is GatewayEffect.SaveBlock -> store.saveBlock(effect.trait, ::onBlockReply)
             is GatewayEffect.DropBlock -> store.dropBlock(effect.trait, ::onBlockReply)
+            is GatewayEffect.SetReadLimit, is GatewayEffect.CutAnswer -> pressure.perform(effect)
             is GatewayEffect.Log -> Logs.write(effect.line)
             GatewayEffect.Stopped -> onStopped()
             else -> requests.perform(effect)
@@ -169,6 +179,7 @@
             metrics.setOpenRequests(ticker.tables.requests.size)
             metrics.setRefusedAndSpared(ticker.tables.blocks.size, ticker.tables.evacuations.size)
             metrics.upstreams.update(ticker.tables)
+            pressure.updateMetrics()
             return metrics.toPrometheusText()
         }
 
--- a/node/src/main/kotlin/org/ragwortbank/node/metrics/NodeMetrics.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/metrics/NodeMetrics.kt
@@ -57,6 +57,9 @@
         .help("Time for one token of a run at the engine beside a placer, as learned; 0 while it isn't known")
         .register(registry)
 
+    /** Metrics of what is held for slow readers. */
+    val pressure = PressureMetrics(registry)
+
     override fun onTick(inputs: Int, nanos: Long) {
         tickDurations.observe(nanos / NANOS_PER_SECOND)
         tickInputs.inc(inputs.toLong())
