--- a/cli/src/main/kotlin/org/ragwortbank/cli/settings/GatewayReader.kt
+++ b/cli/src/main/kotlin/org/ragwortbank/cli/settings/GatewayReader.kt
@@ -10,6 +10,7 @@
 import org.ragwortbank.cli.toml.optionalBoolean
 import org.ragwortbank.cli.toml.string
 import org.ragwortbank.clients.http.Address
+import org.ragwortbank.core.admission.RateTolerance
 import org.ragwortbank.core.gateway.GatewaySettings
 import org.ragwortbank.core.serving.Feature
 import org.ragwortbank.node.log.LogFormat
@@ -22,9 +23,13 @@
 private const val MAX_PORT = 65_535
 private const val MAX_RETRY_SLACK = 1_000_000.0
 private const val MAX_RETRY_PERCENT = 1_000
+private const val MAX_RATE_OVERAGE = 10.0
+private const val MAX_RATE_SLACK = 1_000_000_000.0
 private const val HUNDRED_PERCENT = 100.0
 private val portRange = 1..MAX_PORT
 private val retrySlackRange = 0.0..MAX_RETRY_SLACK
+private val rateOverageRange = 0.0..MAX_RATE_OVERAGE
+private val rateSlackRange = 0.0..MAX_RATE_SLACK
 private val retryPercentRange = 0..MAX_RETRY_PERCENT
 
 /** Part of the `key_withdrawal` bound left for processing after a decision; the rest is the configuration lease. */
@@ -85,6 +90,7 @@
     val configurationBound = reader.duration("configuration", DEFAULT_STORE_BOUND)
     val leavingUpstreamBound = reader.duration("leaving_upstream", DEFAULT_STORE_BOUND)
     val storeReadDelay = minOf(configurationBound, leavingUpstreamBound) * READ_DELAY_SHARE
+    val rateWindow = reader.duration("rate_window", defaults.rateWindow)
     return defaults.copy(
         configurationLease = keyRevocationBound - KEY_REVOCATION_MARGIN,
         previousVersionLifetime = ((versionSwitchBound - storeReadDelay) / 2).coerceAtLeast(Duration.ZERO),
@@ -92,9 +98,18 @@
         retryRatio = retryPercent / HUNDRED_PERCENT,
         retrySlack = reader.number("retry_slack", defaults.retrySlack, retrySlackRange),
         storeReadDelay = storeReadDelay,
+        rateWindow = rateWindow,
+        rateTolerance = readRateTolerance(reader, rateWindow),
     )
 }
 
+/** Reads what is tolerated beyond the accounts' rates; null where the operators name nothing. */
+private fun readRateTolerance(reader: TomlReader, window: Duration): RateTolerance? {
+    val overage = reader.number("rate_overage", 0.0, rateOverageRange)
+    val slack = reader.number("rate_slack", 0.0, rateSlackRange)
+    return RateTolerance(window, overage, slack).takeIf { overage > 0 || slack > 0 }
+}
+
 private const val DEFAULT_PLACER_PORT = 7_600
 private val DEFAULT_CONNECT_TIMEOUT = 300.milliseconds
 private val STOP_GRACE_MARGIN = 700.milliseconds
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/AdmissionSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/AdmissionSystem.kt
@@ -1,6 +1,9 @@
 package org.ragwortbank.core.gateway
 
 import kotlinx.collections.immutable.toPersistentList
+import org.ragwortbank.core.admission.RateMargin
+import org.ragwortbank.core.admission.RateMarginPolicy
+import org.ragwortbank.core.admission.SharedMargin
 import org.ragwortbank.core.log.LogPart
 import org.ragwortbank.core.result.Refusal
 import org.ragwortbank.core.result.ResultCode
@@ -13,7 +16,9 @@
 import kotlin.time.Duration.Companion.seconds
 
 /** Admits or refuses new requests by their route, their key and the rate of their account. */
-class AdmissionSystem : TickSystem<GatewayTables, GatewayInput, GatewayEffect> {
+class AdmissionSystem(
+    private val margins: RateMarginPolicy = SharedMargin(),
+) : TickSystem<GatewayTables, GatewayInput, GatewayEffect> {
     override fun run(tick: Tick<GatewayInput>, step: GatewayStep): GatewayStep =
         tick.inputs.fold(resumeDeferred(step, tick.now)) { current, input ->
             when (input) {
@@ -83,6 +88,7 @@
         if (block != null) return step.refuseWithoutRow(row.number, row.call.id, block.refusal(now))
         val bucket = account?.let { tables.buckets[it.id] }
             ?.refill(now, tables.unresponsivePeers(now), tables.gatewayCount)
+            ?.sampleUse(now, tables.settings.rateWindow)
         return when {
             tables.stoppingSince?.let { now - it > tables.settings.admissionAfterStop } == true ->
                 step.refuseWithoutRow(
@@ -91,24 +97,45 @@
                     Refusal.notRun(ResultCode.DRAINING, retryAfter = MIN_RETRY_AFTER),
                 )
             account == null || bucket == null -> step.log(LogPart.ADMISSION, describe(row)).update { it.put(row) }
-            bucket.admits(row.tokens, now) ->
-                step
-                    .log(LogPart.ADMISSION, describe(row) + ", ${row.tokens} tokens, ${bucket.level.toLong()} left")
-                    .update { it.copy(buckets = it.buckets.put(account.id, bucket.consume(row.tokens))).put(row) }
-            else -> refuseOverRate(step, row, bucket, now)
+            else -> admitWithinRate(step, row, bucket, margins.marginFor(tables, bucket, row.tokens, now), now)
         }
     }
 
+    private fun admitWithinRate(
+        step: GatewayStep,
+        row: RequestRow,
+        bucket: FleetBucket,
+        margin: RateMargin,
+        now: Timestamp,
+    ): GatewayStep {
+        val account = row.account?.takeIf { bucket.admits(margin, now) }
+            ?: return refuseOverRate(step, row, bucket, margin, now)
+        return step
+            .log(LogPart.ADMISSION, describe(row) + ", ${row.tokens} tokens, ${bucket.level.toLong()} left")
+            .update { it.copy(buckets = it.buckets.put(account, bucket.consume(row.tokens))).put(row) }
+    }
+
     private fun describe(row: RequestRow): String =
         "request ${row.call.id} of ${row.account ?: "nobody"} admitted on route ${row.route.name} to ${row.service}"
 
-    private fun refuseOverRate(step: GatewayStep, row: RequestRow, bucket: FleetBucket, now: Timestamp): GatewayStep {
+    private fun refuseOverRate(
+        step: GatewayStep,
+        row: RequestRow,
+        bucket: FleetBucket,
+        margin: RateMargin,
+        now: Timestamp,
+    ): GatewayStep {
         val available = "${bucket.available(now).toLong()} of ${bucket.level.toLong()} available"
-        val detail = "${row.account} requested ${row.tokens} tokens, $available"
-        val wait = bucket.timeUntilAdmitted(row.tokens, now).coerceAtLeast(MIN_RETRY_AFTER)
+        val detail = "${row.account} requested ${row.tokens} tokens, $available${describe(margin)}"
+        val wait = bucket.timeUntilAdmitted(margin, now).coerceAtLeast(MIN_RETRY_AFTER)
         return step.refuseWithoutRow(row.number, row.call.id, Refusal.notRun(ResultCode.RATE_EXCEEDED, detail, wait))
     }
 
+    private fun describe(margin: RateMargin): String {
+        if (margin.overdraftTokens <= 0) return ""
+        return ", ${margin.requiredTokens.toLong()} required with ${margin.overdraftTokens.toLong()} in addition"
+    }
+
     private companion object {
         val MAX_CONFIG_WAIT = 1.seconds
     }
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/FleetBucket.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/FleetBucket.kt
@@ -2,8 +2,11 @@
 
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
+import org.ragwortbank.core.admission.RateMargin
+import org.ragwortbank.core.admission.WindowUse
 import org.ragwortbank.core.serving.ServingAccount
 import org.ragwortbank.core.tick.Timestamp
+import kotlin.math.sign
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -61,6 +64,8 @@
  *
  * @property level tokens that may be admitted now
  * @property ownConsumed tokens admitted by this gateway since its start
+ * @property ownRequests requests that they were admitted for
+ * @property use what the level was drained by lately
  */
 data class FleetBucket(
     val rate: Long,
@@ -69,7 +74,12 @@
     val updatedAt: Timestamp,
     val ownConsumed: Long = 0,
     val peers: PersistentMap<String, PeerConsumption> = persistentMapOf(),
+    val ownRequests: Long = 0,
+    val use: WindowUse = WindowUse(),
 ) {
+    /** Mean tokens of the requests that this gateway has admitted; 1 before the first. */
+    val usualTokens: Double get() = if (ownRequests <= 0) 1.0 else (ownConsumed.toDouble() / ownRequests).coerceAtLeast(1.0)
+
     /**
      * The bucket at [now]. The [unresponsivePeers] are charged their share among [gateways] for all of the time since
      * their last digest, including the time before the time-out, in which they were not known to be cut off.
@@ -84,17 +94,38 @@
             (tokens - (peers[name]?.charged ?: 0.0)).coerceAtLeast(0.0)
         }
         val newLevel = level + rate * seconds - newlyCharged
-        return copy(level = newLevel.coerceAtMost(burst.toDouble()), updatedAt = now, peers = chargedPeers)
+        return copy(
+            level = newLevel.coerceAtMost(burst.toDouble()),
+            updatedAt = now,
+            peers = chargedPeers,
+            use = use.plus(newlyCharged),
+        )
     }
 
+    /** This bucket with a sample of its use at [now], for a comparison of the last [window] with the rate. */
+    fun sampleUse(now: Timestamp, window: Duration): FleetBucket = copy(use = use.sample(now, window))
+
     /** Tokens that may be admitted at [now], less what the other gateways have likely admitted meanwhile. */
-    fun available(now: Timestamp): Double = level - peers.values.sumOf { it.unreported(now) }
+    fun available(now: Timestamp): Double = level - unreported(now)
+
+    /** Tokens that the other gateways have likely admitted since their latest digests. */
+    fun unreported(now: Timestamp): Double = peers.values.sumOf { it.unreported(now) }
 
     /** Whether a request of [tokens] is admitted at [now]; one above the burst is admitted when the bucket is full. */
     fun admits(tokens: Long, now: Timestamp): Boolean = available(now) >= minOf(tokens, burst)
 
+    /** Whether a request with [margin] is admitted at [now]. */
+    fun admits(margin: RateMargin, now: Timestamp): Boolean =
+        available(now) + margin.overdraftTokens >= margin.requiredTokens
+
     /** The bucket after this gateway admitted [tokens]; a negative number returns tokens. */
-    fun consume(tokens: Long): FleetBucket = copy(level = level - tokens, ownConsumed = ownConsumed + tokens)
+    fun consume(tokens: Long): FleetBucket =
+        copy(
+            level = level - tokens,
+            ownConsumed = ownConsumed + tokens,
+            ownRequests = ownRequests + tokens.sign,
+            use = use.plus(tokens.toDouble()),
+        )
 
     /**
      * The bucket after a digest of [peer] that arrived at [now] reported its [admittedTotal].
@@ -113,9 +144,13 @@
         val previous = existing?.takeIf { it.incarnation == incarnation }
         val previousTotal = previous?.admittedTotal ?: if (countsFromZero) 0 else admittedTotal
         val consumed = (admittedTotal - previousTotal).toDouble()
-        val newLevel = (level - consumed + (existing?.charged ?: 0.0)).coerceAtMost(burst.toDouble())
+        val used = consumed - (existing?.charged ?: 0.0)
         val before = previous ?: PeerConsumption(incarnation, previousTotal)
-        return copy(level = newLevel, peers = peers.put(peer, before.afterDigest(admittedTotal, consumed, now)))
+        return copy(
+            level = (level - used).coerceAtMost(burst.toDouble()),
+            peers = peers.put(peer, before.afterDigest(admittedTotal, consumed, now)),
+            use = use.plus(used),
+        )
     }
 
     /** This bucket with the limits of [account]; a level above the new burst is cut to it. */
@@ -126,9 +161,11 @@
             level = level.coerceAtMost(account.burstTokens.toDouble()),
         )
 
-    /** Time until the bucket, filled at its rate, admits [tokens]. */
-    fun timeUntilAdmitted(tokens: Long, now: Timestamp): Duration =
-        ((minOf(tokens, burst) - available(now)) / rate.coerceAtLeast(1)).coerceAtLeast(0.0).seconds
+    /** Time until the bucket, filled at its rate, admits a request with [margin]. */
+    fun timeUntilAdmitted(margin: RateMargin, now: Timestamp): Duration {
+        val missing = margin.requiredTokens - margin.overdraftTokens - available(now)
+        return (missing / rate.coerceAtLeast(1)).coerceAtLeast(0.0).seconds
+    }
 
     private fun PersistentMap<String, PeerConsumption>.charge(
         name: String,
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewaySettings.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewaySettings.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.collections.immutable.PersistentSet
 import kotlinx.collections.immutable.persistentSetOf
+import org.ragwortbank.core.admission.RateTolerance
 import org.ragwortbank.core.model.FailureDomain
 import org.ragwortbank.core.serving.Feature
 import kotlin.time.Duration
@@ -20,6 +21,7 @@
  * @property peerDigestTimeout shortest time after which a gateway without digests is charged its share of each rate
  * @property engineDigestLifetime shortest age above which a placer's digest is ignored
  * @property rateWindow time over which the operators compare what an account used with its rate
+ * @property rateTolerance what the operators tolerate beyond the accounts' rates; null when it isn't known
  * @property retryRatio retries allowed per request, over the whole fleet
  * @property retrySlack retries allowed in addition, over the whole fleet
  * @property drainGrace time for which a draining process admits new requests, until callers are routed elsewhere
@@ -38,6 +40,7 @@
     val peerDigestTimeout: Duration = 1_200.milliseconds,
     val engineDigestLifetime: Duration = 1_500.milliseconds,
     val rateWindow: Duration = 8.seconds,
+    val rateTolerance: RateTolerance? = null,
     val retryRatio: Double = 0.2,
     val retrySlack: Double = 50.0,
     val drainGrace: Duration = 2_500.milliseconds,
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/PeerSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/PeerSystem.kt
@@ -78,7 +78,10 @@
 
     private fun GatewayTables.refillBuckets(now: Timestamp): GatewayTables {
         val unresponsive = unresponsivePeers(now)
-        return copy(buckets = buckets.mapValues { it.value.refill(now, unresponsive, gatewayCount) }.toPersistentMap())
+        val refilled = buckets.mapValues { (_, bucket) ->
+            bucket.refill(now, unresponsive, gatewayCount).sampleUse(now, settings.rateWindow)
+        }
+        return copy(buckets = refilled.toPersistentMap())
     }
 
     private companion object {
--- a/core/src/test/kotlin/org/ragwortbank/core/gateway/RateFleet.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/gateway/RateFleet.kt
@@ -1,6 +1,7 @@
 package org.ragwortbank.core.gateway
 
 import kotlinx.collections.immutable.toPersistentList
+import org.ragwortbank.core.limits.TokenBucket
 import org.ragwortbank.core.serving.Endpoint
 import org.ragwortbank.core.serving.PeerDigest
 import org.ragwortbank.core.serving.RequestNumber
@@ -22,6 +23,9 @@
     /** The store no longer lists the gateway; it runs on and exchanges digests with the others. */
     data class ListingLapse(override val duration: Duration) : RateFault
 
+    /** The process doesn't run for a while and goes on with the tables that it had; datagrams to it are lost. */
+    data class Freeze(override val duration: Duration) : RateFault
+
     /** The gateway receives no digests, and none of its own arrives. */
     data class Partition(override val duration: Duration) : RateFault
 }
@@ -32,17 +36,35 @@
 /** Number of gateways of a [RateFleet], and the rate of its account in tokens per second. */
 internal data class RateFleetSize(val gateways: Int = RateFleet.GATEWAYS, val rate: Long = RateFleet.RATE)
 
+/**
+ * The calls of a [RateFleet]'s account.
+ *
+ * @property factorAt factor on the calls per second at a time of the run
+ * @property tokens tokens of one call
+ */
+internal class RateLoad(
+    val factorAt: (Duration) -> Double = { 1.0 },
+    val tokens: (Random) -> Long = { RateFleet.CALL_TOKENS },
+)
+
+/** A call of [tokens] that arrived [at] a time of the run. */
+internal data class RateCall(val number: RequestNumber, val at: Duration, val tokens: Long)
+
 /**
  * Several gateways in virtual time that share one account, with calls at random gateways and digests delayed by a tick.
  *
- * @param callsPerSecond calls per second over the fleet, each of [CALL_TOKENS] tokens
+ * @param callsPerSecond calls per second over the fleet
  * @param size gateways, and rate of the account in tokens per second; its burst is as large
+ * @param load how the calls vary; by default each has [CALL_TOKENS] tokens
+ * @param settings settings of all gateways
  */
 internal class RateFleet(
     private val random: Random,
     private val callsPerSecond: Int,
     private val events: List<RateEvent>,
     private val size: RateFleetSize = RateFleetSize(),
+    private val load: RateLoad = RateLoad(),
+    private val settings: GatewaySettings = GatewaySettings(),
 ) {
     private val fixture = GatewayFixture()
     private val schedule = gatewaySchedule()
@@ -54,6 +76,14 @@
     }
     private var admissions = emptyList<Pair<Duration, Long>>()
 
+    /** Calls that arrived at running gateways, in their order. */
+    var calls = emptyList<RateCall>()
+        private set
+
+    /** Numbers of the calls that were admitted. */
+    var admitted = emptySet<RequestNumber>()
+        private set
+
     /** Number of calls that were refused. */
     var refused = 0
         private set
@@ -88,6 +118,15 @@
             admissions.filter { it.first >= from && it.first - from < duration }.sumOf { it.second }
         }
 
+    /** The calls so far that one exact bucket of the account's [rate], with as much burst, would have admitted. */
+    fun centrallyAdmitted(rate: Long): List<RateCall> {
+        val full = TokenBucket(rate, rate, rate * TokenBucket.NANO_PER_TOKEN, origin)
+        return calls.fold(full to emptyList<RateCall>()) { (bucket, admitted), call ->
+            val filled = bucket.refill(origin + call.at)
+            if (filled.canTake(minOf(call.tokens, rate))) filled.take(call.tokens) to admitted + call else filled to admitted
+        }.second
+    }
+
     private fun tick(gateway: GatewayNode, inFlight: List<DigestInFlight>): GatewayNode {
         val received = inFlight
             .filter { it.to == gateway.number && it.from != gateway.number }
@@ -95,19 +134,23 @@
             .filter { random.nextDouble() > LOSS }
             .map { GatewayInput.PeerDigestReceived(it.digest, endpointOf(it.from)) }
         val store = if (elapsed.inWholeMilliseconds % STORE_MILLIS == 0L) listOf(storeRead()) else emptyList()
-        val chance = callsPerSecond * STEP_SECONDS / size.gateways / CALLS_PER_STEP
+        val chance = callsPerSecond * load.factorAt(elapsed) * STEP_SECONDS / size.gateways / CALLS_PER_STEP
         val callCount = (0 until CALLS_PER_STEP).count { random.nextDouble() < chance }
         arrived += callCount
-        val calls = (0 until callCount).map {
-            GatewayInput.CallArrived(RequestNumber(++lastCallNumber), fixture.call("/book/x", tokens = CALL_TOKENS))
-        }
-        return step(gateway, store + received + gateway.answers + calls)
+        val arriving = (0 until callCount).map { RateCall(RequestNumber(++lastCallNumber), elapsed, load.tokens(random)) }
+        calls = calls + arriving
+        return step(gateway, store + received + gateway.answers + arriving.map { arrivalOf(it) })
     }
 
+    private fun arrivalOf(call: RateCall) =
+        GatewayInput.CallArrived(call.number, fixture.call("/book/x", tokens = call.tokens))
+
     private fun step(gateway: GatewayNode, inputs: List<GatewayInput>): GatewayNode {
         val result = schedule.run(Tick(now(), inputs.toPersistentList()), gateway.tables)
         val sends = result.effects.filterIsInstance<GatewayEffect.Send>()
-        admissions = admissions + sends.map { elapsed to CALL_TOKENS }
+        val tokensByNumber = calls.takeLast(RECENT_CALLS).associate { it.number to it.tokens }
+        admissions = admissions + sends.map { elapsed to tokensByNumber.getValue(it.attempt.number) }
+        admitted = admitted + sends.map { it.attempt.number }
         refused += result.effects.count { it is GatewayEffect.Refuse }
         val answers = sends.flatMap { effect ->
             val facts = AnswerFacts(status = 200, notRun = false, load = null)
@@ -129,7 +172,7 @@
     }
 
     private fun newTables(number: Int, incarnation: Long, isFirstStart: Boolean) =
-        GatewayTables(GatewayIdentity("entry-$number", incarnation, isFirstStart), startedAt = now())
+        GatewayTables(GatewayIdentity("entry-$number", incarnation, isFirstStart), settings, startedAt = now())
 
     private fun storeRead() = GatewayInput.StoreRead(storeContents(), now())
 
@@ -145,7 +188,7 @@
 
     private fun now() = origin + elapsed
 
-    private fun isDown(gateway: Int) = hasFault<RateFault.Restart>(gateway)
+    private fun isDown(gateway: Int) = hasFault<RateFault.Restart>(gateway) || hasFault<RateFault.Freeze>(gateway)
 
     private fun isPartitioned(gateway: Int) = hasFault<RateFault.Partition>(gateway)
 
@@ -174,6 +217,7 @@
         private const val STEP_SECONDS = 0.025
         private const val CALLS_PER_STEP = 8
         private const val STORE_MILLIS = 750L
+        private const val RECENT_CALLS = 8_192
         private const val LOSS = 0.02
     }
 }
