--- /dev/null
+++ b/core/src/main/kotlin/org/ragwortbank/core/admission/ReturnPlan.kt
@@ -0,0 +1,27 @@
+package org.ragwortbank.core.admission
+
+import org.ragwortbank.core.tick.Timestamp
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * When the callers that this gateway has refused for an account's rate are to return.
+ *
+ * Each is given the time that the account's tokens take for those before it, so that they don't return together to be
+ * refused again.
+ *
+ * @property plannedUntil when the tokens of all that were refused so far have been refilled; null before the first
+ */
+data class ReturnPlan(val plannedUntil: Timestamp? = null) {
+    /**
+     * This plan with a refused request of [tokens], which is to return at its new [plannedUntil].
+     *
+     * @param tokensPerSecond this gateway's share of the account's rate
+     * @param horizon longest time for which returns are planned
+     */
+    fun add(tokens: Long, tokensPerSecond: Double, horizon: Duration, now: Timestamp): ReturnPlan {
+        val from = plannedUntil?.let { maxOf(it, now) } ?: now
+        val drainTime = (tokens / tokensPerSecond.coerceAtLeast(1.0)).seconds
+        return ReturnPlan(minOf(from + drainTime, now + horizon))
+    }
+}
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/AdmissionSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/AdmissionSystem.kt
@@ -3,16 +3,20 @@
 import kotlinx.collections.immutable.toPersistentList
 import org.ragwortbank.core.admission.RateMargin
 import org.ragwortbank.core.admission.RateMarginPolicy
+import org.ragwortbank.core.admission.ReturnPlan
 import org.ragwortbank.core.admission.SharedMargin
 import org.ragwortbank.core.log.LogPart
+import org.ragwortbank.core.model.AccountId
 import org.ragwortbank.core.result.Refusal
 import org.ragwortbank.core.result.ResultCode
+import org.ragwortbank.core.serving.Feature
 import org.ragwortbank.core.serving.RequestNumber
 import org.ragwortbank.core.serving.ServingAccount
 import org.ragwortbank.core.serving.ServingCall
 import org.ragwortbank.core.tick.Tick
 import org.ragwortbank.core.tick.TickSystem
 import org.ragwortbank.core.tick.Timestamp
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
 /** Admits or refuses new requests by their route, their key and the rate of their account. */
@@ -127,8 +131,24 @@
     ): GatewayStep {
         val available = "${bucket.available(now).toLong()} of ${bucket.level.toLong()} available"
         val detail = "${row.account} requested ${row.tokens} tokens, $available${describe(margin)}"
-        val wait = bucket.timeUntilAdmitted(margin, now).coerceAtLeast(MIN_RETRY_AFTER)
-        return step.refuseWithoutRow(row.number, row.call.id, Refusal.notRun(ResultCode.RATE_EXCEEDED, detail, wait))
+        val returns = plannedReturns(step.tables, row, bucket, now)
+        val returnTime = returns.plannedUntil?.let { it - now } ?: Duration.ZERO
+        val wait = maxOf(bucket.timeUntilAdmitted(margin, now), returnTime, MIN_RETRY_AFTER)
+        return step
+            .refuseWithoutRow(row.number, row.call.id, Refusal.notRun(ResultCode.RATE_EXCEEDED, detail, wait))
+            .update { it.planReturns(row.account, returns) }
+    }
+
+    private fun plannedReturns(tables: GatewayTables, row: RequestRow, bucket: FleetBucket, now: Timestamp): ReturnPlan {
+        if (Feature.PRESSURE !in tables.settings.features) return bucket.returns
+        val ownShare = bucket.rate.toDouble() / tables.gatewayCount
+        return bucket.returns.add(row.tokens, ownShare, tables.settings.rateWindow, now)
+    }
+
+    private fun GatewayTables.planReturns(account: AccountId?, returns: ReturnPlan): GatewayTables {
+        val bucket = account?.let { buckets[it] }
+        if (account == null || bucket == null || bucket.returns == returns) return this
+        return copy(buckets = buckets.put(account, bucket.copy(returns = returns)))
     }
 
     private fun describe(margin: RateMargin): String {
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/CancellationSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/CancellationSystem.kt
@@ -4,11 +4,13 @@
 import org.ragwortbank.core.result.ResultCode
 import org.ragwortbank.core.selection.AttemptOutcome
 import org.ragwortbank.core.selection.UpstreamPolicy
+import org.ragwortbank.core.serving.Feature
 import org.ragwortbank.core.serving.RequestKind
 import org.ragwortbank.core.serving.RequestNumber
 import org.ragwortbank.core.tick.Tick
 import org.ragwortbank.core.tick.TickSystem
 import org.ragwortbank.core.tick.Timestamp
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
 /** Cancels requests whose callers disconnected, and fails those past their deadline or their longest wait. */
@@ -47,7 +49,7 @@
     private fun failIfDue(step: GatewayStep, row: RequestRow, now: Timestamp): GatewayStep {
         val waited = now - row.arrivedAt
         val isWaiting = row.stage is RequestStage.Waiting
-        val maxWait = minOf(step.tables.settings.maxLoadWait, (row.deadline - row.arrivedAt) * MAX_WAIT_SHARE)
+        val maxWait = maxWait(step.tables.settings, row)
         val answerDue = if (row.upstream == null) row.deadline else row.deadline + ANSWER_GRACE
         return when {
             answerDue <= now -> expire(step, row, now)
@@ -58,6 +60,12 @@
         }
     }
 
+    /** Under pressure, what could still be served late is kept, and what can't is refused by its expected start. */
+    private fun maxWait(settings: GatewaySettings, row: RequestRow): Duration {
+        val share = (row.deadline - row.arrivedAt) * MAX_WAIT_SHARE
+        return if (Feature.PRESSURE in settings.features) share else minOf(settings.maxLoadWait, share)
+    }
+
     /**
      * Whether the upstream of [row] has begun no answer at all since the request was sent, for longer than a sound one
      * takes under load. The request itself goes on waiting; new ones go elsewhere.
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/DemandSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/DemandSystem.kt
@@ -5,6 +5,7 @@
 import kotlinx.collections.immutable.toPersistentSet
 import org.ragwortbank.core.serving.DemandDigest
 import org.ragwortbank.core.serving.EngineSpec
+import org.ragwortbank.core.serving.Feature
 import org.ragwortbank.core.serving.LoadRequest
 import org.ragwortbank.core.serving.UpstreamId
 import org.ragwortbank.core.tick.Tick
@@ -41,7 +42,8 @@
         rows.groupBy { it.call.adapterKey }.entries.mapNotNull { (adapter, waiting) ->
             adapter?.let {
                 val longestWait = now - waiting.minOf { row -> row.arrivedAt }
-                LoadRequest(it, tables.versions[it]?.version, waiting.size, longestWait)
+                val rank = waiting.minOf { row -> row.priority }.takeIf { Feature.PRESSURE in tables.settings.features }
+                LoadRequest(it, tables.versions[it]?.version, waiting.size, longestWait, rank)
             }
         }
 
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/FleetBucket.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/FleetBucket.kt
@@ -3,6 +3,7 @@
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
 import org.ragwortbank.core.admission.RateMargin
+import org.ragwortbank.core.admission.ReturnPlan
 import org.ragwortbank.core.admission.WindowUse
 import org.ragwortbank.core.serving.ServingAccount
 import org.ragwortbank.core.tick.Timestamp
@@ -66,6 +67,7 @@
  * @property ownConsumed tokens admitted by this gateway since its start
  * @property ownRequests requests that they were admitted for
  * @property use what the level was drained by lately
+ * @property returns when the callers that were refused are to return
  */
 data class FleetBucket(
     val rate: Long,
@@ -76,6 +78,7 @@
     val peers: PersistentMap<String, PeerConsumption> = persistentMapOf(),
     val ownRequests: Long = 0,
     val use: WindowUse = WindowUse(),
+    val returns: ReturnPlan = ReturnPlan(),
 ) {
     /** Mean tokens of the requests that this gateway has admitted; 1 before the first. */
     val usualTokens: Double get() = if (ownRequests <= 0) 1.0 else (ownConsumed.toDouble() / ownRequests).coerceAtLeast(1.0)
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/RequestCompletion.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/RequestCompletion.kt
@@ -28,6 +28,9 @@
         .update { it.releaseUpstream(row).refundTokens(row).remove(row.number) }
 }
 
+/** Refuses [row], which waits and has not run, with [refusal]. */
+internal fun GatewayStep.refuseWaiting(row: RequestRow, refusal: Refusal): GatewayStep = refuseOrAbort(row, refusal)
+
 /** Refuses a request that has no row in the tables. */
 internal fun GatewayStep.refuseWithoutRow(number: RequestNumber, id: String, refusal: Refusal): GatewayStep =
     logRefusal(id, refusal).emit(GatewayEffect.Refuse(number, refusal))
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/RoutingSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/RoutingSystem.kt
@@ -1,5 +1,9 @@
 package org.ragwortbank.core.gateway
 
+import org.ragwortbank.core.admission.DeadlineAdmission
+import org.ragwortbank.core.admission.OrderUnderPressure
+import org.ragwortbank.core.admission.StartAdmission
+import org.ragwortbank.core.admission.WaitOrder
 import org.ragwortbank.core.eligibility.ExclusionReason
 import org.ragwortbank.core.log.LogPart
 import org.ragwortbank.core.result.ResultCode
@@ -14,7 +18,11 @@
 import kotlin.time.Duration.Companion.seconds
 
 /** Sends each waiting request to the upstream that [policy] selects, or requests a load there. */
-class RoutingSystem(private val policy: UpstreamPolicy) : TickSystem<GatewayTables, GatewayInput, GatewayEffect> {
+class RoutingSystem(
+    private val policy: UpstreamPolicy,
+    private val order: WaitOrder = OrderUnderPressure(),
+    private val admission: StartAdmission = DeadlineAdmission(),
+) : TickSystem<GatewayTables, GatewayInput, GatewayEffect> {
     override fun run(tick: Tick<GatewayInput>, step: GatewayStep): GatewayStep =
         if (step.tables.isCatchingUp(tick.now)) step else routeAll(step, tick)
 
@@ -24,17 +32,20 @@
         if (step.tables.waiting.isEmpty()) return step
         val isRetryDue = step.tables.retriedAt?.let { now - it >= RETRY_INTERVAL } ?: true ||
             tick.inputs.any { it is GatewayInput.EngineDigestReceived }
-        return step.tables.waiting
+        val due = step.tables.waiting
             .mapNotNull { step.tables.requests[it] }
             .filter { it.deadline > now && (isRetryDue || it.loadingUpstream == null) }
-            .sortedBy { it.priority }
+        return order.sorted(step.tables, due, now)
             .fold(step) { result, row -> route(result, row, now) }
             .update { if (isRetryDue) it.copy(retriedAt = now) else it }
     }
 
     private fun route(step: GatewayStep, row: RequestRow, now: Timestamp): GatewayStep {
-        val selection = policy.select(SelectionContext(step.tables, row, now))
+        val context = SelectionContext(step.tables, row, now)
+        val selection = policy.select(context)
         val best = selection.best?.let { stayIfAlike(row, it, selection.candidates, now) }
+        val refusal = best?.let { admission.refusalOf(context, selection.candidates) }
+        if (refusal != null) return step.refuseWaiting(row, refusal)
         if (best == null) return waitOrRefuse(step, row, selection, now)
         return sendOrRequestLoad(step.update { it.clearModelMissing(row.service) }, row, best, now)
     }
--- a/core/src/main/kotlin/org/ragwortbank/core/placer/AdapterSlots.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/placer/AdapterSlots.kt
@@ -11,8 +11,8 @@
     currentDemand(now).flatMap { it.loadRequests }
 
 /**
- * The adapters that requests wait for and whose load has not begun, the one to load next first: those that have waited
- * for long, then those that most requests wait for.
+ * The adapters that requests wait for and whose load has not begun, the one to load next first: those of the most urgent
+ * requests where the gateways say it, those that have waited for long, then those that most requests wait for.
  */
 internal fun PlacerTables.unmetLoads(report: EngineReport, now: Timestamp): List<LoadRequest> =
     loadRequests(now)
@@ -20,7 +20,8 @@
         .groupBy { it.adapter }
         .map { (adapter, requests) -> joined(adapter, requests) }
         .sortedWith(
-            compareByDescending<LoadRequest> { it.waitingTime >= LONG_WAIT }
+            compareBy<LoadRequest> { it.promotedRank }
+                .thenByDescending { it.waitingTime >= LONG_WAIT }
                 .thenByDescending { if (it.waitingTime >= LONG_WAIT) 0 else it.requestCount }
                 .thenByDescending { it.waitingTime },
         )
@@ -31,8 +32,13 @@
     version = requests.mapNotNull { it.version }.maxOrNull(),
     requestCount = requests.sumOf { it.requestCount },
     waitingTime = requests.maxOf { it.waitingTime },
+    rank = requests.mapNotNull { it.rank }.minOrNull(),
 )
 
+/** The rank, one better for each [LONG_WAIT] of waiting; 0 when no gateway says it. */
+private val LoadRequest.promotedRank: Int
+    get() = ((rank ?: 0) - (waitingTime / LONG_WAIT).toInt()).coerceAtLeast(0)
+
 /** Requests that have waited this long go before others, so that an adapter with few requests is not starved. */
 private val LONG_WAIT = 800.milliseconds
 
--- a/core/src/main/kotlin/org/ragwortbank/core/result/ResultCode.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/result/ResultCode.kt
@@ -33,6 +33,7 @@
     NO_CONFIGURATION(number = 3009, status = 503, "The process has not read a configuration yet."),
     KEYS_UNCONFIRMED(number = 3010, status = 503, "The process can't confirm that keys it knows are still given."),
     REQUEST_BLOCKED(number = 3011, status = 503, "Upstreams crashed of requests like this one, so it is not run."),
+    NOT_IN_TIME(number = 3012, status = 503, "The request could not begin before its deadline, so it was not started."),
     UPSTREAM_FAILED(number = 4001, status = 502, "The upstream failed while it ran the request."),
     OUTCOME_UNKNOWN(number = 4002, status = 502, "Contact was lost after dispatch; the request may have run."),
     ANSWER_BROKEN(number = 4003, status = 502, "The answer ended early or had a gap."),
--- a/core/src/main/kotlin/org/ragwortbank/core/serving/Digests.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/serving/Digests.kt
@@ -18,12 +18,14 @@
  * @property version version to load; null for the newest
  * @property requestCount requests that wait for it
  * @property waitingTime how long the first of them has waited
+ * @property rank rank of the most urgent of them, where 0 is the most urgent; null when the gateway doesn't say
  */
 data class LoadRequest(
     val adapter: AdapterKey,
     val version: Long?,
     val requestCount: Int = 1,
     val waitingTime: Duration = Duration.ZERO,
+    val rank: Int? = null,
 )
 
 /**
--- a/core/src/test/kotlin/org/ragwortbank/core/placer/CommandSystemTest.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/placer/CommandSystemTest.kt
@@ -52,6 +52,33 @@
         assertEquals(8, commands().single().expectedSequence)
     }
 
+    @Test
+    fun `given requests of different ranks, then the adapter of the most urgent is loaded first`() {
+        receiveReport(sequence = 7)
+        requestLoads(
+            LoadRequest(adapterKey("many"), 2, requestCount = 9, rank = 2),
+            LoadRequest(adapterKey("urgent"), 2, rank = 0),
+        )
+        assertEquals(EngineCommand.LoadAdapter(adapterKey("urgent"), 2), commands().single().command)
+    }
+
+    @Test
+    fun `given a less urgent request that has waited for long, then its adapter goes before that of an urgent one`() {
+        receiveReport(sequence = 7)
+        requestLoads(
+            LoadRequest(adapterKey("urgent"), 2, requestCount = 9, rank = 0),
+            LoadRequest(adapterKey("starved"), 2, waitingTime = 1_700.milliseconds, rank = 2),
+        )
+        assertEquals(EngineCommand.LoadAdapter(adapterKey("starved"), 2), commands().single().command)
+    }
+
+    @Test
+    fun `given gateways that say no rank, then the adapter that most requests wait for is loaded first`() {
+        receiveReport(sequence = 7)
+        requestLoads(LoadRequest(adapterKey("one"), 2), LoadRequest(adapterKey("many"), 2, requestCount = 9))
+        assertEquals(EngineCommand.LoadAdapter(adapterKey("many"), 2), commands().single().command)
+    }
+
     // Guards against fencing tokens that go back when the clock was set back before a placer was started again.
     @Test
     fun `given a placer that is started again with its clock set back, then its fencing token is not lower`() {
@@ -171,6 +198,11 @@
     private fun requestLoad(vararg adapters: String) =
         tick(PlacerInput.DemandDigestReceived(demandDigest(adapters.toList()), gatewayEndpoint))
 
+    private fun requestLoads(vararg requests: LoadRequest) {
+        val digest = demandDigest(emptyList()).copy(loadRequests = requests.toList().toPersistentList())
+        tick(PlacerInput.DemandDigestReceived(digest, gatewayEndpoint))
+    }
+
     private fun useAdapter(adapter: String) =
         tick(PlacerInput.DemandDigestReceived(demandDigest(emptyList(), listOf(adapter)), gatewayEndpoint))
 
--- a/node/src/main/kotlin/org/ragwortbank/node/datagram/DemandWire.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/datagram/DemandWire.kt
@@ -11,10 +11,10 @@
 import kotlin.time.Duration.Companion.milliseconds
 
 private fun LoadRequest.toWire() =
-    WireAdapter(adapter.model, adapter.adapter, version, requestCount, waitingTime.inWholeMilliseconds)
+    WireAdapter(adapter.model, adapter.adapter, version, requestCount, waitingTime.inWholeMilliseconds, rank)
 
 private fun WireAdapter.toRequest() =
-    LoadRequest(AdapterKey(model, adapter), version, requestCount, waitingMillis.milliseconds)
+    LoadRequest(AdapterKey(model, adapter), version, requestCount, waitingMillis.milliseconds, rank)
 
 internal fun DemandDigest.toWire() = WireDemand(
     sender = sender,
--- a/node/src/main/kotlin/org/ragwortbank/node/datagram/WireDigest.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/datagram/WireDigest.kt
@@ -26,6 +26,7 @@
     @SerialName("v") val version: Long? = null,
     @SerialName("c") val requestCount: Int = 1,
     @SerialName("w") val waitingMillis: Long = 0,
+    @SerialName("r") val rank: Int? = null,
 )
 
 /** A base model that an engine can serve, with its memory sizes. */
