--- a/core/src/main/kotlin/org/ragwortbank/core/admission/RateMargin.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/admission/RateMargin.kt
@@ -52,7 +52,12 @@
     }
 
     /** At most [SPENT_SHARE] of the tolerance, and no more than the window has room for. */
-    private fun overdraft(tables: GatewayTables, bucket: FleetBucket, tolerance: RateTolerance, now: Timestamp): Double {
+    private fun overdraft(
+        tables: GatewayTables,
+        bucket: FleetBucket,
+        tolerance: RateTolerance,
+        now: Timestamp,
+    ): Double {
         if (!tables.knowsWindow(now)) return 0.0
         val tolerated = tolerance.tokensFor(bucket)
         val limit = tolerance.ratedTokens(bucket) + tolerated * SPENT_SHARE
--- a/core/src/main/kotlin/org/ragwortbank/core/admission/ReturnPlan.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/admission/ReturnPlan.kt
@@ -13,8 +13,11 @@
  * @property plannedUntil when the tokens of all that were refused so far have been refilled; null before the first
  */
 data class ReturnPlan(val plannedUntil: Timestamp? = null) {
+    /** Time until the tokens of all that were refused before [now] have been refilled, at which the next may return. */
+    fun waitAt(now: Timestamp): Duration = plannedUntil?.let { maxOf(it - now, Duration.ZERO) } ?: Duration.ZERO
+
     /**
-     * This plan with a refused request of [tokens], which is to return at its new [plannedUntil].
+     * This plan with a refused request of [tokens].
      *
      * @param tokensPerSecond this gateway's share of the account's rate
      * @param horizon longest time for which returns are planned
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/AdmissionSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/AdmissionSystem.kt
@@ -1,22 +1,17 @@
 package org.ragwortbank.core.gateway
 
 import kotlinx.collections.immutable.toPersistentList
-import org.ragwortbank.core.admission.RateMargin
 import org.ragwortbank.core.admission.RateMarginPolicy
-import org.ragwortbank.core.admission.ReturnPlan
 import org.ragwortbank.core.admission.SharedMargin
 import org.ragwortbank.core.log.LogPart
-import org.ragwortbank.core.model.AccountId
 import org.ragwortbank.core.result.Refusal
 import org.ragwortbank.core.result.ResultCode
-import org.ragwortbank.core.serving.Feature
 import org.ragwortbank.core.serving.RequestNumber
 import org.ragwortbank.core.serving.ServingAccount
 import org.ragwortbank.core.serving.ServingCall
 import org.ragwortbank.core.tick.Tick
 import org.ragwortbank.core.tick.TickSystem
 import org.ragwortbank.core.tick.Timestamp
-import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
 /** Admits or refuses new requests by their route, their key and the rate of their account. */
@@ -100,62 +95,12 @@
                     row.call.id,
                     Refusal.notRun(ResultCode.DRAINING, retryAfter = MIN_RETRY_AFTER),
                 )
-            account == null || bucket == null -> step.log(LogPart.ADMISSION, describe(row)).update { it.put(row) }
-            else -> admitWithinRate(step, row, bucket, margins.marginFor(tables, bucket, row.tokens, now), now)
+            account == null || bucket == null ->
+                step.log(LogPart.ADMISSION, row.describeAdmission()).update { it.put(row) }
+            else -> step.admitWithinRate(row, bucket, margins.marginFor(tables, bucket, row.tokens, now), now)
         }
     }
 
-    private fun admitWithinRate(
-        step: GatewayStep,
-        row: RequestRow,
-        bucket: FleetBucket,
-        margin: RateMargin,
-        now: Timestamp,
-    ): GatewayStep {
-        val account = row.account?.takeIf { bucket.admits(margin, now) }
-            ?: return refuseOverRate(step, row, bucket, margin, now)
-        return step
-            .log(LogPart.ADMISSION, describe(row) + ", ${row.tokens} tokens, ${bucket.level.toLong()} left")
-            .update { it.copy(buckets = it.buckets.put(account, bucket.consume(row.tokens))).put(row) }
-    }
-
-    private fun describe(row: RequestRow): String =
-        "request ${row.call.id} of ${row.account ?: "nobody"} admitted on route ${row.route.name} to ${row.service}"
-
-    private fun refuseOverRate(
-        step: GatewayStep,
-        row: RequestRow,
-        bucket: FleetBucket,
-        margin: RateMargin,
-        now: Timestamp,
-    ): GatewayStep {
-        val available = "${bucket.available(now).toLong()} of ${bucket.level.toLong()} available"
-        val detail = "${row.account} requested ${row.tokens} tokens, $available${describe(margin)}"
-        val returns = plannedReturns(step.tables, row, bucket, now)
-        val returnTime = returns.plannedUntil?.let { it - now } ?: Duration.ZERO
-        val wait = maxOf(bucket.timeUntilAdmitted(margin, now), returnTime, MIN_RETRY_AFTER)
-        return step
-            .refuseWithoutRow(row.number, row.call.id, Refusal.notRun(ResultCode.RATE_EXCEEDED, detail, wait))
-            .update { it.planReturns(row.account, returns) }
-    }
-
-    private fun plannedReturns(tables: GatewayTables, row: RequestRow, bucket: FleetBucket, now: Timestamp): ReturnPlan {
-        if (Feature.PRESSURE !in tables.settings.features) return bucket.returns
-        val ownShare = bucket.rate.toDouble() / tables.gatewayCount
-        return bucket.returns.add(row.tokens, ownShare, tables.settings.rateWindow, now)
-    }
-
-    private fun GatewayTables.planReturns(account: AccountId?, returns: ReturnPlan): GatewayTables {
-        val bucket = account?.let { buckets[it] }
-        if (account == null || bucket == null || bucket.returns == returns) return this
-        return copy(buckets = buckets.put(account, bucket.copy(returns = returns)))
-    }
-
-    private fun describe(margin: RateMargin): String {
-        if (margin.overdraftTokens <= 0) return ""
-        return ", ${margin.requiredTokens.toLong()} required with ${margin.overdraftTokens.toLong()} in addition"
-    }
-
     private companion object {
         val MAX_CONFIG_WAIT = 1.seconds
     }
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/FleetBucket.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/FleetBucket.kt
@@ -80,8 +80,8 @@
     val use: WindowUse = WindowUse(),
     val returns: ReturnPlan = ReturnPlan(),
 ) {
-    /** Mean tokens of the requests that this gateway has admitted; 1 before the first. */
-    val usualTokens: Double get() = if (ownRequests <= 0) 1.0 else (ownConsumed.toDouble() / ownRequests).coerceAtLeast(1.0)
+    /** Mean tokens of the requests that this gateway has admitted; at least 1. */
+    val usualTokens: Double get() = (ownConsumed.toDouble() / ownRequests.coerceAtLeast(1)).coerceAtLeast(1.0)
 
     /**
      * The bucket at [now]. The [unresponsivePeers] are charged their share among [gateways] for all of the time since
@@ -105,9 +105,6 @@
         )
     }
 
-    /** This bucket with a sample of its use at [now], for a comparison of the last [window] with the rate. */
-    fun sampleUse(now: Timestamp, window: Duration): FleetBucket = copy(use = use.sample(now, window))
-
     /** Tokens that may be admitted at [now], less what the other gateways have likely admitted meanwhile. */
     fun available(now: Timestamp): Double = level - unreported(now)
 
@@ -178,3 +175,6 @@
         return put(name, existing.copy(charged = maxOf(existing.charged, due)))
     }
 }
+
+/** This bucket with a sample of its use at [now], for a comparison of the last [window] with the rate. */
+internal fun FleetBucket.sampleUse(now: Timestamp, window: Duration): FleetBucket = copy(use = use.sample(now, window))
--- a/core/src/test/kotlin/org/ragwortbank/core/admission/StartAdmissionTest.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/admission/StartAdmissionTest.kt
@@ -44,7 +44,7 @@
 
     @Test
     fun `given a queue of loads beyond the deadline at every engine, then a request is refused at once as not run`() {
-        val refusal = checkNotNull(refusalOf(timeout = 3.seconds, engine(requestedLoads = 20), engine(requestedLoads = 9)))
+        val refusal = checkNotNull(refusalOf(timeout = 3.seconds, engine(requestedLoads = 20), engine(9)))
         assertEquals(ResultCode.NOT_IN_TIME, refusal.code)
         assertEquals(Execution.NOT_RUN, refusal.execution)
         assertTrue("9 loads before it" in refusal.detail, refusal.detail)
@@ -63,7 +63,8 @@
 
     @Test
     fun `given one engine with a free slot, then a request is kept`() {
-        assertNull(refusalOf(timeout = 3.seconds, engine(requestedLoads = 20), engine(requestedLoads = 0, freeSlots = 1)))
+        val free = engine(requestedLoads = 0, freeSlots = 1)
+        assertNull(refusalOf(timeout = 3.seconds, engine(requestedLoads = 20), free))
     }
 
     @Test
--- a/core/src/test/kotlin/org/ragwortbank/core/admission/WaitOrderTest.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/admission/WaitOrderTest.kt
@@ -68,12 +68,8 @@
 
     private fun Replay.step(load: Load, order: WaitOrder, step: Int): Replay {
         val now = start + STEP * step
-        val hot = if ((STEP * step).isMultipleOf(load.hotEvery)) listOf(row(step * 2L, HOT, load.hotRank, now)) else emptyList()
-        val usual = if ((STEP * step).isMultipleOf(load.usualEvery)) {
-            listOf(row(step * 2L + 1, USUAL, load.usualRank, now))
-        } else {
-            emptyList()
-        }
+        val hot = arrivals(load.hotEvery, step) { row(step * 2L, HOT, load.hotRank, now) }
+        val usual = arrivals(load.usualEvery, step) { row(step * 2L + 1, USUAL, load.usualRank, now) }
         val all = order.sorted(tables, waiting + hot + usual, now)
         val stillTaken = takenUntil.filter { it > now }
         val begun = all.take(PLACES - stillTaken.size)
@@ -86,6 +82,11 @@
         )
     }
 
+    private fun arrivals(interval: Duration, step: Int, row: () -> RequestRow): List<RequestRow> {
+        val isDue = (STEP * step).inWholeMilliseconds % interval.inWholeMilliseconds == 0L
+        return if (isDue) listOf(row()) else emptyList()
+    }
+
     private fun GatewayTables.refill(now: Timestamp) =
         copy(
             buckets = buckets
@@ -174,7 +175,5 @@
             priority = 0,
             isPublic = false,
         )
-
-        fun Duration.isMultipleOf(other: Duration) = inWholeMilliseconds % other.inWholeMilliseconds == 0L
     }
 }
--- a/core/src/test/kotlin/org/ragwortbank/core/gateway/RateFleet.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/gateway/RateFleet.kt
@@ -123,7 +123,8 @@
         val full = TokenBucket(rate, rate, rate * TokenBucket.NANO_PER_TOKEN, origin)
         return calls.fold(full to emptyList<RateCall>()) { (bucket, admitted), call ->
             val filled = bucket.refill(origin + call.at)
-            if (filled.canTake(minOf(call.tokens, rate))) filled.take(call.tokens) to admitted + call else filled to admitted
+            val isAdmitted = filled.canTake(minOf(call.tokens, rate))
+            if (isAdmitted) filled.take(call.tokens) to admitted + call else filled to admitted
         }.second
     }
 
@@ -137,7 +138,9 @@
         val chance = callsPerSecond * load.factorAt(elapsed) * STEP_SECONDS / size.gateways / CALLS_PER_STEP
         val callCount = (0 until CALLS_PER_STEP).count { random.nextDouble() < chance }
         arrived += callCount
-        val arriving = (0 until callCount).map { RateCall(RequestNumber(++lastCallNumber), elapsed, load.tokens(random)) }
+        val arriving = (0 until callCount).map {
+            RateCall(RequestNumber(++lastCallNumber), elapsed, load.tokens(random))
+        }
         calls = calls + arriving
         return step(gateway, store + received + gateway.answers + arriving.map { arrivalOf(it) })
     }
--- a/core/src/test/kotlin/org/ragwortbank/core/gateway/RateToleranceTest.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/gateway/RateToleranceTest.kt
@@ -15,19 +15,19 @@
 /** What a fleet admits of what one exact bucket would admit, and that it stays within what the operators tolerate. */
 class RateToleranceTest {
     @Test
-    fun `given a large account at six times its use, then at most 40 percent of what one bucket admits is refused`() {
+    fun `given a large account at six times its use, then at most 40 percent of what one bucket admits is lost`() {
         val lost = lostShares(RateFleetSize(FLEET, rate = 200_000), callFactor = HOT)
         assertTrue(lost.average() <= 0.4, "refused of what one bucket admits: $lost")
     }
 
     @Test
-    fun `given a small account at six times its use, then at most 40 percent of what one bucket admits is refused`() {
+    fun `given a small account at six times its use, then at most 40 percent of what one bucket admits is lost`() {
         val lost = lostShares(RateFleetSize(FLEET, rate = 20_000), callFactor = HOT)
         assertTrue(lost.average() <= 0.4, "refused of what one bucket admits: $lost")
     }
 
     @Test
-    fun `given the smallest accounts at their usual use, then at most 2 percent of what one bucket admits is refused`() {
+    fun `given the smallest accounts at their usual use, then one bucket would admit at most 2 percent more`() {
         val lost = lostShares(RateFleetSize(FLEET, rate = 6_000), callFactor = 1.0)
         assertTrue(lost.average() <= 0.02, "refused of what one bucket admits: $lost")
     }
@@ -45,7 +45,7 @@
     }
 
     @Test
-    fun `given a small fleet far above the rate and random faults, then no window of eight seconds exceeds the bound`() {
+    fun `given a small fleet far above the rate and random faults, then no window exceeds the bound`() {
         listOf(4, 8).forEach { gateways ->
             (1..SMALL_FLEET_SEEDS).forEach { seed ->
                 assertBounded(RateFleetSize(gateways, rate = 60_000), { ALWAYS_HOT }, seed)
--- a/node/src/test/kotlin/org/ragwortbank/node/datagram/DigestCodecTest.kt
+++ b/node/src/test/kotlin/org/ragwortbank/node/datagram/DigestCodecTest.kt
@@ -35,7 +35,8 @@
     @Test
     fun `given each kind of digest, then decoding returns what was encoded`() {
         val engine = EngineSpec(persistentMapOf("base" to ModelSpec("base", 70.5, 1.5)), 76.0, 26)
-        val loadRequests = persistentListOf(LoadRequest(adapter, null), LoadRequest(adapter, 3, 2, 40.milliseconds, rank = 0))
+        val ranked = LoadRequest(adapter, 3, 2, 40.milliseconds, rank = 0)
+        val loadRequests = persistentListOf(LoadRequest(adapter, null), ranked)
         val inUse = persistentSetOf(adapter)
         val demandDigest = DemandDigest("e", 1, 2, UpstreamId("i"), 9, 700.milliseconds, loadRequests, inUse, engine)
         assertEquals(ReceivedDigest.Demand(demandDigest), DigestCodec.decode(DigestCodec.encode(demandDigest)))
