--- a/cli/src/main/kotlin/org/ragwortbank/cli/settings/GatewayReader.kt
+++ b/cli/src/main/kotlin/org/ragwortbank/cli/settings/GatewayReader.kt
@@ -14,6 +14,7 @@
 import org.ragwortbank.cli.toml.string
 import org.ragwortbank.cli.toml.stringContent
 import org.ragwortbank.clients.http.Address
+import org.ragwortbank.core.admission.RateTolerance
 import org.ragwortbank.core.gateway.GatewaySettings
 import org.ragwortbank.core.model.FailureDomain
 import org.ragwortbank.core.model.Region
@@ -31,9 +32,13 @@
 private const val MAX_RETRY_PERCENT = 1_000
 private const val MAX_COLD_OVERAGE = 100.0
 private const val MAX_COLD_SLACK = 10_000.0
+private const val MAX_RATE_OVERAGE = 10.0
+private const val MAX_RATE_SLACK = 1_000_000_000.0
 private const val HUNDRED_PERCENT = 100.0
 private val portRange = 1..MAX_PORT
 private val retrySlackRange = 0.0..MAX_RETRY_SLACK
+private val rateOverageRange = 0.0..MAX_RATE_OVERAGE
+private val rateSlackRange = 0.0..MAX_RATE_SLACK
 private val retryPercentRange = 0..MAX_RETRY_PERCENT
 private val coldOverageRange = 0.0..MAX_COLD_OVERAGE
 private val coldSlackRange = 0.0..MAX_COLD_SLACK
@@ -116,6 +121,7 @@
     val leavingUpstreamBound = reader.duration("leaving_upstream", DEFAULT_STORE_BOUND)
     val evacuationBound = reader.duration("evacuation", minOf(configurationBound, leavingUpstreamBound))
     val storeReadDelay = minOf(configurationBound, leavingUpstreamBound, evacuationBound) * READ_DELAY_SHARE
+    val rateWindow = reader.duration("rate_window", defaults.rateWindow)
     return defaults.copy(
         configurationLease = keyRevocationBound - KEY_REVOCATION_MARGIN,
         previousVersionLifetime = ((versionSwitchBound - storeReadDelay) / 2).coerceAtLeast(Duration.ZERO),
@@ -125,9 +131,18 @@
         storeReadDelay = storeReadDelay,
         coldOverage = reader.number("cold_overage", defaults.coldOverage, coldOverageRange),
         coldSlack = reader.number("cold_slack", defaults.coldSlack, coldSlackRange),
+        rateWindow = rateWindow,
+        rateTolerance = readRateTolerance(reader, rateWindow),
     )
 }
 
+/** Reads what is tolerated beyond the accounts' rates; null where the operators name nothing. */
+private fun readRateTolerance(reader: TomlReader, window: Duration): RateTolerance? {
+    val overage = reader.number("rate_overage", 0.0, rateOverageRange)
+    val slack = reader.number("rate_slack", 0.0, rateSlackRange)
+    return RateTolerance(window, overage, slack).takeIf { overage > 0 || slack > 0 }
+}
+
 private const val DEFAULT_PLACER_PORT = 7_600
 private val DEFAULT_CONNECT_TIMEOUT = 300.milliseconds
 private val STOP_GRACE_MARGIN = 700.milliseconds
