--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/UpstreamRow.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/UpstreamRow.kt
@@ -160,7 +160,7 @@
         }
 
     /** This row with a request of [tokens] for [adapter] sent. */
-    fun withRequestSent(adapter: AdapterKey?, tokens: Long): UpstreamRow =
+    fun withRequestSent(adapter: AdapterKey?, tokens: Long = 0): UpstreamRow =
         copy(
             tokensInFlight = tokensInFlight + tokens,
             tokensSinceDigest = tokensSinceDigest + tokens,
@@ -171,7 +171,7 @@
         )
 
     /** This row with a request of [tokens] for [adapter] completed. */
-    fun withRequestCompleted(adapter: AdapterKey?, tokens: Long): UpstreamRow =
+    fun withRequestCompleted(adapter: AdapterKey?, tokens: Long = 0): UpstreamRow =
         copy(
             inFlight = (inFlight - 1).coerceAtLeast(0),
             inUse = inUse.adjust(adapter, -1),
--- a/node/src/main/kotlin/org/ragwortbank/node/metrics/NodeMetrics.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/metrics/NodeMetrics.kt
@@ -52,10 +52,8 @@
         .help("Failure domains to whose upstreams nothing is sent because operators have emptied them")
         .register(registry)
 
-    private val tokenMillis = Gauge.builder()
-        .name("ragwortbank_engine_token_milliseconds")
-        .help("Time for one token of a run at the engine beside a placer, as learned; 0 while it isn't known")
-        .register(registry)
+    /** Metrics of the engine beside a placer. */
+    val engine = EngineMetrics(registry)
 
     /** Metrics of what is held for slow readers. */
     val pressure = PressureMetrics(registry)
@@ -90,9 +88,6 @@
         this.evacuatedDomains.set(evacuatedDomains.toDouble())
     }
 
-    /** Sets the learned time for one token of a run, in milliseconds. */
-    fun setTokenMillis(millis: Double) = tokenMillis.set(millis)
-
     /** Returns all metrics in the Prometheus text format. */
     fun toPrometheusText(): String {
         val output = ByteArrayOutputStream()
--- a/node/src/main/kotlin/org/ragwortbank/node/placer/PlacerNode.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/placer/PlacerNode.kt
@@ -97,7 +97,7 @@
         override fun isReady(): Boolean = ticker.tables.report != null
 
         override fun metricsText(): String {
-            metrics.setTokenMillis(ticker.tables.speed.millisPerToken(clock.now()) ?: 0.0)
+            metrics.engine.setTokenMillis(ticker.tables.speed.millisPerToken(clock.now()) ?: 0.0)
             return metrics.toPrometheusText()
         }
 
