--- a/standins/src/test/kotlin/org/ragwortbank/standins/prepared/PlacesTest.kt
+++ b/standins/src/test/kotlin/org/ragwortbank/standins/prepared/PlacesTest.kt
@@ -17,7 +17,7 @@
 /** Runs a gateway and a placer as processes before an engine and a plain service in zone A and another in zone B. */
 class PlacesTest {
     private val launcher = testLauncher("ragwortbank-places")
-    private val fleet = PreparedFleet(launcher, "[regions]\nzone-a = \"north\"\nzone-b = \"south\"\n")
+    private val fleet = PreparedFleet(launcher, SETTINGS)
     private val store = fleet.deployment.store
     private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
     private val inZoneA = fleet.deployment.plainService
@@ -156,6 +156,7 @@
     private companion object {
         /** Time in which a placer that sends commands would have sent one. */
         const val IDLE_MILLIS = 1_000L
+        const val SETTINGS = "[features]\nplaces = true\n[regions]\nzone-a = \"north\"\nzone-b = \"south\"\n"
         const val REQUESTS = 8
         val STOP_TIMEOUT = 12.seconds
     }
