--- a/core/src/test/kotlin/org/ragwortbank/core/locality/EvacuationReplay.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/locality/EvacuationReplay.kt
@@ -14,7 +14,11 @@
  * A seeded load of chat, booking and look-up requests in virtual time while domains are emptied and taken back, full
  * reads of the store come between, and attempts are lost, rejected or answered.
  */
-internal class EvacuationReplay(seed: Int, policy: UpstreamPolicy) {
+internal class EvacuationReplay(
+    seed: Int,
+    policy: UpstreamPolicy,
+    private val changesEvacuations: Boolean = true,
+) {
     private val random = Random(seed)
     private val fleet = PlacedFleet(policy)
     private val gateway = fleet.gateway
@@ -25,8 +29,8 @@
     var wrongSends = 0
         private set
 
-    /** Number of all sends. */
-    var sends = 0
+    /** All sends: request, attempt and upstream. */
+    var sends = emptyList<String>()
         private set
 
     fun play(steps: Int): EvacuationReplay {
@@ -35,7 +39,7 @@
     }
 
     private fun playStep(step: Int) {
-        if (step % CHANGE_STEPS == 0) changeEvacuations()
+        if (step % CHANGE_STEPS == 0) readStore()
         if (step % DIGEST_STEPS == 0) sendDigests()
         repeat(random.nextInt(MAX_ARRIVALS)) { arrive() }
         open.shuffled(random).take(MAX_OUTCOMES).forEach(::endAttempt)
@@ -43,6 +47,11 @@
         recordSends()
     }
 
+    private fun readStore() {
+        if (changesEvacuations) changeEvacuations() else fleet.readAll()
+        recordSends()
+    }
+
     private fun changeEvacuations() {
         val domain = listOf(DOMAIN_A, DOMAIN_B).random(random)
         val isLifted = domain in evacuated
@@ -52,7 +61,6 @@
             isLifted -> fleet.lift(domain)
             else -> fleet.evacuate(domain)
         }
-        recordSends()
     }
 
     private fun sendDigests() =
@@ -87,7 +95,7 @@
     private fun recordSends() {
         val sent = gateway.sentAttempts()
         open = open + sent.filter { it !in open }
-        sends += sent.size
+        sends = sends + sent.map { "${it.number} ${it.attemptNumber} ${it.upstream}" }
         wrongSends += fleet.sentDomains().count { it in evacuated }
     }
 
--- a/core/src/test/kotlin/org/ragwortbank/core/locality/EvacuationReplayTest.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/locality/EvacuationReplayTest.kt
@@ -13,7 +13,7 @@
         (1..SEEDS).forEach { seed ->
             val replay = EvacuationReplay(seed, defaultUpstreamPolicy()).play(STEPS)
             assertEquals(0, replay.wrongSends, "seed $seed")
-            assertTrue(replay.sends > STEPS / 2, "seed $seed sent ${replay.sends}")
+            assertTrue(replay.sends.size > STEPS / 2, "seed $seed sent ${replay.sends.size}")
         }
     }
 
@@ -23,10 +23,22 @@
         assertTrue(replay.wrongSends > 0)
     }
 
+    @Test
+    fun `given no evacuations, homes or features, then each send is the same with and without the parts for places`() {
+        val with = EvacuationReplay(seed = 3, defaultUpstreamPolicy(), changesEvacuations = false).play(STEPS)
+        val without = EvacuationReplay(seed = 3, policyWithoutPlaces(), changesEvacuations = false).play(STEPS)
+        assertEquals(without.sends, with.sends)
+        assertTrue(with.sends.size > STEPS / 2)
+    }
+
     private fun policyWithoutPlaces(): UpstreamPolicy {
         val policy = defaultUpstreamPolicy()
-        val others = policy.exclusions.filter { it !is EvacuatedDomain && it !is OutsideHome }
-        return policy.copy(exclusions = others.toPersistentList())
+        val exclusions = policy.exclusions.filter { it !is EvacuatedDomain && it !is OutsideHome }
+        return policy.copy(
+            exclusions = exclusions.toPersistentList(),
+            terms = policy.terms.filter { it !is LostDomainDelay }.toPersistentList(),
+            observers = policy.observers.filter { it !is DomainLossObserver }.toPersistentList(),
+        )
     }
 
     private companion object {
