--- a/core/src/main/kotlin/org/ragwortbank/core/pacing/PaceSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/pacing/PaceSystem.kt
@@ -31,7 +31,9 @@
     private fun review(step: GatewayStep, row: UpstreamRow, isTickLate: Boolean, now: Timestamp): GatewayStep {
         val conditions = conditions(step.tables, row, isTickLate, now)
         val pace = row.pace ?: started(step.tables, row, conditions, now)
-        val judged = pace.samples.fold(pace) { current, sample -> rule.afterSample(current, sample, conditions, now) }
+        val judged = pace.samples
+            .fold(pace) { current, sample -> rule.afterSample(current, sample, conditions, now) }
+            .heldBack(row, conditions, now)
         val isIdle = row.inFlight == 0 && !row.health.isBackedOff(now)
         val current = if (isIdle) rule.whileIdle(judged, conditions, now) else judged
         val reviewed = if (current.samples.isEmpty()) current else current.copy(samples = current.samples.clear())
@@ -78,6 +80,13 @@
         )
     }
 
+    /** After a failure's back-off the limit rises again from what was left under way, as the others use the rest. */
+    private fun PaceRow.heldBack(row: UpstreamRow, conditions: PaceConditions, now: Timestamp): PaceRow {
+        val isHeldBack = phase != PacePhase.FULL && row.health.failures > 0 && row.health.isBackedOff(now)
+        val left = maxOf(row.inFlight.toDouble(), rule.startLimit(conditions))
+        return if (isHeldBack) copy(phase = PacePhase.RAMPING, limit = minOf(limit, left), metAt = now) else this
+    }
+
     /** Since few requests are risked then, an upstream that failed is tried again sooner than without a pace. */
     private fun UpstreamRow.tryAgainSoon(now: Timestamp): UpstreamRow {
         val soon = now + LONGEST_BACKOFF
--- a/core/src/test/kotlin/org/ragwortbank/core/pacing/PaceFleet.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/pacing/PaceFleet.kt
@@ -31,12 +31,14 @@
  * @property bears requests that it runs at the same time
  * @property slowness factor on the time that a request takes
  * @property isUp whether it answers; one that isn't loses what it has
+ * @property losesEach it loses the connection of one in so many requests; 0 if it loses none
  * @property promptTokens tokens of the prompts that arrive; reading them takes time
  */
 internal data class ModelUpstream(
     val bears: Int = PaceFleet.SLOTS,
     val slowness: Double = 1.0,
     val isUp: Boolean = true,
+    val losesEach: Int = 0,
     val promptTokens: Long = 0,
 )
 
@@ -112,7 +114,7 @@
     private fun index(time: Duration) = (time / STEP).toInt()
 
     private fun advanceUpstream(now: ModelUpstream) {
-        if (!now.isUp) return loseAll()
+        if (!now.isUp) return lose(underWay)
         val finished = underWay.filter { it.startedAt != null && elapsed - it.startedAt >= RUN_TIME * now.slowness }
         finished.forEach { finish(it) }
         underWay = underWay - finished.toSet()
@@ -124,6 +126,7 @@
             val isBeginning = !sent.hasBegun && sent.startedAt != null && elapsed - sent.startedAt >= reading
             if (isBeginning) begin(sent) else sent
         }
+        if (now.losesEach > 0) lose(underWay.filter { it.hasBegun && it.row.number.value % now.losesEach == 0L })
         if (load.hasReports && elapsed.inWholeMilliseconds % DIGEST_MILLIS == 0L) reportToAll()
     }
 
@@ -140,13 +143,13 @@
 
     private fun finish(sent: Sent) = change(sent.gateway) { it.withRequestCompleted(null) }
 
-    private fun loseAll() {
-        underWay.forEach { sent ->
+    private fun lose(lost: List<Sent>) {
+        lost.forEach { sent ->
             change(sent.gateway) { it.copy(health = it.health.afterFailure(at(elapsed), BACKOFF)) }
             record(sent, AttemptOutcome.Lost)
             finish(sent)
         }
-        underWay = emptyList()
+        underWay = underWay - lost.toSet()
     }
 
     private fun reportToAll() = tables.indices.forEach { gateway ->
--- a/core/src/test/kotlin/org/ragwortbank/core/pacing/PaceFleetTest.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/pacing/PaceFleetTest.kt
@@ -67,6 +67,15 @@
         }
     }
 
+    @Test
+    fun `given a phase in which a third of the requests is lost, then the upstream is filled again in time after it`() {
+        fleets.forEach { gateways ->
+            val fleet = replay(gateways, 12.seconds) { ModelUpstream(losesEach = if (it in trouble..8.seconds) 3 else 0) }
+            assertReached(fleet, "$gateways gateways", 8.seconds)
+            assertNoFlood(fleet, "$gateways gateways")
+        }
+    }
+
     @Test
     fun `given a slow phase, then what the upstream bears stays in use`() {
         listOf(4.0, 8.0).forEach { slowness ->
