--- a/core/src/main/kotlin/org/ragwortbank/core/pacing/PaceLimit.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/pacing/PaceLimit.kt
@@ -1,10 +1,7 @@
 package org.ragwortbank.core.pacing
 
-import org.ragwortbank.core.gateway.GatewayTables
 import org.ragwortbank.core.gateway.UpstreamRow
 import org.ragwortbank.core.selection.SelectionContext
-import org.ragwortbank.core.serving.Feature
-import org.ragwortbank.core.serving.ServiceName
 
 /** Bounds this gateway's requests under way at an upstream by its pace. */
 class PaceLimit : SendLimit {
@@ -14,7 +11,3 @@
         return if (pace == null || !isLimited) SendLimit.UNBOUNDED else (pace.allowed - upstream.inFlight).coerceAtLeast(0)
     }
 }
-
-/** Whether upstreams of [service] have a pace. */
-fun isPaced(tables: GatewayTables, service: ServiceName): Boolean =
-    Feature.PACE in tables.settings.features && tables.config?.services?.containsKey(service) == true
--- a/core/src/main/kotlin/org/ragwortbank/core/pacing/PaceSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/pacing/PaceSystem.kt
@@ -21,15 +21,22 @@
 ) : TickSystem<GatewayTables, GatewayInput, GatewayEffect> {
     override fun run(tick: Tick<GatewayInput>, step: GatewayStep): GatewayStep {
         val isTickLate = step.tables.pacedAt?.let { tick.now - it > LATE_TICK } ?: true
-        val paced = step.tables.upstreams.values.filter { isPaced(step.tables, it.registration.service) }
-        if (paced.isEmpty()) return step
-        return paced
-            .fold(step) { current, row -> review(current, row, isTickLate, tick.now) }
+        val due = step.tables.upstreams.values.filter {
+            isReviewDue(it.pace) && isPaced(step.tables, it.registration.service)
+        }
+        val review = PaceReview(if (due.isEmpty()) 1 else step.tables.gatewayCount, isTickLate, tick.now)
+        return due
+            .fold(step) { current, row -> apply(current, row, review) }
             .update { it.copy(pacedAt = tick.now) }
     }
 
-    private fun review(step: GatewayStep, row: UpstreamRow, isTickLate: Boolean, now: Timestamp): GatewayStep {
-        val conditions = conditions(step.tables, row, isTickLate, now)
+    /** At full pace only samples can change anything. */
+    private fun isReviewDue(pace: PaceRow?): Boolean =
+        pace == null || pace.phase != PacePhase.FULL || pace.samples.isNotEmpty()
+
+    private fun apply(step: GatewayStep, row: UpstreamRow, review: PaceReview): GatewayStep {
+        val now = review.now
+        val conditions = conditions(step.tables, row, review)
         val pace = row.pace ?: started(step.tables, row, conditions, now)
         val judged = pace.samples
             .fold(pace) { current, sample -> rule.afterSample(current, sample, conditions, now) }
@@ -41,22 +48,22 @@
         return step
             .logChange(row, reviewed)
             .update { tables -> tables.updateUpstream(row.registration.id) { it.copy(pace = reviewed).tryAgainSoon(now) } }
-            .update { it.recordDelays(row, pace.samples, isTickLate) }
+            .update { it.recordDelays(row, pace.samples, review.isTickLate) }
     }
 
-    private fun conditions(tables: GatewayTables, row: UpstreamRow, isTickLate: Boolean, now: Timestamp): PaceConditions {
+    private fun conditions(tables: GatewayTables, row: UpstreamRow, review: PaceReview): PaceConditions {
         val changedAt = row.pace?.changedAt
         val reportedAt = row.loadReportedAt
         val isLoadOfRound = changedAt != null && reportedAt != null && reportedAt > changedAt
         return PaceConditions(
             slots = row.registration.slots,
-            gateways = tables.gatewayCount,
+            gateways = review.gateways,
             inFlight = row.inFlight,
             failures = row.health.failures,
             load = row.reportedLoad.takeIf { isLoadOfRound },
-            hasRecentLoad = reportedAt != null && now - reportedAt < RECENT_REPORT,
+            hasRecentLoad = reportedAt != null && review.now - reportedAt < RECENT_REPORT,
             norm = tables.delayNorms[row.registration.service] ?: DelayNorm(),
-            isTickLate = isTickLate,
+            isTickLate = review.isTickLate,
         )
     }
 
@@ -126,6 +133,9 @@
         return copy(delayNorms = delayNorms.put(service, norm))
     }
 
+    /** What is the same for all upstreams in a tick. */
+    private class PaceReview(val gateways: Int, val isTickLate: Boolean, val now: Timestamp)
+
     private companion object {
         const val HASH_RANGE = 4_294_967_296.0
 
