--- a/core/src/main/kotlin/org/ragwortbank/core/pacing/PaceSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/pacing/PaceSystem.kt
@@ -21,17 +21,26 @@
 ) : TickSystem<GatewayTables, GatewayInput, GatewayEffect> {
     override fun run(tick: Tick<GatewayInput>, step: GatewayStep): GatewayStep {
         val isTickLate = step.tables.pacedAt?.let { tick.now - it > LATE_TICK } ?: true
-        val paced = step.tables.upstreams.values.filter { isPaced(step.tables, it.registration.service) }
-        if (paced.isEmpty()) return step
-        return paced
-            .fold(step) { current, row -> review(current, row, isTickLate, tick.now) }
+        val due = step.tables.upstreams.values.filter {
+            isReviewDue(it.pace) && isPaced(step.tables, it.registration.service)
+        }
+        val review = PaceReview(if (due.isEmpty()) 1 else step.tables.gatewayCount, isTickLate, tick.now)
+        return due
+            .fold(step) { current, row -> apply(current, row, review) }
             .update { it.copy(pacedAt = tick.now) }
     }
 
-    private fun review(step: GatewayStep, row: UpstreamRow, isTickLate: Boolean, now: Timestamp): GatewayStep {
-        val conditions = conditions(step.tables, row, isTickLate, now)
+    /** At full pace only samples can change anything. */
+    private fun isReviewDue(pace: PaceRow?): Boolean =
+        pace == null || pace.phase != PacePhase.FULL || pace.samples.isNotEmpty()
+
+    private fun apply(step: GatewayStep, row: UpstreamRow, review: PaceReview): GatewayStep {
+        val now = review.now
+        val conditions = conditions(step.tables, row, review)
         val pace = row.pace ?: started(step.tables, row, conditions, now)
-        val judged = pace.samples.fold(pace) { current, sample -> rule.afterSample(current, sample, conditions, now) }
+        val judged = pace.samples
+            .fold(pace) { current, sample -> rule.afterSample(current, sample, conditions, now) }
+            .heldBack(row, conditions, now)
         val isIdle = row.inFlight == 0 && !row.health.isBackedOff(now)
         val current = if (isIdle) rule.whileIdle(judged, conditions, now) else judged
         val reviewed = if (current.samples.isEmpty()) current else current.copy(samples = current.samples.clear())
@@ -39,22 +48,22 @@
         return step
             .logChange(row, reviewed)
             .update { tables -> tables.updateUpstream(row.registration.id) { it.copy(pace = reviewed).tryAgainSoon(now) } }
-            .update { it.recordDelays(row, pace.samples, isTickLate) }
+            .update { it.recordDelays(row, pace.samples, review.isTickLate) }
     }
 
-    private fun conditions(tables: GatewayTables, row: UpstreamRow, isTickLate: Boolean, now: Timestamp): PaceConditions {
+    private fun conditions(tables: GatewayTables, row: UpstreamRow, review: PaceReview): PaceConditions {
         val changedAt = row.pace?.changedAt
         val reportedAt = row.loadReportedAt
         val isLoadOfRound = changedAt != null && reportedAt != null && reportedAt > changedAt
         return PaceConditions(
             slots = row.registration.slots,
-            gateways = tables.gatewayCount,
+            gateways = review.gateways,
             inFlight = row.inFlight,
             failures = row.health.failures,
             load = row.reportedLoad.takeIf { isLoadOfRound },
-            hasRecentLoad = reportedAt != null && now - reportedAt < RECENT_REPORT,
+            hasRecentLoad = reportedAt != null && review.now - reportedAt < RECENT_REPORT,
             norm = tables.delayNorms[row.registration.service] ?: DelayNorm(),
-            isTickLate = isTickLate,
+            isTickLate = review.isTickLate,
         )
     }
 
@@ -78,6 +87,13 @@
         )
     }
 
+    /** After a failure's back-off the limit rises again from what was left under way, as the others use the rest. */
+    private fun PaceRow.heldBack(row: UpstreamRow, conditions: PaceConditions, now: Timestamp): PaceRow {
+        val isHeldBack = phase != PacePhase.FULL && row.health.failures > 0 && row.health.isBackedOff(now)
+        val left = maxOf(row.inFlight.toDouble(), rule.startLimit(conditions))
+        return if (isHeldBack) copy(phase = PacePhase.RAMPING, limit = minOf(limit, left), metAt = now) else this
+    }
+
     /** Since few requests are risked then, an upstream that failed is tried again sooner than without a pace. */
     private fun UpstreamRow.tryAgainSoon(now: Timestamp): UpstreamRow {
         val soon = now + LONGEST_BACKOFF
@@ -117,6 +133,9 @@
         return copy(delayNorms = delayNorms.put(service, norm))
     }
 
+    /** What is the same for all upstreams in a tick. */
+    private class PaceReview(val gateways: Int, val isTickLate: Boolean, val now: Timestamp)
+
     private companion object {
         const val HASH_RANGE = 4_294_967_296.0
 
