--- a/core/src/test/kotlin/org/ragwortbank/core/speed/UnevenFleet.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/speed/UnevenFleet.kt
@@ -36,6 +36,7 @@
     gatewayCount: Int,
     private val statesSlowness: Boolean,
     private val adapterCount: Int = 0,
+    private val loadFactor: Double = 1.0,
     seed: Int = 1,
 ) {
     private val random = Random(seed)
@@ -63,8 +64,8 @@
         engines.forEachIndexed { index, engine -> advance(index, engine) }
         if (millis % REPORT_MILLIS == 0) engines.indices.forEach(::report)
         gateways.indices.filter { (millis + it * 7 * TICK_MILLIS) % DIGEST_MILLIS == 0 }.forEach(::sendDigests)
-        if (random.nextDouble() < STREAMS_PER_SECOND * TICK_MILLIS / 1_000) send(826.0, STREAM_TOKENS)
-        if (random.nextDouble() < SHORTS_PER_SECOND * TICK_MILLIS / 1_000) send(2_368.0, 21)
+        if (random.nextDouble() < STREAMS_PER_SECOND * loadFactor * TICK_MILLIS / 1_000) send(826.0, STREAM_TOKENS)
+        if (random.nextDouble() < SHORTS_PER_SECOND * loadFactor * TICK_MILLIS / 1_000) send(2_368.0, 21)
     }
 
     private fun advance(index: Int, engine: EngineModel) {
--- a/core/src/test/kotlin/org/ragwortbank/core/speed/UnevenUpstreamsTest.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/speed/UnevenUpstreamsTest.kt
@@ -18,6 +18,16 @@
         }
     }
 
+    @Test
+    fun `given half as much load again, then fewer streams pause too long by a fifth`() {
+        val before = UnevenFleet(21, statesSlowness = false, adapterCount = 400, loadFactor = 1.5)
+        val after = UnevenFleet(21, statesSlowness = true, adapterCount = 400, loadFactor = 1.5)
+        listOf(before, after).forEach { it.play(seconds = 12) }
+        val text = "late ${after.lateShare}, before ${before.lateShare}"
+        println("21 gateways at 1.5 times the load: $text, loads ${after.loads}, before ${before.loads}")
+        assertTrue(after.lateShare < before.lateShare * 0.8, text)
+    }
+
     // Guards against gateways with old digests that all choose the same engine.
     @Test
     fun `given no adapters, then few streams pause too long, also when gateways know little of each other`() {
