--- a/core/src/test/kotlin/org/ragwortbank/core/speed/UnevenFleet.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/speed/UnevenFleet.kt
@@ -44,9 +44,9 @@
     private val fixture = GatewayFixture()
     private val config = boundedPauses(fixture.config())
     private val engines = (0 until ENGINES).map { EngineModel(if (it % 3 == 2) 1.7 else 0.7, seed * ENGINES + it) }
-    private val residents = Array(ENGINES) { persistentMapOf<AdapterKey, Long>() }
-    private val speeds = Array(ENGINES) { GenerationSpeed() }
-    private val gateways = Array(gatewayCount) { emptyGateway("gateway-$it") }
+    private var residents = List(ENGINES) { persistentMapOf<AdapterKey, Long>() }.toPersistentList()
+    private var speeds = List(ENGINES) { GenerationSpeed() }.toPersistentList()
+    private var gateways = List(gatewayCount) { emptyGateway("gateway-$it") }.toPersistentList()
     private var millis = 0
     var loads = 0
         private set
@@ -74,8 +74,9 @@
         engine.begun.forEach { onBegun(it, index, engine) }
         engine.ended.drop(before).forEach { run ->
             val adapter = gateways[run.gateway].requests[run.number]?.call?.adapterKey
-            gateways[run.gateway] = gateways[run.gateway].remove(run.number)
-                .updateUpstream(idOf(index)) { it.withRequestCompleted(adapter) }
+            change(run.gateway) { tables ->
+                tables.remove(run.number).updateUpstream(idOf(index)) { it.withRequestCompleted(adapter) }
+            }
         }
     }
 
@@ -84,16 +85,17 @@
         val row = tables.requests[run.number] ?: return
         val sentAt = (row.stage as RequestStage.Sent).sentAt
         val load = ReportedLoad(engine.runs.size, 0, engine.slowness().takeIf { statesSlowness })
-        gateways[run.gateway] = policy
-            .recordOutcome(tables, row, AttemptOutcome.Began(now - sentAt), now)
-            .updateUpstream(idOf(index)) {
-                it.withReportedLoad(load, now).copy(health = it.health.afterAnswer(now - sentAt))
-            }
-            .put(row.copy(stage = RequestStage.Relaying(idOf(index), now)))
+        change(run.gateway) {
+            policy.recordOutcome(it, row, AttemptOutcome.Began(now - sentAt), now)
+                .updateUpstream(idOf(index)) { known ->
+                    known.withReportedLoad(load, now).copy(health = known.health.afterAnswer(now - sentAt))
+                }
+                .put(row.copy(stage = RequestStage.Relaying(idOf(index), now)))
+        }
     }
 
     private fun report(index: Int) {
-        speeds[index] = speeds[index].after(engines[index].generating, now)
+        speeds = speeds.set(index, speeds[index].after(engines[index].generating, now))
     }
 
     private fun sendDigests(gateway: Int) = engines.forEachIndexed { index, engine ->
@@ -107,7 +109,7 @@
             runningRequests = engine.runs.size,
             millisPerToken = speeds[index].millisPerToken(now) ?: 0.0,
         )
-        gateways[gateway] = gateways[gateway].updateUpstream(idOf(index)) { it.withDigest(digest, now) }
+        change(gateway) { tables -> tables.updateUpstream(idOf(index)) { it.withDigest(digest, now) } }
     }
 
     private fun send(meanPrompt: Double, length: Int) {
@@ -123,22 +125,29 @@
     private fun load(gateway: Int, row: RequestRow, id: UpstreamId, prompt: Double, length: Int) {
         val adapter = checkNotNull(row.call.adapterKey)
         val index = id.value.toInt()
-        residents[index] = residents[index].put(adapter, 1)
+        residents = residents.set(index, residents[index].put(adapter, 1))
         loads++
-        gateways[gateway] = gateways[gateway].updateUpstream(id) { known ->
-            known.copy(digest = known.digest?.let { it.copy(resident = it.resident.put(adapter, 1)) })
+        change(gateway) { tables ->
+            tables.updateUpstream(id) { known ->
+                known.copy(digest = known.digest?.let { it.copy(resident = it.resident.put(adapter, 1)) })
+            }
         }
         start(gateway, row, id, prompt, length)
     }
 
     private fun start(gateway: Int, row: RequestRow, id: UpstreamId, prompt: Double, length: Int) {
         val sent = row.copy(stage = RequestStage.Sent(id, now))
-        gateways[gateway] = policy.recordSent(
-            gateways[gateway].put(sent).updateUpstream(id) { it.withRequestSent(row.call.adapterKey) }, id, sent, now,
-        )
+        change(gateway) { tables ->
+            val updated = tables.put(sent).updateUpstream(id) { it.withRequestSent(row.call.adapterKey) }
+            policy.recordSent(updated, id, sent, now)
+        }
         engines[id.value.toInt()].add(Run(gateway, row.number, prompt, length))
     }
 
+    private fun change(gateway: Int, update: (GatewayTables) -> GatewayTables) {
+        gateways = gateways.set(gateway, update(gateways[gateway]))
+    }
+
     private fun requestRow(prompt: Long, length: Int): RequestRow {
         val number = RequestNumber(++lastNumber)
         val call = fixture.call("/chat/", adapterName(), tokens = prompt + length)
