--- a/node/src/main/kotlin/org/ragwortbank/node/gateway/AnswerPressure.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/gateway/AnswerPressure.kt
@@ -22,7 +22,8 @@
     private val loop: EventLoop,
     private val requests: RequestRegistry,
     private val metrics: PressureMetrics,
-    private val post: (GatewayInput) -> Unit,
+    private val postDeferred: (GatewayInput) -> Unit,
+    private val postUrgent: (GatewayInput) -> Unit,
 ) {
     private var limits = PressureLimits()
 
@@ -69,7 +70,8 @@
     private fun hold(number: RequestNumber, answer: HeldAnswer, bytes: Int) {
         answers = answers.put(number, answer)
         bytesSinceMeasure += bytes
-        if (measuredBytes + bytesSinceMeasure > limits.untakenBytes) measure() else schedule()
+        val mayBeFull = measuredBytes + bytesSinceMeasure > limits.untakenBytes
+        if (mayBeFull && bytesSinceMeasure > limits.connectionBytes) postUrgent(measure()) else schedule()
     }
 
     private fun schedule() {
@@ -80,10 +82,10 @@
 
     private fun onTime() {
         isScheduled = false
-        measure()
+        postDeferred(measure())
     }
 
-    private fun measure() {
+    private fun measure(): GatewayInput {
         answers.values.forEach { it.updateReading() }
         val measures = answers.mapNotNull { (number, answer) -> answer.measure()?.let { number to it } }
             .toMap<RequestNumber, HeldMeasure>()
@@ -91,8 +93,8 @@
         answers = answers.filterKeys { it in measures }.toPersistentMap()
         measuredBytes = measures.values.sumOf { it.bytes }
         bytesSinceMeasure = 0
-        post(GatewayInput.HeldBytesMeasured(measures))
         if (answers.isNotEmpty()) schedule()
+        return GatewayInput.HeldBytesMeasured(measures)
     }
 
     private companion object {
--- a/node/src/main/kotlin/org/ragwortbank/node/gateway/AnswerSink.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/gateway/AnswerSink.kt
@@ -36,7 +36,7 @@
     /** Where the bodies of requests count; null where what is held for callers and upstreams isn't bounded. */
     val bodies: BodyBudget?
 
-    /** A part of [bytes] bytes of the answer that [sink] writes can't be passed on to its caller at once. */
+    /** A part of [bytes] bytes of the answer that [sink] writes, or its end, can't be passed on at once. */
     fun onHeld(sink: AnswerSink, answer: HeldAnswer, bytes: Int)
 
     /** A complete request was received. */
--- a/node/src/main/kotlin/org/ragwortbank/node/gateway/CallerOutbound.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/gateway/CallerOutbound.kt
@@ -40,6 +40,7 @@
     /** Sets that the answer ends with [write]. */
     fun end(write: ChannelFuture) {
         lastWrite = write
+        if (!write.isDone) onHeld?.invoke(this, 0)
     }
 
     override fun measure(): HeldMeasure? {
--- a/node/src/main/kotlin/org/ragwortbank/node/gateway/GatewayNode.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/gateway/GatewayNode.kt
@@ -61,7 +61,7 @@
     private val observer = LoggingConnectionObserver(metrics)
     private val connections = UpstreamConnections(process.loop, dialect, settings.connectTimeout, observer, clock::now)
     private val requests = RequestRegistry(dialect, connections, metrics, clock::now, post = ticker::post)
-    private val pressure = AnswerPressure(process.loop, requests, metrics.pressure, ticker::postDeferred)
+    private val pressure = AnswerPressure(process.loop, requests, metrics.pressure, ticker::postDeferred, ticker::post)
     private val httpServer = GatewayHttpServer(
         process.group,
         { ticker.tables.config?.limits ?: ClientLimits() },
--- a/node/src/main/kotlin/org/ragwortbank/node/gateway/HttpAnswerSink.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/gateway/HttpAnswerSink.kt
@@ -101,7 +101,9 @@
         head.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes())
         refusal.retryAfter?.let { head.headers().set(HttpHeaderNames.RETRY_AFTER, seconds(it)) }
         setConnectionHeader(head)
-        onLastWrite(staysOpen, ctx.writeAndFlush(head))
+        val lastWrite = ctx.writeAndFlush(head)
+        outbound.end(lastWrite)
+        onLastWrite(staysOpen, lastWrite)
     }
 
     private fun setConnectionHeader(head: HttpResponse) {
--- a/node/src/main/kotlin/org/ragwortbank/node/gateway/RequestRegistry.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/gateway/RequestRegistry.kt
@@ -44,7 +44,7 @@
     override var bodies: BodyBudget? = null
 
     override fun onHeld(sink: AnswerSink, answer: HeldAnswer, bytes: Int) {
-        numbersBySink[sink]?.let { onAnswerHeld(it, answer, bytes) }
+        onAnswerHeld(numbersBySink[sink] ?: RequestNumber(++lastNumber), answer, bytes)
     }
 
     override fun onRequest(request: CallerRequest, sink: AnswerSink) {
--- a/node/src/test/kotlin/org/ragwortbank/node/gateway/GatewayRig.kt
+++ b/node/src/test/kotlin/org/ragwortbank/node/gateway/GatewayRig.kt
@@ -76,7 +76,7 @@
     )
     private val connections = UpstreamConnections(process.loop, RoutedIdDialect, 2.seconds, now = now)
     private val requests = RequestRegistry(RoutedIdDialect, connections, metrics, now, post = ticker::post)
-    private val pressure = AnswerPressure(process.loop, requests, metrics.pressure, ticker::postDeferred)
+    private val pressure = AnswerPressure(process.loop, requests, metrics.pressure, ticker::postDeferred, ticker::post)
     private val httpServer = GatewayHttpServer(process.group, { clientLimits }, requests) { sendBufferBytes }
     private val callerSocket = ListeningSocket.open(Address(InetAddress.getLoopbackAddress().hostAddress, 0))
 
--- a/node/src/test/kotlin/org/ragwortbank/node/gateway/SlowCallerTest.kt
+++ b/node/src/test/kotlin/org/ragwortbank/node/gateway/SlowCallerTest.kt
@@ -173,7 +173,7 @@
         const val LONG_READ_PAUSE_MILLIS = 40L
         const val BODY_BYTES = 1_000_000
         const val CALLERS = 200
-        const val MAX_GROWTH_BYTES = 48_000_000L
+        const val MAX_GROWTH_BYTES = 24_000_000L
         const val PAUSE_MILLIS = 1_000L
         const val JOIN_MILLIS = 4_000L
     }
