--- a/core/src/main/kotlin/org/ragwortbank/core/admission/RateMargin.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/admission/RateMargin.kt
@@ -28,9 +28,9 @@
 /**
  * Spends a part of the operators' [RateTolerance], and admits large requests only while there is room for several.
  *
- * A gateway doesn't see what the others admit at the moment. While an account asks for more than its rate, each requires
- * room for as many such requests as the others may be admitting. So they agree on which requests are too large, as they
- * would with one exact bucket, and more requests are served of the same tokens.
+ * A gateway doesn't see what the others admit at the moment. While an account asks for more than its rate, each
+ * requires room for as many such requests as the others may be admitting. So they agree on which requests are too
+ * large, as they would with one exact bucket, and more requests are served of the same tokens.
  *
  * A gateway that was started within the window doesn't know what was admitted before, and one that is cut off from the
  * others doesn't know what they admit. Neither spends anything of the tolerance.
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/RoutingSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/RoutingSystem.kt
@@ -45,9 +45,11 @@
         val selection = policy.select(context)
         val best = selection.best?.let { stayIfAlike(row, it, selection.candidates, now) }
         val refusal = best?.let { admission.refusalOf(context, selection.candidates) }
-        if (refusal != null) return step.refuseWaiting(row, refusal)
-        if (best == null) return waitOrRefuse(step, row, selection, now)
-        return sendOrRequestLoad(step.update { it.clearModelMissing(row.service) }, row, best, now)
+        return when {
+            best == null -> waitOrRefuse(step, row, selection, now)
+            refusal != null -> step.refuseWaiting(row, refusal)
+            else -> sendOrRequestLoad(step.update { it.clearModelMissing(row.service) }, row, best, now)
+        }
     }
 
     /** Waits while an upstream may serve the request later, and refuses it otherwise. */
--- a/core/src/main/kotlin/org/ragwortbank/core/placer/AdapterSlots.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/placer/AdapterSlots.kt
@@ -11,8 +11,8 @@
     currentDemand(now).flatMap { it.loadRequests }
 
 /**
- * The adapters that requests wait for and whose load has not begun, the one to load next first: those of the most urgent
- * requests where the gateways say it, those that have waited for long, then those that most requests wait for.
+ * The adapters that requests wait for and whose load has not begun, the one to load next first: those of the most
+ * urgent requests where the gateways say it, those that have waited for long, then those that most requests wait for.
  */
 internal fun PlacerTables.unmetLoads(report: EngineReport, now: Timestamp): List<LoadRequest> =
     loadRequests(now)
--- a/core/src/test/kotlin/org/ragwortbank/core/admission/WaitOrderTest.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/admission/WaitOrderTest.kt
@@ -8,6 +8,7 @@
 import org.ragwortbank.core.gateway.GatewayIdentity
 import org.ragwortbank.core.gateway.GatewayTables
 import org.ragwortbank.core.gateway.RequestRow
+import org.ragwortbank.core.gateway.sampleUse
 import org.ragwortbank.core.model.AccountId
 import org.ragwortbank.core.model.RouteName
 import org.ragwortbank.core.serving.RequestKind
