--- a/core/src/main/kotlin/org/ragwortbank/core/admission/WaitOrder.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/admission/WaitOrder.kt
@@ -4,6 +4,7 @@
 import org.ragwortbank.core.gateway.RequestRow
 import org.ragwortbank.core.model.AccountId
 import org.ragwortbank.core.serving.Feature
+import org.ragwortbank.core.serving.RequestNumber
 import org.ragwortbank.core.tick.Timestamp
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -25,15 +26,20 @@
  * Orders by rank, then by how little of its rate the account has used lately, then by the time that is left to the
  * target latency. What has missed it comes behind what can still meet it.
  *
+ * Callers that repeat a request while it waits displace only themselves: the latest repeat keeps its turn, and the
+ * earlier ones come last.
+ *
  * The account goes before the time that is left: an account far above its usual use has the oldest requests, and would
  * else be served first. So that nothing starves, each [PROMOTION_TIME] of waiting counts as one rank, and one in
  * [AGED_SHARE] of the requests that have waited for [AGING_BOUND] goes before all others.
  */
 class FairOrder : WaitOrder {
     override fun sorted(tables: GatewayTables, waiting: List<RequestRow>, now: Timestamp): List<RequestRow> {
+        val superseded = supersededAmong(waiting)
         val uses = waiting.mapNotNull { it.account }.distinct().associateWith { useSteps(tables, it, now) }
         return waiting.sortedWith(
-            compareByDescending<RequestRow> { isAgedPick(it, now) }
+            compareBy<RequestRow> { it.number in superseded }
+                .thenByDescending { isAgedPick(it, now) }
                 .thenBy { promotedRank(it, now) }
                 .thenBy { uses[it.account] ?: 0 }
                 .thenBy { slack(it, now) < Duration.ZERO }
@@ -42,6 +48,15 @@
         )
     }
 
+    /** Requests that their account has repeated while they wait, without the latest repeat. */
+    private fun supersededAmong(waiting: List<RequestRow>): Set<RequestNumber> =
+        waiting
+            .filter { it.call.fingerprint != null }
+            .groupBy { it.account to it.call.fingerprint }
+            .values
+            .flatMap { repeats -> repeats.map { it.number }.sortedBy { it.value }.dropLast(1) }
+            .toSet()
+
     private fun isAgedPick(row: RequestRow, now: Timestamp): Boolean =
         now - row.arrivedAt >= AGING_BOUND && row.number.value % AGED_SHARE == 0L
 
--- a/core/src/main/kotlin/org/ragwortbank/core/selection/UpstreamPolicyBuilder.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/selection/UpstreamPolicyBuilder.kt
@@ -1,5 +1,6 @@
 package org.ragwortbank.core.selection
 
+import org.ragwortbank.core.admission.UrgentReserve
 import org.ragwortbank.core.eligibility.BackedOff
 import org.ragwortbank.core.eligibility.Exclusion
 import org.ragwortbank.core.eligibility.ModelMissing
@@ -55,6 +56,7 @@
         exclude(QuietTime())
         exclude(BackedOff())
         exclude(ModelMissing())
+        limit(UrgentReserve())
         rank(AdapterDelay())
         rank(QueueDelay())
         rank(LearnedDelay())
--- a/core/src/test/kotlin/org/ragwortbank/core/admission/WaitOrderTest.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/admission/WaitOrderTest.kt
@@ -11,6 +11,7 @@
 import org.ragwortbank.core.gateway.sampleUse
 import org.ragwortbank.core.model.AccountId
 import org.ragwortbank.core.model.RouteName
+import org.ragwortbank.core.serving.RequestFingerprint
 import org.ragwortbank.core.serving.RequestKind
 import org.ragwortbank.core.serving.RequestNumber
 import org.ragwortbank.core.serving.ServiceName
@@ -59,6 +60,17 @@
         assertEquals(listOf(2L, 1L), sorted.map { it.number.value })
     }
 
+    @Test
+    fun `given a caller that repeats at once, then its repeats displace its own earlier attempts and no others`() {
+        val repeats = (1L..3L).map { row(it, HOT, 0, start).repeating(RequestFingerprint(7)) }
+        val others = (4L..6L).map { row(it, USUAL, 0, start).repeating(RequestFingerprint(it)) }
+        val sorted = FairOrder().sorted(tables(persistentMapOf()), repeats + others, start + 100.milliseconds)
+        assertEquals(listOf(3L, 4L, 5L, 6L, 1L, 2L), sorted.map { it.number.value })
+    }
+
+    private fun RequestRow.repeating(fingerprint: RequestFingerprint) =
+        copy(call = call.copy(fingerprint = fingerprint))
+
     private fun assertInTime(outcome: Outcome) =
         assertTrue(outcome.usualInTime >= 0.95, "${outcome.usualInTime} served in time")
 
