--- a/core/src/test/kotlin/org/ragwortbank/core/admission/WaitOrderTest.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/admission/WaitOrderTest.kt
@@ -68,6 +68,13 @@
         assertEquals(listOf(3L, 4L, 5L, 6L, 1L, 2L), sorted.map { it.number.value })
     }
 
+    @Test
+    fun `given settings that don't name the feature, then requests are ordered by rank and age alone`() {
+        val rows = listOf(row(1, HOT, 1, start), row(2, HOT, 0, start, 2.seconds), row(3, USUAL, 0, start))
+        val sorted = OrderUnderPressure().sorted(tables(persistentMapOf()), rows, start + 3.seconds)
+        assertEquals(listOf(2L, 3L, 1L), sorted.map { it.number.value })
+    }
+
     private fun RequestRow.repeating(fingerprint: RequestFingerprint) =
         copy(call = call.copy(fingerprint = fingerprint))
 
