--- a/core/src/main/kotlin/org/ragwortbank/core/selection/UpstreamPolicyBuilder.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/selection/UpstreamPolicyBuilder.kt
@@ -1,5 +1,6 @@
 package org.ragwortbank.core.selection
 
+import org.ragwortbank.core.admission.UrgentReserve
 import org.ragwortbank.core.eligibility.BackedOff
 import org.ragwortbank.core.eligibility.Exclusion
 import org.ragwortbank.core.eligibility.ModelMissing
@@ -78,6 +79,7 @@
         observe(PaceObserver())
         limit(TokenMemoryLimit())
         limit(ConnectionLimit())
+        limit(UrgentReserve())
         rank(AdapterDelay())
         rank(QueueDelay())
         rank(LearnedDelay())
