--- a/core/src/main/kotlin/org/ragwortbank/core/admission/UrgentReserve.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/admission/UrgentReserve.kt
@@ -16,7 +16,7 @@
 class UrgentReserve : SendLimit {
     override fun roomFor(context: SelectionContext, upstream: UpstreamRow): Int {
         val request = context.request
-        val ranks = context.takeIf { Feature.PRESSURE in it.tables.settings.features }?.routeRanks.orEmpty()
+        val ranks = context.takeIf { Feature.PRESSURE in it.tables.settings.features }?.demands?.ranks.orEmpty()
         val isUrgent = ranks.size <= 1 || request.priority <= ranks.min()
         val isAged = context.now - request.arrivedAt >= AGING_BOUND
         if (isUrgent || isAged) return SendLimit.UNBOUNDED
--- a/core/src/main/kotlin/org/ragwortbank/core/selection/SelectionContext.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/selection/SelectionContext.kt
@@ -9,12 +9,12 @@
 import org.ragwortbank.core.locality.HomeRegions
 import org.ragwortbank.core.locality.homesOf
 import org.ragwortbank.core.locality.trialUpstreams
+import org.ragwortbank.core.serving.ServiceDemands
 import org.ragwortbank.core.serving.ServiceSpec
 import org.ragwortbank.core.serving.UpstreamId
 import org.ragwortbank.core.speed.UpstreamSpeeds
 import org.ragwortbank.core.speed.unreadPromptTokens
 import org.ragwortbank.core.tick.Timestamp
-import kotlin.time.Duration
 
 /** A request that looks for an upstream at [now], with the tables of its gateway. */
 class SelectionContext(
@@ -49,18 +49,9 @@
         tables.unreadPromptTokens()
     }
 
-    /** Shortest of the pauses between events that callers of the service accept; null if no route bounds them. */
-    val shortestEventGap: Duration? by lazy(LazyThreadSafetyMode.NONE) {
-        tables.config?.routes.orEmpty().values
-            .flatMap { routes -> routes.filter { route -> route.targets.any { it.service == request.service } } }
-            .mapNotNull { it.maxEventGap }
-            .minOrNull()
-    /** Ranks of the routes that lead to the request's service. */
-    val routeRanks: Set<Int> by lazy(LazyThreadSafetyMode.NONE) {
-        tables.config?.routes?.values.orEmpty()
-            .flatMap { routes -> routes.filter { route -> route.targets.any { it.service == request.service } } }
-            .map { it.priority }
-            .toSet()
+    /** What the routes to the request's service ask of its upstreams. */
+    val demands: ServiceDemands by lazy(LazyThreadSafetyMode.NONE) {
+        tables.config?.demands?.get(request.service) ?: ServiceDemands()
     }
 
     internal val adapterStates = AdapterStates(tables, request.call.adapterKey, now)
--- a/core/src/main/kotlin/org/ragwortbank/core/serving/ServingConfig.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/serving/ServingConfig.kt
@@ -56,6 +56,15 @@
     /** Whether routes that are not public require an API key. */
     val requiresKeys: Boolean get() = accounts.isNotEmpty()
 
+    /** What the routes to each service ask of its upstreams. */
+    val demands: PersistentMap<ServiceName, ServiceDemands> by lazy(LazyThreadSafetyMode.PUBLICATION) {
+        routes.values.flatten().fold(persistentMapOf()) { found, route ->
+            route.targets.fold(found) { updated, target ->
+                updated.put(target.service, (updated[target.service] ?: ServiceDemands()) + route)
+            }
+        }
+    }
+
     /** The route with the longest prefix that matches [path] on [host]; null when there is none. */
     fun route(host: String, path: String): ServingRoute? =
         routes[host]?.firstOrNull { path.startsWith(it.prefix) }
--- a/core/src/main/kotlin/org/ragwortbank/core/speed/StallDelay.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/speed/StallDelay.kt
@@ -23,5 +23,5 @@
     }
 
     private fun shareOfBound(context: SelectionContext, pauseMillis: Double): Double =
-        context.shortestEventGap?.let { pauseMillis / it.toDouble(DurationUnit.MILLISECONDS) } ?: 0.0
+        context.demands.shortestEventGap?.let { pauseMillis / it.toDouble(DurationUnit.MILLISECONDS) } ?: 0.0
 }
