--- a/core/src/main/kotlin/org/ragwortbank/core/pacing/PaceLimit.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/pacing/PaceLimit.kt
@@ -8,6 +8,7 @@
     override fun roomFor(context: SelectionContext, upstream: UpstreamRow): Int {
         val pace = upstream.pace
         val isLimited = pace != null && pace.phase != PacePhase.FULL && isPaced(context.tables, context.request.service)
-        return if (pace == null || !isLimited) SendLimit.UNBOUNDED else (pace.allowed - upstream.inFlight).coerceAtLeast(0)
+        if (pace == null || !isLimited) return SendLimit.UNBOUNDED
+        return (pace.allowed - upstream.inFlight).coerceAtLeast(0)
     }
 }
--- a/core/src/main/kotlin/org/ragwortbank/core/pacing/PaceSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/pacing/PaceSystem.kt
@@ -5,10 +5,7 @@
 import org.ragwortbank.core.gateway.GatewayStep
 import org.ragwortbank.core.gateway.GatewayTables
 import org.ragwortbank.core.gateway.UpstreamRow
-import org.ragwortbank.core.gateway.log
 import org.ragwortbank.core.hash.RendezvousHash
-import org.ragwortbank.core.log.LogPart
-import org.ragwortbank.core.serving.UpstreamId
 import org.ragwortbank.core.tick.Tick
 import org.ragwortbank.core.tick.TickSystem
 import org.ragwortbank.core.tick.Timestamp
@@ -46,11 +43,14 @@
         val reviewed = if (current.samples.isEmpty()) current else current.copy(samples = current.samples.clear())
         if (reviewed === row.pace) return step
         return step
-            .logChange(row, reviewed)
-            .update { tables -> tables.updateUpstream(row.registration.id) { it.copy(pace = reviewed).tryAgainSoon(now) } }
+            .logPaceChange(row, reviewed)
+            .update { it.withPace(row, reviewed, now) }
             .update { it.recordDelays(row, pace.samples, review.isTickLate) }
     }
 
+    private fun GatewayTables.withPace(row: UpstreamRow, pace: PaceRow, now: Timestamp): GatewayTables =
+        updateUpstream(row.registration.id) { it.copy(pace = pace).tryAgainSoon(now) }
+
     private fun conditions(tables: GatewayTables, row: UpstreamRow, review: PaceReview): PaceConditions {
         val changedAt = row.pace?.changedAt
         val reportedAt = row.loadReportedAt
@@ -101,24 +101,6 @@
         return if (isLonger) copy(health = health.copy(blockedUntil = soon)) else this
     }
 
-    private fun GatewayStep.logChange(row: UpstreamRow, after: PaceRow): GatewayStep {
-        val before = row.pace?.phase
-        if (before == after.phase || (before == null && after.phase == PacePhase.FULL)) return this
-        val cause = if (before == null) "it has just started" else reason(after, row)
-        val limit = if (after.phase == PacePhase.FULL) "" else " at %.2f of this gateway's requests".format(after.limit)
-        return log(LogPart.ROUTING, "upstream ${row.registration.id} is at pace ${after.phase.label}$limit: $cause")
-    }
-
-    private fun reason(after: PaceRow, row: UpstreamRow): String =
-        when {
-            after.phase == PacePhase.FULL -> "its limit was not met for a while and its answers began in time"
-            else -> row.pace?.samples?.lastOrNull { it !is PaceSample.Began }?.let { describe(it) }
-                ?: "its answers begin late"
-        }
-
-    private fun describe(sample: PaceSample): String =
-        if (sample is PaceSample.Failed) "requests were lost there" else "it rejected requests or let them time out"
-
     private fun GatewayTables.recordDelays(
         row: UpstreamRow,
         samples: List<PaceSample>,
@@ -154,7 +136,3 @@
         val RECENT_START = 20.seconds
     }
 }
-
-/** The tables in which the pace at [upstreams] begins anew, as they are used again after a time without requests. */
-fun GatewayTables.restartPace(upstreams: Iterable<UpstreamId>): GatewayTables =
-    upstreams.fold(this) { tables, id -> tables.updateUpstream(id) { it.copy(pace = null) } }
--- a/core/src/test/kotlin/org/ragwortbank/core/pacing/ColdFleet.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/pacing/ColdFleet.kt
@@ -75,9 +75,11 @@
         val restarted = faults.any { it.kind == ColdFault.Kind.DEAD && number in it.gateways && it.until == elapsed }
         val current = if (restarted) startedTables(number, elapsed) else known
         if (has(number, ColdFault.Kind.DEAD) || has(number, ColdFault.Kind.FROZEN)) return current
-        val isReadDue = restarted || (elapsed.inWholeMilliseconds + number * READ_OFFSET_MILLIS) % READ_MILLIS < STEP_MILLIS
+        val sinceRead = (elapsed.inWholeMilliseconds + number * READ_OFFSET_MILLIS) % READ_MILLIS
+        val isReadDue = restarted || sinceRead < STEP_MILLIS
         val isCut = has(number, ColdFault.Kind.CUT)
-        if (!isCut && elapsed - renewedAt.getValue(number) >= RENEW_INTERVAL) renewedAt = renewedAt + (number to elapsed)
+        val isRenewalDue = elapsed - renewedAt.getValue(number) >= RENEW_INTERVAL
+        if (!isCut && isRenewalDue) renewedAt = renewedAt + (number to elapsed)
         val read = if (isReadDue && !isCut) readStore(current) else current
         return sendAll(read)
     }
@@ -87,8 +89,8 @@
             StoreChange.PeerRegistered("edge-$it", Endpoint("10.0.1.$it", 1))
         }
         val contents = listOf(StoreChange.ConfigSet(config), StoreChange.UpstreamRegistered(engine(elapsed))) + peers
-        return schedule.run(Tick(now(), persistentListOf(GatewayInput.StoreRead(contents.toPersistentList(), now()))), known)
-            .tables
+        val read = GatewayInput.StoreRead(contents.toPersistentList(), now())
+        return schedule.run(Tick(now(), persistentListOf(read)), known).tables
     }
 
     private fun sendAll(known: GatewayTables): GatewayTables {
--- a/core/src/test/kotlin/org/ragwortbank/core/pacing/ColdFleetTest.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/pacing/ColdFleetTest.kt
@@ -48,7 +48,8 @@
 
     @Test
     fun `given frozen gateways that wake, then they send nothing that they have saved up`() {
-        val fleet = ColdFleet(29, listOf(ColdFault(0..20, ColdFault.Kind.FROZEN, 3.seconds, 12.seconds))).run(16.seconds)
+        val frozen = ColdFault(0..20, ColdFault.Kind.FROZEN, 3.seconds, 12.seconds)
+        val fleet = ColdFleet(29, listOf(frozen)).run(16.seconds)
         assertBound(fleet)
     }
 
--- a/core/src/test/kotlin/org/ragwortbank/core/pacing/ColdSystemTest.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/pacing/ColdSystemTest.kt
@@ -79,7 +79,8 @@
 
     @Test
     fun `given a figure that can't be right, then it is bounded and logged once`() {
-        listOf(-1.seconds to 3.seconds, 500.seconds to 12.seconds, Duration.INFINITE to 12.seconds).forEach { (odd, bounded) ->
+        val cases = listOf(-1.seconds to 3.seconds, 500.seconds to 12.seconds, Duration.INFINITE to 12.seconds)
+        cases.forEach { (odd, bounded) ->
             tables = tables(isFirstStart = false)
             lines = emptyList()
             read(odd)
--- a/core/src/test/kotlin/org/ragwortbank/core/pacing/LoadFollowingPaceTest.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/pacing/LoadFollowingPaceTest.kt
@@ -70,7 +70,7 @@
             rule.afterSample(row, PaceSample.Overloaded(null), conditions, start + number.seconds)
         }
         val idle = conditions.copy(inFlight = 0)
-        val later = (1..20).fold(lowered) { row, number -> rule.whileIdle(row, idle, start + 50.seconds + number.seconds) }
+        val later = (51..70).fold(lowered) { row, number -> rule.whileIdle(row, idle, start + number.seconds) }
         assertTrue(later.allowed >= 1, "$later")
     }
 }
--- a/core/src/test/kotlin/org/ragwortbank/core/pacing/OtherPaceRules.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/pacing/OtherPaceRules.kt
@@ -19,8 +19,10 @@
     override fun startLimit(conditions: PaceConditions) = start.startLimit(conditions)
 
     override fun afterSample(row: PaceRow, sample: PaceSample, conditions: PaceConditions, now: Timestamp): PaceRow =
-        if (sample is PaceSample.Failed) row.copy(limit = startLimit(conditions), changedAt = now)
-        else whileIdle(row, conditions, now)
+        when (sample) {
+            is PaceSample.Failed -> row.copy(limit = startLimit(conditions), changedAt = now)
+            else -> whileIdle(row, conditions, now)
+        }
 
     override fun whileIdle(row: PaceRow, conditions: PaceConditions, now: Timestamp): PaceRow {
         val isDue = now - row.changedAt >= 300.milliseconds
--- a/core/src/test/kotlin/org/ragwortbank/core/pacing/PaceFleet.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/pacing/PaceFleet.kt
@@ -160,11 +160,11 @@
 
     private fun sendAll(gateway: Int, now: ModelUpstream) {
         val perStep = load.perSecond?.let { it * STEP.inWholeMilliseconds / 1_000 }
-        if (perStep != null) credits = credits.mapIndexed { i, had -> if (i == gateway) minOf(had + perStep, 50.0) else had }
+        if (perStep != null) credits = credits.replaced(gateway, credits[gateway] + perStep)
         var isRoom = true
         while (isRoom && (perStep == null || credits[gateway] >= 1)) {
             isRoom = send(gateway, now)
-            if (isRoom) credits = credits.mapIndexed { i, had -> if (i == gateway) had - 1 else had }
+            if (isRoom) credits = credits.replaced(gateway, credits[gateway] - 1)
         }
     }
 
--- a/core/src/test/kotlin/org/ragwortbank/core/pacing/PaceFleetTest.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/pacing/PaceFleetTest.kt
@@ -70,7 +70,9 @@
     @Test
     fun `given a phase in which a third of the requests is lost, then the upstream is filled again in time after it`() {
         fleets.forEach { gateways ->
-            val fleet = replay(gateways, 12.seconds) { ModelUpstream(losesEach = if (it in trouble..8.seconds) 3 else 0) }
+            val fleet = replay(gateways, 12.seconds) {
+                ModelUpstream(losesEach = if (it in trouble..8.seconds) 3 else 0)
+            }
             assertReached(fleet, "$gateways gateways", 8.seconds)
             assertNoFlood(fleet, "$gateways gateways")
         }
--- a/core/src/test/kotlin/org/ragwortbank/core/pacing/PaceSystemTest.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/pacing/PaceSystemTest.kt
@@ -6,10 +6,12 @@
 import org.ragwortbank.core.gateway.GatewayFixture
 import org.ragwortbank.core.gateway.GatewayInput
 import org.ragwortbank.core.gateway.GatewaySettings
+import org.ragwortbank.core.gateway.GatewayTables
 import org.ragwortbank.core.gateway.ReportedLoad
 import org.ragwortbank.core.serving.Feature
 import org.ragwortbank.core.serving.StoreChange
 import org.ragwortbank.core.serving.UpstreamId
+import org.ragwortbank.core.tick.Step
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertNull
@@ -71,7 +73,12 @@
     @Test
     fun `given upstreams that are used again after a time without requests, then their pace begins anew`() {
         turnOn()
-        gateway.advance(4.seconds)
-        assertNull(gateway.tables.restartPace(listOf(desk1)).upstreams.getValue(desk1).pace)
+        gateway.advance(30.seconds)
+        restart(desk2, startedMillis = -60_000)
+        assertEquals(PacePhase.FULL, paceOf(desk2)?.phase)
+        val step = Step<GatewayTables, GatewayEffect>(gateway.tables)
+            .restartPace(listOf(desk2), "its failure domain is used again", gateway.now)
+        assertEquals(PacePhase.RAMPING to 1.0, step.tables.upstreams.getValue(desk2).pace?.let { it.phase to it.limit })
+        assertEquals(1, step.effects.size)
     }
 }
--- a/node/src/test/kotlin/org/ragwortbank/node/metrics/UpstreamMetricsTest.kt
+++ b/node/src/test/kotlin/org/ragwortbank/node/metrics/UpstreamMetricsTest.kt
@@ -34,7 +34,8 @@
             residentModels = persistentSetOf(),
             resident = persistentMapOf(),
         )
-        return UpstreamRow(registration, inFlight = 2, pace = PaceRow(phase, limit = 2.5, offset = 0.0, changedAt = now))
+        val pace = PaceRow(phase, limit = 2.5, offset = 0.0, changedAt = now)
+        return UpstreamRow(registration, inFlight = 2, pace = pace)
     }
 
     private fun linesWith(rows: List<UpstreamRow>): List<String> {
