--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewayTables.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewayTables.kt
@@ -19,6 +19,7 @@
 import org.ragwortbank.core.serving.ServingConfig
 import org.ragwortbank.core.serving.UpstreamId
 import org.ragwortbank.core.serving.UpstreamIncarnation
+import org.ragwortbank.core.speed.ServiceSpeed
 import org.ragwortbank.core.tick.Step
 import org.ragwortbank.core.tick.Timestamp
 import kotlin.time.Duration
@@ -70,6 +71,7 @@
  * @property traitsClearedAt when a trait was last added to these
  * @property blocks traits whose requests are refused
  * @property replacedBlocks traits whose requests were refused before a broader trait took their place, and when it did
+ * @property speeds speed of the services whose upstreams are uneven, as summed up at [speedsSummedAt]
  * @property peerDigestSendTimes when the latest digests to the other gateways were sent, by their numbers
  */
 data class GatewayTables(
@@ -110,6 +112,8 @@
     val catchUpUntil: Timestamp? = null,
     val stoppingSince: Timestamp? = null,
     val isStopped: Boolean = false,
+    val speeds: PersistentMap<ServiceName, ServiceSpeed> = persistentMapOf(),
+    val speedsSummedAt: Timestamp? = null,
 ) {
     /** The tables with [row] added or replaced. */
     fun put(row: RequestRow): GatewayTables {
--- a/core/src/main/kotlin/org/ragwortbank/core/selection/SelectionContext.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/selection/SelectionContext.kt
@@ -1,7 +1,6 @@
 package org.ragwortbank.core.selection
 
 import kotlinx.collections.immutable.PersistentMap
-import kotlinx.collections.immutable.toPersistentList
 import org.ragwortbank.core.gateway.AdapterStates
 import org.ragwortbank.core.gateway.GatewayTables
 import org.ragwortbank.core.gateway.RequestRow
@@ -11,7 +10,6 @@
 import org.ragwortbank.core.speed.UpstreamSpeeds
 import org.ragwortbank.core.speed.unreadPromptTokens
 import org.ragwortbank.core.tick.Timestamp
-import kotlin.time.Duration
 
 /** A request that looks for an upstream at [now], with the tables of its gateway. */
 class SelectionContext(
@@ -28,23 +26,12 @@
     }
 
     /** Speeds of the upstreams of the request's service. */
-    val speeds: UpstreamSpeeds by lazy(LazyThreadSafetyMode.NONE) {
-        val rows = tables.upstreamsByService[request.service].orEmpty().mapNotNull { tables.upstreams[it] }
-        UpstreamSpeeds(rows.toPersistentList(), now, tables.engineDigestLifetime)
-    }
+    val speeds = UpstreamSpeeds(tables.speeds[request.service], now, tables.engineDigestLifetime)
 
     /** Prompt tokens of this gateway that each upstream has yet to read. */
     val unreadPromptTokens: PersistentMap<UpstreamId, Long> by lazy(LazyThreadSafetyMode.NONE) {
         tables.unreadPromptTokens()
     }
 
-    /** Shortest of the pauses between events that callers of the service accept; null if no route bounds them. */
-    val shortestEventGap: Duration? by lazy(LazyThreadSafetyMode.NONE) {
-        tables.config?.routes.orEmpty().values
-            .flatMap { routes -> routes.filter { route -> route.targets.any { it.service == request.service } } }
-            .mapNotNull { it.maxEventGap }
-            .minOrNull()
-    }
-
     internal val adapterStates = AdapterStates(tables, request.call.adapterKey, now)
 }
--- a/core/src/main/kotlin/org/ragwortbank/core/speed/StallDelay.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/speed/StallDelay.kt
@@ -15,7 +15,7 @@
 class StallDelay : DelayTerm {
     override fun millisAt(context: SelectionContext, upstream: UpstreamRow, state: AdapterState): Double {
         val speeds = context.speeds
-        val usualMillis = speeds.usualMillisPerPromptToken?.takeIf { speeds.isUneven } ?: return 0.0
+        val usualMillis = speeds.service?.millisPerPromptToken ?: return 0.0
         val own = context.request.call.promptTokens ?: 0
         val unread = context.unreadPromptTokens[upstream.registration.id] ?: 0
         val pauseMillis = (own + unread) * usualMillis * speeds.slownessAt(upstream)
@@ -23,5 +23,5 @@
     }
 
     private fun shareOfBound(context: SelectionContext, pauseMillis: Double): Double =
-        context.shortestEventGap?.let { pauseMillis / it.toDouble(DurationUnit.MILLISECONDS) } ?: 0.0
+        context.speeds.service?.shortestEventGap?.let { pauseMillis / it.toDouble(DurationUnit.MILLISECONDS) } ?: 0.0
 }
--- a/core/src/test/kotlin/org/ragwortbank/core/speed/UnevenFleet.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/speed/UnevenFleet.kt
@@ -98,7 +98,12 @@
         speeds = speeds.set(index, speeds[index].after(engines[index].generating, now))
     }
 
-    private fun sendDigests(gateway: Int) = engines.forEachIndexed { index, engine ->
+    private fun sendDigests(gateway: Int) {
+        engines.forEachIndexed { index, engine -> sendDigest(gateway, index, engine) }
+        change(gateway) { it.withSpeedsSummed(now) }
+    }
+
+    private fun sendDigest(gateway: Int, index: Int, engine: EngineModel) {
         val digest = EngineDigest(
             idOf(index),
             incarnation = 1,
--- a/core/src/test/kotlin/org/ragwortbank/core/speed/UnevenGateway.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/speed/UnevenGateway.kt
@@ -11,6 +11,7 @@
 import org.ragwortbank.core.serving.EngineDigest
 import org.ragwortbank.core.serving.StoreChange
 import org.ragwortbank.core.serving.UpstreamId
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /** A gateway with two engines whose digests a test sets; [second] is in the gateway's own failure domain. */
@@ -44,7 +45,7 @@
             residentModels = persistentSetOf(GatewayFixture.MODEL),
             freeSlots = 40,
         )
-        gateway.tick(GatewayInput.EngineDigestReceived(change(idle)))
+        gateway.advance(100.milliseconds, GatewayInput.EngineDigestReceived(change(idle)))
     }
 
     /** The upstream that a request for [adapter] with 300 tokens of answer is sent to or waits for. */
