--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewaySchedule.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewaySchedule.kt
@@ -8,6 +8,7 @@
 import org.ragwortbank.core.pressure.PressureSystem
 import org.ragwortbank.core.selection.UpstreamPolicy
 import org.ragwortbank.core.selection.defaultUpstreamPolicy
+import org.ragwortbank.core.speed.SpeedSystem
 import org.ragwortbank.core.tick.Schedule
 
 /** The systems of a gateway in the order in which they run; [policy] selects the upstreams. */
@@ -31,6 +32,7 @@
             CancellationSystem(policy),
             DomainLossSystem(),
             PaceSystem(),
+            SpeedSystem(),
             RoutingSystem(policy),
             DemandSystem(),
             PeerSystem(),
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewayTables.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewayTables.kt
@@ -25,6 +25,7 @@
 import org.ragwortbank.core.serving.ServingConfig
 import org.ragwortbank.core.serving.UpstreamId
 import org.ragwortbank.core.serving.UpstreamIncarnation
+import org.ragwortbank.core.speed.ServiceSpeed
 import org.ragwortbank.core.tick.Step
 import org.ragwortbank.core.tick.Timestamp
 import kotlin.time.Duration
@@ -83,6 +84,7 @@
  * @property delayNorms usual time to the first event of the answers of each paced service
  * @property pacedAt when the pace of upstreams was reviewed last
  * @property held answers of which callers haven't taken a part, by the latest measurement
+ * @property speeds speed of the services whose upstreams are uneven, as summed up at [speedsSummedAt]
  * @property peerDigestSendTimes when the latest digests to the other gateways were sent, by their numbers
  */
 data class GatewayTables(
@@ -130,6 +132,8 @@
     val catchUpUntil: Timestamp? = null,
     val stoppingSince: Timestamp? = null,
     val isStopped: Boolean = false,
+    val speeds: PersistentMap<ServiceName, ServiceSpeed> = persistentMapOf(),
+    val speedsSummedAt: Timestamp? = null,
 ) {
     /** The tables with [row] added or replaced. */
     fun put(row: RequestRow): GatewayTables {
--- a/core/src/main/kotlin/org/ragwortbank/core/selection/SelectionContext.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/selection/SelectionContext.kt
@@ -1,7 +1,6 @@
 package org.ragwortbank.core.selection
 
 import kotlinx.collections.immutable.PersistentMap
-import kotlinx.collections.immutable.toPersistentList
 import org.ragwortbank.core.gateway.AdapterStates
 import org.ragwortbank.core.gateway.GatewayTables
 import org.ragwortbank.core.gateway.RequestRow
@@ -39,10 +38,7 @@
     }
 
     /** Speeds of the upstreams of the request's service. */
-    val speeds: UpstreamSpeeds by lazy(LazyThreadSafetyMode.NONE) {
-        val rows = tables.upstreamsByService[request.service].orEmpty().mapNotNull { tables.upstreams[it] }
-        UpstreamSpeeds(rows.toPersistentList(), now, tables.engineDigestLifetime)
-    }
+    val speeds = UpstreamSpeeds(tables.speeds[request.service], now, tables.engineDigestLifetime)
 
     /** Prompt tokens of this gateway that each upstream has yet to read. */
     val unreadPromptTokens: PersistentMap<UpstreamId, Long> by lazy(LazyThreadSafetyMode.NONE) {
--- a/core/src/main/kotlin/org/ragwortbank/core/speed/StallDelay.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/speed/StallDelay.kt
@@ -15,7 +15,7 @@
 class StallDelay : DelayTerm {
     override fun millisAt(context: SelectionContext, upstream: UpstreamRow, state: AdapterState): Double {
         val speeds = context.speeds
-        val usualMillis = speeds.usualMillisPerPromptToken?.takeIf { speeds.isUneven } ?: return 0.0
+        val usualMillis = speeds.service?.millisPerPromptToken ?: return 0.0
         val own = context.request.call.promptTokens ?: 0
         val unread = context.unreadPromptTokens[upstream.registration.id] ?: 0
         val pauseMillis = (own + unread) * usualMillis * speeds.slownessAt(upstream)
