--- a/core/src/main/kotlin/org/ragwortbank/core/admission/ReturnPlan.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/admission/ReturnPlan.kt
@@ -17,14 +17,14 @@
     fun waitAt(now: Timestamp): Duration = plannedUntil?.let { maxOf(it - now, Duration.ZERO) } ?: Duration.ZERO
 
     /**
-     * This plan with a refused request of [tokens].
+     * This plan with a refused request of [tokens], which is to return no sooner than at [earliest].
      *
      * @param tokensPerSecond this gateway's share of the account's rate
-     * @param horizon longest time for which returns are planned
+     * @param limit latest time for which returns are planned
      */
-    fun add(tokens: Long, tokensPerSecond: Double, horizon: Duration, now: Timestamp): ReturnPlan {
-        val from = plannedUntil?.let { maxOf(it, now) } ?: now
+    fun add(tokens: Long, tokensPerSecond: Double, earliest: Timestamp, limit: Timestamp): ReturnPlan {
+        val from = plannedUntil?.let { maxOf(it, earliest) } ?: earliest
         val drainTime = (tokens / tokensPerSecond.coerceAtLeast(1.0)).seconds
-        return ReturnPlan(minOf(from + drainTime, now + horizon))
+        return ReturnPlan(minOf(from + drainTime, limit))
     }
 }
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/RateAdmission.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/RateAdmission.kt
@@ -32,8 +32,8 @@
 ): GatewayStep {
     val available = "${bucket.available(now).toLong()} of ${bucket.level.toLong()} available"
     val detail = "${row.account} requested ${row.tokens} tokens, $available${margin.describe()}"
-    val returns = plannedReturns(tables, row, bucket, now)
     val wait = maxOf(bucket.timeUntilAdmitted(margin, now), bucket.returns.waitAt(now), MIN_RETRY_AFTER)
+    val returns = plannedReturns(tables, row, bucket, now + wait)
     return refuseWithoutRow(row.number, row.call.id, Refusal.notRun(ResultCode.RATE_EXCEEDED, detail, wait))
         .update { it.planReturns(row.account, returns) }
 }
@@ -43,10 +43,15 @@
     return ", ${requiredTokens.toLong()} required with ${overdraftTokens.toLong()} in addition"
 }
 
-private fun plannedReturns(tables: GatewayTables, row: RequestRow, bucket: FleetBucket, now: Timestamp): ReturnPlan {
+private fun plannedReturns(
+    tables: GatewayTables,
+    row: RequestRow,
+    bucket: FleetBucket,
+    returnsAt: Timestamp,
+): ReturnPlan {
     if (Feature.PRESSURE !in tables.settings.features) return bucket.returns
     val ownShare = bucket.rate.toDouble() / tables.gatewayCount
-    return bucket.returns.add(row.tokens, ownShare, tables.settings.rateWindow, now)
+    return bucket.returns.add(row.tokens, ownShare, returnsAt, limit = row.arrivedAt + tables.settings.rateWindow)
 }
 
 private fun GatewayTables.planReturns(account: AccountId?, returns: ReturnPlan): GatewayTables {
