--- a/core/src/main/kotlin/org/ragwortbank/core/speed/GenerationSpeed.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/speed/GenerationSpeed.kt
@@ -44,13 +44,17 @@
 
     /** The speed after a report that was requested at [now], with the tokens of each run that generates. */
     fun after(report: PersistentMap<String, Long>, now: Timestamp): GenerationSpeed {
-        val elapsed = measuredAt?.let { now - it } ?: return copy(generating = report, measuredAt = now)
-        if (elapsed < MIN_INTERVAL) return this
-        val sample = sample(report, elapsed, now)
-        val kept = if (sample == null) samples else (samples + sample).takeLast(MAX_SAMPLES).toPersistentList()
-        return GenerationSpeed(kept, report, now)
+        val elapsed = measuredAt?.let { now - it }
+        return when {
+            elapsed == null -> copy(generating = report, measuredAt = now)
+            elapsed < MIN_INTERVAL -> this
+            else -> GenerationSpeed(samplesWith(sample(report, elapsed, now)), report, now)
+        }
     }
 
+    private fun samplesWith(sample: SpeedSample?): PersistentList<SpeedSample> =
+        if (sample == null) samples else (samples + sample).takeLast(MAX_SAMPLES).toPersistentList()
+
     private fun sample(report: PersistentMap<String, Long>, elapsed: Duration, now: Timestamp): SpeedSample? {
         val generated = report.mapNotNull { (id, tokens) -> generating[id]?.let { tokens - it }?.takeIf { it > 0 } }
         if (generated.isEmpty()) return null
--- a/core/src/main/kotlin/org/ragwortbank/core/speed/MomentarySlowness.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/speed/MomentarySlowness.kt
@@ -23,7 +23,8 @@
         return if (factor <= 1.0) 0.0 else minOf(workMillis * (factor - 1.0), remainingMillis * (1.0 - 1.0 / factor))
     }
 
-    private fun remainingAt(now: Timestamp): Duration = (LIFETIME - (now - reportedAt)).coerceIn(Duration.ZERO, LIFETIME)
+    private fun remainingAt(now: Timestamp): Duration =
+        (LIFETIME - (now - reportedAt)).coerceIn(Duration.ZERO, LIFETIME)
 
     private companion object {
         /** Time within which the figure of a shared machine has likely changed. */
--- a/core/src/main/kotlin/org/ragwortbank/core/speed/SpeedSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/speed/SpeedSystem.kt
@@ -41,6 +41,6 @@
     )
 }
 
-/** Time for one token of a run as its placer has learned it; null without a digest younger than [lifetime] that says. */
+/** Time for one token of a run as its placer has learned it; null without a digest younger than [lifetime]. */
 internal fun UpstreamRow.learnedMillisPerToken(now: Timestamp, lifetime: Duration): Double? =
     freshDigest(now, lifetime)?.millisPerToken?.takeIf { it > 0.0 }
--- a/core/src/test/kotlin/org/ragwortbank/core/speed/EngineModel.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/speed/EngineModel.kt
@@ -31,7 +31,10 @@
     var begun: PersistentList<Run> = persistentListOf()
         private set
 
-    val generating get() = runs.filter { it.generated > 0 }.associate { key(it) to it.generated.toLong() }.toPersistentMap()
+    val generating
+        get() = runs.filter { it.generated > 0 }
+            .associate { key(it) to it.generated.toLong() }
+            .toPersistentMap()
 
     fun slowness(at: Double = clock): Double =
         if (Random(seed * 7_919 + (at / 600).toInt()).nextDouble() < 0.15) 2.5 else 1.0
--- a/core/src/test/kotlin/org/ragwortbank/core/speed/PromptReadingTest.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/speed/PromptReadingTest.kt
@@ -18,7 +18,9 @@
     fun `given few answers, prompts of one length, or quicker answers to longer prompts, then it is unknown`() {
         val few = (1L..5L).fold(PromptReading()) { line, index -> line.after(index * 100, index.milliseconds) }
         val alike = (1L..40L).fold(PromptReading()) { line, index -> line.after(100, index.milliseconds) }
-        val falling = (1L..40L).fold(PromptReading()) { line, index -> line.after(index * 100, (50 - index).milliseconds) }
+        val falling = (1L..40L).fold(PromptReading()) { line, index ->
+            line.after(index * 100, (50 - index).milliseconds)
+        }
         assertEquals(listOf(null, null, null), listOf(few, alike, falling).map { it.millisPerToken })
     }
 
--- a/core/src/test/kotlin/org/ragwortbank/core/speed/UnevenFleet.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/speed/UnevenFleet.kt
@@ -27,7 +27,8 @@
 
 /**
  * Gateways before 28 engines, two thirds of them quick and one third slow: 180 streams a second of 826 prompt tokens
- * and 29 short answers of 2,368, each for one of [adapterCount] adapters of unequal demand. Digests are up to 600 ms old
+ * and 29 short answers of 2,368, each for one of [adapterCount] adapters of unequal demand. Digests are up to 600 ms
+ * old
  * at a gateway. An adapter that is loaded once stays, and its load takes no time.
  *
  * @property statesSlowness whether answers state the momentary slowness, without which nothing is decided by speed
