--- a/core/src/main/kotlin/org/ragwortbank/core/admission/RateMargin.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/admission/RateMargin.kt
@@ -30,7 +30,8 @@
  *
  * A gateway doesn't see what the others admit at the moment. While an account asks for more than its rate, each
  * requires room for as many such requests as the others may be admitting. So they agree on which requests are too
- * large, as they would with one exact bucket, and more requests are served of the same tokens.
+ * large, as they would with one exact bucket, and more requests are served of the same tokens. That room is required of
+ * the overdraft alone: nothing is refused for which the level suffices.
  *
  * A gateway that was started within the window doesn't know what was admitted before, and one that is cut off from the
  * others doesn't know what they admit. Neither spends anything of the tolerance.
@@ -46,9 +47,8 @@
         val tolerance = tables.settings.rateTolerance?.takeIf { Feature.PRESSURE in tables.settings.features }
             ?: return RateMargin(0.0, least)
         val overdraft = overdraft(tables, bucket, tolerance, now)
-        val largest = (bucket.burst + overdraft) * MAX_REQUIRED_SHARE
-        val forOthersToo = tokens * (1 + unseenRequests(tables, bucket))
-        return RateMargin(overdraft, forOthersToo.coerceAtMost(largest).coerceAtLeast(least))
+        val forOthers = tokens * unseenRequests(tables, bucket, tokens)
+        return RateMargin(overdraft, least + minOf(forOthers, overdraft))
     }
 
     /** At most [SPENT_SHARE] of the tolerance, and no more than the window has room for. */
@@ -66,10 +66,11 @@
     }
 
     /** Requests that the other gateways admit, at the account's rate, before this one learns of them. */
-    private fun unseenRequests(tables: GatewayTables, bucket: FleetBucket): Double {
+    private fun unseenRequests(tables: GatewayTables, bucket: FleetBucket, tokens: Long): Double {
         val unseenSeconds = tables.settings.busyPeerInterval(tables.gatewayCount).toDouble(DurationUnit.SECONDS) / 2
         val unseenTokens = bucket.rate * unseenSeconds
-        return (unseenTokens / bucket.usualTokens).coerceAtMost(tables.gatewayCount - 1.0)
+        val usualTokens = bucket.usualTokens ?: tokens.coerceAtLeast(1).toDouble()
+        return (unseenTokens / usualTokens).coerceAtMost(tables.gatewayCount - 1.0)
     }
 
     private fun GatewayTables.knowsWindow(now: Timestamp): Boolean =
@@ -84,9 +85,6 @@
     private companion object {
         /** The rest is left for what gateways admit without the others' knowledge. */
         const val SPENT_SHARE = 0.5
-
-        /** Largest share of the burst and the overdraft that is required for a request, however large it is. */
-        const val MAX_REQUIRED_SHARE = 0.5
         const val MAX_UNRESPONSIVE_SHARE = 0.25
 
         /** Gateways that may be cut off or restarted at once before the others notice. */
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/FleetBucket.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/FleetBucket.kt
@@ -80,8 +80,8 @@
     val use: WindowUse = WindowUse(),
     val returns: ReturnPlan = ReturnPlan(),
 ) {
-    /** Mean tokens of the requests that this gateway has admitted; at least 1. */
-    val usualTokens: Double get() = (ownConsumed.toDouble() / ownRequests.coerceAtLeast(1)).coerceAtLeast(1.0)
+    /** Mean tokens of the requests that this gateway has admitted; null before the first. */
+    val usualTokens: Double? get() = if (ownRequests > 0) ownConsumed.toDouble() / ownRequests else null
 
     /**
      * The bucket at [now]. The [unresponsivePeers] are charged their share among [gateways] for all of the time since
--- a/core/src/test/kotlin/org/ragwortbank/core/admission/SharedMarginTest.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/admission/SharedMarginTest.kt
@@ -69,6 +69,15 @@
         assertTrue(large.requiredTokens - small.requiredTokens > 1_000, "$small, $large")
     }
 
+    @Test
+    fun `given a level that holds a request, then it is admitted whatever its size and the state of the fleet`() {
+        val fleets = listOf(tables(), tables(gateways = 4), tables(silentPeers = 6), tables(gateways = 350))
+        listOf(60L, 1_100L, 7_000L).forEach { tokens ->
+            val level = bucket.copy(level = tokens.toDouble())
+            fleets.forEach { assertTrue(level.admits(margin(it, tokens, level), now), "$tokens tokens") }
+        }
+    }
+
     private fun margin(tables: GatewayTables, tokens: Long, of: FleetBucket = bucket): RateMargin =
         SharedMargin().marginFor(tables, of, tokens, now)
 
