--- a/core/src/main/kotlin/org/ragwortbank/core/selection/SelectionContext.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/selection/SelectionContext.kt
@@ -21,13 +21,5 @@
         RendezvousHash.hashOf(request.call.adapterKey.toString())
     }
 
-    /** Ranks of the routes that lead to the request's service. */
-    val routeRanks: Set<Int> by lazy(LazyThreadSafetyMode.NONE) {
-        tables.config?.routes?.values.orEmpty()
-            .flatMap { routes -> routes.filter { route -> route.targets.any { it.service == request.service } } }
-            .map { it.priority }
-            .toSet()
-    }
-
     internal val adapterStates = AdapterStates(tables, request.call.adapterKey, now)
 }
--- a/core/src/main/kotlin/org/ragwortbank/core/selection/UpstreamPolicyBuilder.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/selection/UpstreamPolicyBuilder.kt
@@ -1,6 +1,5 @@
 package org.ragwortbank.core.selection
 
-import org.ragwortbank.core.admission.UrgentReserve
 import org.ragwortbank.core.eligibility.BackedOff
 import org.ragwortbank.core.eligibility.Exclusion
 import org.ragwortbank.core.eligibility.ModelMissing
@@ -56,7 +55,6 @@
         exclude(QuietTime())
         exclude(BackedOff())
         exclude(ModelMissing())
-        limit(UrgentReserve())
         rank(AdapterDelay())
         rank(QueueDelay())
         rank(LearnedDelay())
