Expect of gateways that haven't reported twice what this one admits, and count all that those started with it admit

Now a gateway that hasn't reported twice is expected to admit as much as this one, and totals of gateways that started within a second of this one count from zero.

--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/DigestIntakeSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/DigestIntakeSystem.kt
@@ -63,7 +63,7 @@
         isRestarted: Boolean,
         now: Timestamp,
     ): PersistentMap<AccountId, FleetBucket> {
-        val countsFromZero = isRestarted || digest.incarnation > identity.incarnation
+        val countsFromZero = isRestarted || digest.incarnation > identity.incarnation - START_SPREAD_MILLIS
         return buckets.entries.fold(buckets) { updated, (account, bucket) ->
             val unchanged = bucket.peers[digest.sender]?.takeIf { isComplete }?.admittedTotal
             val total = digest.admittedTokens[account] ?: unchanged
@@ -93,4 +93,9 @@
         val isLater = peerConfirmedAt != null && (confirmedAt == null || peerConfirmedAt > confirmedAt)
         return if (isUsable && isLater) copy(confirmedAt = peerConfirmedAt) else this
     }
+
+    private companion object {
+        /** Gateways that start within this time of each other have likely restarted together, with nothing admitted. */
+        const val START_SPREAD_MILLIS = 1_000L
+    }
 }
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/FleetBucket.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/FleetBucket.kt
@@ -18,33 +18,37 @@
  *
  * @property admittedTotal tokens since the start of [incarnation], from its latest digest
  * @property reportedAt when that digest arrived; null before the first
- * @property tokensPerSecond moving average of what it admits per second, from its digests
+ * @property tokensPerSecond moving average of what it admits per second, from its digests; null before the second
  * @property charged tokens charged in advance since then, while it was unresponsive
  */
 data class PeerConsumption(
     val incarnation: Long,
     val admittedTotal: Long,
     val reportedAt: Timestamp? = null,
-    val tokensPerSecond: Double = 0.0,
+    val tokensPerSecond: Double? = null,
     val charged: Double = 0.0,
 ) {
-    /** Tokens that it has likely admitted since its latest digest; 0 while it is charged for being unresponsive. */
-    fun unreported(now: Timestamp): Double {
+    /**
+     * Tokens that it has likely admitted since its latest digest; 0 while it is charged for being unresponsive. Before
+     * its second digest it is expected to admit [usualTokensPerSecond].
+     */
+    fun unreported(now: Timestamp, usualTokensPerSecond: Double): Double {
         if (charged > 0 || reportedAt == null) return 0.0
         val elapsed = (now - reportedAt).coerceIn(Duration.ZERO, MAX_EXTRAPOLATION)
-        return tokensPerSecond * elapsed.toDouble(DurationUnit.SECONDS)
+        return (tokensPerSecond ?: usualTokensPerSecond) * elapsed.toDouble(DurationUnit.SECONDS)
     }
 
     /** This consumption after a digest that arrived at [now] reported [total], [consumed] tokens more than before. */
     fun afterDigest(total: Long, consumed: Double, now: Timestamp): PeerConsumption {
         val interval = reportedAt?.let { (now - it).coerceAtLeast(MIN_INTERVAL) }
-        val latest = interval?.let { consumed.coerceAtLeast(0.0) / it.toDouble(DurationUnit.SECONDS) } ?: 0.0
-        val average = tokensPerSecond + (latest - tokensPerSecond) * NEWEST_WEIGHT
+        val latest = interval?.let { consumed.coerceAtLeast(0.0) / it.toDouble(DurationUnit.SECONDS) }
+        val average = if (latest == null) null else latest * NEWEST_WEIGHT + (tokensPerSecond ?: latest) * OLDER_WEIGHT
         return PeerConsumption(incarnation, total, now, average)
     }
 
     private companion object {
         const val NEWEST_WEIGHT = 0.5
+        const val OLDER_WEIGHT = 1 - NEWEST_WEIGHT
 
         /** Digests that arrive together after a delay must not look like a high rate. */
         val MIN_INTERVAL = 100.milliseconds
@@ -61,11 +65,14 @@
  * can make the level negative; later refusals make up for them, so that the rate holds over time. Until then, what each
  * of the others admitted before is expected to go on, so that they do not all admit the same tokens. An unresponsive
  * gateway is charged its share of the rate, and charges all the others in the same way, so both sides of a network
- * partition stay within the rate together.
+ * partition stay within the rate together. Of a gateway that has not reported twice, it is expected that it admits as
+ * much as this one, since all of them may have restarted together under the same load.
  *
  * @property level tokens that may be admitted now
  * @property ownConsumed tokens admitted by this gateway since its start
  * @property ownRequests requests that they were admitted for
+ * @property createdAt since when [ownConsumed] counts
+ * @property gateways listed gateways, including this one
  * @property use what the level was drained by lately
  * @property returns when the callers that were refused are to return
  */
@@ -79,6 +86,8 @@
     val ownRequests: Long = 0,
     val use: WindowUse = WindowUse(),
     val returns: ReturnPlan = ReturnPlan(),
+    val createdAt: Timestamp = updatedAt,
+    val gateways: Int = 1,
 ) {
     /** Mean tokens of the requests that this gateway has admitted; null before the first. */
     val usualTokens: Double? get() = if (ownRequests > 0) ownConsumed.toDouble() / ownRequests else null
@@ -102,6 +111,7 @@
             updatedAt = now,
             peers = chargedPeers,
             use = use.plus(newlyCharged),
+            gateways = gateways,
         )
     }
 
@@ -109,7 +119,11 @@
     fun available(now: Timestamp): Double = level - unreported(now)
 
     /** Tokens that the other gateways have likely admitted since their latest digests. */
-    fun unreported(now: Timestamp): Double = peers.values.sumOf { it.unreported(now) }
+    fun unreported(now: Timestamp): Double {
+        val seconds = (now - createdAt).coerceAtLeast(MIN_OWN_TIME).toDouble(DurationUnit.SECONDS)
+        val silentPeers = (gateways - 1 - peers.size).coerceAtLeast(0)
+        return silentPeers * ownConsumed + peers.values.sumOf { it.unreported(now, ownConsumed / seconds) }
+    }
 
     /** Whether a request of [tokens] is admitted at [now]; one above the burst is admitted when the bucket is full. */
     fun admits(tokens: Long, now: Timestamp): Boolean = available(now) >= minOf(tokens, burst)
@@ -167,6 +181,11 @@
         return (missing / rate.coerceAtLeast(1)).coerceAtLeast(0.0).seconds
     }
 
+    private companion object {
+        /** Shorter times say nothing of what a gateway admits per second. */
+        val MIN_OWN_TIME = 100.milliseconds
+    }
+
     private fun PersistentMap<String, PeerConsumption>.charge(
         name: String,
         due: Double,
--- a/core/src/test/kotlin/org/ragwortbank/core/gateway/RateFleet.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/gateway/RateFleet.kt
@@ -170,7 +170,7 @@
     }
 
     private fun restart(gateway: GatewayNode): GatewayNode {
-        val incarnation = gateway.incarnation + 1
+        val incarnation = FIRST_RESTART_MILLIS + elapsed.inWholeMilliseconds
         return GatewayNode(gateway.number, newTables(gateway.number, incarnation, isFirstStart = false), incarnation)
     }
 
@@ -222,5 +222,8 @@
         private const val STORE_MILLIS = 750L
         private const val RECENT_CALLS = 8_192
         private const val LOSS = 0.02
+
+        /** Later than the first start by more than the starts of one power loss differ. */
+        private const val FIRST_RESTART_MILLIS = 10_000L
     }
 }
--- a/core/src/test/kotlin/org/ragwortbank/core/gateway/RateFleetTest.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/gateway/RateFleetTest.kt
@@ -56,6 +56,24 @@
         }
     }
 
+    // Guards against gateways that all restart with empty memory and don't know what the others admit meanwhile.
+    @Test
+    fun `given many gateways that all restart under a hot account, then no window of eight seconds exceeds the bound`() {
+        val size = RateFleetSize(gateways = 29, rate = 80_000)
+        (1..LARGE_FLEET_SEEDS).forEach { seed ->
+            val random = Random(seed)
+            val restarts = (0 until size.gateways).map { gateway ->
+                val downTime = 500.milliseconds + 25.milliseconds * random.nextInt(24)
+                RateEvent(6.seconds, gateway, RateFault.Restart(downTime))
+            }
+            val fleet = RateFleet(random, callsPerSecond = 500, restarts, size)
+            fleet.run(16.seconds)
+            val maxTokens = fleet.maxTokensWithin(WINDOW)
+            val bound = boundFor(size.rate)
+            assertTrue(maxTokens <= bound, "seed $seed: $maxTokens tokens in a window, expected at most $bound")
+        }
+    }
+
     @Test
     fun `given many gateways and an account at nine tenths of its rate, then at most 1 percent is refused`() {
         val size = RateFleetSize(gateways = 33, rate = 200_000)
