--- a/core/src/main/kotlin/org/ragwortbank/core/locality/EvacuationChanges.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/locality/EvacuationChanges.kt
@@ -5,6 +5,8 @@
 import org.ragwortbank.core.gateway.log
 import org.ragwortbank.core.log.LogPart
 import org.ragwortbank.core.model.FailureDomain
+import org.ragwortbank.core.pacing.presumeCold
+import org.ragwortbank.core.pacing.restartPace
 import org.ragwortbank.core.serving.StoreChange
 import org.ragwortbank.core.tick.Timestamp
 
@@ -15,12 +17,14 @@
     return update { it.copy(evacuations = it.evacuations.put(change.domain, row)) }
 }
 
-/** Records that upstreams of [domain] may be used again. */
+/** Records that upstreams of [domain] may be used again; they may be cold, and find their pace anew. */
 internal fun GatewayStep.liftEvacuation(domain: FailureDomain, now: Timestamp): GatewayStep {
     val row = tables.evacuations[domain] ?: return this
-    val count = tables.upstreamsIn(domain).size
-    return log(LogPart.MEMBERS, "failure domain $domain is in use again after ${now - row.learnedAt}, $count upstreams")
-        .update { it.copy(evacuations = it.evacuations.remove(domain)) }
+    val upstreams = tables.upstreamsIn(domain).map { it.registration.id }
+    val inUse = "failure domain $domain is in use again after ${now - row.learnedAt}, ${upstreams.size} upstreams"
+    return log(LogPart.MEMBERS, inUse)
+        .update { it.copy(evacuations = it.evacuations.remove(domain)).presumeCold(upstreams, now) }
+        .restartPace(upstreams, "its failure domain is in use again", now)
 }
 
 /** The evacuations that a read of the store's whole [contents] no longer has. */
--- a/core/src/test/kotlin/org/ragwortbank/core/gateway/RateFleetTest.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/gateway/RateFleetTest.kt
@@ -58,7 +58,7 @@
 
     // Guards against gateways that all restart with empty memory and don't know what the others admit meanwhile.
     @Test
-    fun `given many gateways that all restart under a hot account, then no window of eight seconds exceeds the bound`() {
+    fun `given many gateways that all restart under a hot account, then no window of 8 s exceeds the bound`() {
         val size = RateFleetSize(gateways = 29, rate = 80_000)
         (1..LARGE_FLEET_SEEDS).forEach { seed ->
             val random = Random(seed)
--- a/core/src/test/kotlin/org/ragwortbank/core/pacing/ColdSystemTest.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/pacing/ColdSystemTest.kt
@@ -45,6 +45,22 @@
 
     private fun coldFor(): Duration = cold?.let { it.coldUntil(start) - now } ?: Duration.ZERO
 
+    @Test
+    fun `given a failure domain that was emptied and is in use again, then its upstreams count as cold from then on`() {
+        read(Duration.ZERO)
+        val domain = checkNotNull(tables.upstreams[ColdFleet.ENGINE]).registration.domain
+        change(StoreChange.DomainEvacuated(domain))
+        assertEquals(Duration.ZERO, coldFor())
+        now += 5.seconds
+        change(StoreChange.EvacuationLifted(domain))
+        assertEquals(start.duration, coldFor())
+    }
+
+    private fun change(change: StoreChange) {
+        val input = GatewayInput.StoreChanged(persistentListOf(change), now)
+        tables = schedule.run(Tick(now, persistentListOf(input)), tables).tables
+    }
+
     @Test
     fun `given a remaining time, then it counts from its receipt and the same figure doesn't count again`() {
         read(2_400.milliseconds)
