Keep the latest sample from before the window, however old

An idle gateway samples every 600 ms (1.8 s in a large fleet), further apart than the 500 ms that samples were kept beyond the window, so use within the window was forgotten and the overdraft given too freely.

--- a/core/src/main/kotlin/org/ragwortbank/core/admission/WindowUse.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/admission/WindowUse.kt
@@ -26,12 +26,15 @@
     /** This use with [tokens] more; a negative number returns tokens. */
     fun plus(tokens: Double): WindowUse = copy(usedTotal = usedTotal + tokens)
 
-    /** This use with a sample of its total at [now], without samples that [window] no longer needs. */
+    /**
+     * This use with a sample of its total at [now], without samples that [window] no longer needs: of those from before
+     * the window it needs the latest, however old.
+     */
     fun sample(now: Timestamp, window: Duration): WindowUse {
         val isDue = samples.lastOrNull()?.let { now - it.takenAt >= SAMPLE_INTERVAL } ?: true
         if (!isDue) return this
-        val needed = samples.dropWhile { now - it.takenAt > window + SAMPLE_INTERVAL * 2 }
-        return copy(samples = needed.toPersistentList().add(UseSample(now, usedTotal)))
+        val firstNeeded = samples.indexOfLast { now - it.takenAt >= window }.coerceAtLeast(0)
+        return copy(samples = samples.drop(firstNeeded).toPersistentList().add(UseSample(now, usedTotal)))
     }
 
     /** Tokens used within [window] before [now], or since the first sample. */
@@ -40,6 +43,9 @@
         return usedTotal - (before?.usedTotal ?: 0.0)
     }
 
+    /** Whether it is known what was used in all of [window] before [now]. */
+    fun covers(window: Duration, now: Timestamp): Boolean = samples.any { now - it.takenAt >= window }
+
     private companion object {
         val SAMPLE_INTERVAL = 250.milliseconds
     }
