Spend no tolerance on an account that is known for less than the window

A gateway that restarted while the store was down has its buckets seconds after its start. The test of a gateway that restarted longer ago now says that it has known the account since.

--- a/core/src/main/kotlin/org/ragwortbank/core/admission/RateMargin.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/admission/RateMargin.kt
@@ -33,8 +33,9 @@
  * large, as they would with one exact bucket, and more requests are served of the same tokens. That room is required of
  * the overdraft alone: nothing is refused for which the level suffices.
  *
- * A gateway that was started within the window doesn't know what was admitted before, and one that is cut off from the
- * others doesn't know what they admit. Neither spends anything of the tolerance.
+ * A gateway that has known the account for less than the window, as after a restart, doesn't know what was admitted
+ * before, and one that is cut off from the others doesn't know what they admit. Neither spends anything of the
+ * tolerance.
  */
 class SharedMargin : RateMarginPolicy {
     override fun marginFor(
@@ -58,7 +59,7 @@
         tolerance: RateTolerance,
         now: Timestamp,
     ): Double {
-        if (!tables.knowsWindow(now)) return 0.0
+        if (!tables.identity.isFirstStart && !bucket.use.covers(tolerance.window, now)) return 0.0
         val tolerated = tolerance.tokensFor(bucket)
         val limit = tolerance.ratedTokens(bucket) + tolerated * SPENT_SHARE
         val room = limit - bucket.use.within(tolerance.window, now) - bucket.unreported(now)
@@ -73,9 +74,6 @@
         return (unseenTokens / usualTokens).coerceAtMost(tables.gatewayCount - 1.0)
     }
 
-    private fun GatewayTables.knowsWindow(now: Timestamp): Boolean =
-        identity.isFirstStart || now - startedAt >= settings.rateWindow
-
     /** Nearly 1 in a large fleet whose gateways all respond; 0 when a quarter of them don't, or in a small fleet. */
     private fun GatewayTables.knownShare(now: Timestamp): Double {
         val unknown = unresponsivePeers(now).size / MAX_UNRESPONSIVE_SHARE + UNNOTICED_GATEWAYS
--- a/core/src/test/kotlin/org/ragwortbank/core/admission/SharedMarginTest.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/admission/SharedMarginTest.kt
@@ -48,7 +48,15 @@
     @Test
     fun `given a gateway that restarted within the window, then no overdraft is given`() {
         assertEquals(0.0, margin(tables(isFirstStart = false, startedAgo = 7.seconds), 700).overdraftTokens)
-        assertTrue(margin(tables(isFirstStart = false, startedAgo = 9.seconds), 700).overdraftTokens > 0)
+        val known = bucket.sampled(now - 9.seconds)
+        assertTrue(margin(tables(isFirstStart = false, startedAgo = 9.seconds), 700, known).overdraftTokens > 0)
+    }
+
+    // A gateway that restarted while the store was down got its configuration, and so its buckets, seconds later.
+    @Test
+    fun `given a restarted gateway that knows the account for less than the window, then no overdraft is given`() {
+        val known = bucket.sampled(now - 2.seconds)
+        assertEquals(0.0, margin(tables(isFirstStart = false, startedAgo = 9.seconds), 700, known).overdraftTokens)
     }
 
     @Test
