Displaced repeats come last in their rank, and age; equal requests without an account displace nothing

They came behind what is less urgent, without a bound, and equal requests of all callers of a public route counted as repeats of one caller.

--- a/core/src/main/kotlin/org/ragwortbank/core/admission/WaitOrder.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/admission/WaitOrder.kt
@@ -27,7 +27,7 @@
  * target latency. What has missed it comes behind what can still meet it.
  *
  * Callers that repeat a request while it waits displace only themselves: the latest repeat keeps its turn, and the
- * earlier ones come last.
+ * earlier ones come last in their rank. Equal requests without an account are those of different callers.
  *
  * The account goes before the time that is left: an account far above its usual use has the oldest requests, and would
  * else be served first. So that nothing starves, each [PROMOTION_TIME] of waiting counts as one rank, and one in
@@ -38,9 +38,9 @@
         val superseded = supersededAmong(waiting)
         val uses = waiting.mapNotNull { it.account }.distinct().associateWith { useSteps(tables, it, now) }
         return waiting.sortedWith(
-            compareBy<RequestRow> { it.number in superseded }
-                .thenByDescending { isAgedPick(it, now) }
+            compareByDescending<RequestRow> { isAgedPick(it, now) }
                 .thenBy { promotedRank(it, now) }
+                .thenBy { it.number in superseded }
                 .thenBy { uses[it.account] ?: 0 }
                 .thenBy { slack(it, now) < Duration.ZERO }
                 .thenBy { slack(it, now) }
@@ -51,7 +51,7 @@
     /** Requests that their account has repeated while they wait, without the latest repeat. */
     private fun supersededAmong(waiting: List<RequestRow>): Set<RequestNumber> =
         waiting
-            .filter { it.call.fingerprint != null }
+            .filter { it.account != null && it.call.fingerprint != null }
             .groupBy { it.account to it.call.fingerprint }
             .values
             .flatMap { repeats -> repeats.map { it.number }.sortedBy { it.value }.dropLast(1) }
--- a/core/src/test/kotlin/org/ragwortbank/core/admission/WaitOrderTest.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/admission/WaitOrderTest.kt
@@ -68,6 +68,29 @@
         assertEquals(listOf(3L, 4L, 5L, 6L, 1L, 2L), sorted.map { it.number.value })
     }
 
+    // Requests of nobody in particular, or a fixed request of many users, look like repeats too.
+    @Test
+    fun `given equal requests without an account, then none displaces another`() {
+        val rows = (1L..3L).map { row(it, HOT, 0, start).copy(account = null).repeating(RequestFingerprint(7)) }
+        val sorted = FairOrder().sorted(tables(persistentMapOf()), rows, start + 100.milliseconds)
+        assertEquals(listOf(1L, 2L, 3L), sorted.map { it.number.value })
+    }
+
+    @Test
+    fun `given a repeat of an urgent request, then the earlier attempt goes before what is less urgent`() {
+        val repeats = (1L..2L).map { row(it, HOT, 0, start).repeating(RequestFingerprint(7)) }
+        val rows = repeats + row(3, USUAL, 2, start)
+        val sorted = FairOrder().sorted(tables(persistentMapOf()), rows, start + 100.milliseconds)
+        assertEquals(listOf(2L, 1L, 3L), sorted.map { it.number.value })
+    }
+
+    @Test
+    fun `given an earlier attempt that has waited for long, then its turn comes as that of any other`() {
+        val repeats = listOf(16L, 17L).map { row(it, HOT, 0, start).repeating(RequestFingerprint(7)) }
+        val sorted = FairOrder().sorted(tables(persistentMapOf()), repeats, start + 2.seconds)
+        assertEquals(listOf(16L, 17L), sorted.map { it.number.value })
+    }
+
     @Test
     fun `given settings that don't name the feature, then requests are ordered by rank and age alone`() {
         val rows = listOf(row(1, HOT, 1, start), row(2, HOT, 0, start, 2.seconds), row(3, USUAL, 0, start))
