--- a/core/src/main/kotlin/org/ragwortbank/core/pressure/UpstreamMemoryLimits.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/pressure/UpstreamMemoryLimits.kt
@@ -38,13 +38,13 @@
 
 /**
  * Bounds the requests of this gateway at an upstream by its share of the connections that the upstream accepts.
- * Gateways are unequally busy, so that each may use a multiple of an equal share.
+ * Gateways are unequally busy, so that each may use a multiple of an equal share, and one connection at least.
  */
 class ConnectionLimit : SendLimit {
     override fun roomFor(context: SelectionContext, upstream: UpstreamRow): Int {
         val connections = context.service?.maxConnections
         if (connections == null || !context.tables.limitsPressure) return SendLimit.UNBOUNDED
-        val share = (connections * SHARES / context.tables.gatewayCount).coerceAtMost(connections.toLong())
+        val share = (connections * SHARES / context.tables.gatewayCount).coerceIn(1L, connections.toLong())
         return (share - upstream.inFlight).toRoom(upstream)
     }
 }
--- a/core/src/test/kotlin/org/ragwortbank/core/pressure/UpstreamMemoryLimitsTest.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/pressure/UpstreamMemoryLimitsTest.kt
@@ -8,6 +8,7 @@
 import org.ragwortbank.core.gateway.GatewaySettings
 import org.ragwortbank.core.gateway.GatewayTables
 import org.ragwortbank.core.gateway.PeerRow
+import org.ragwortbank.core.gateway.ReportedLoad
 import org.ragwortbank.core.result.ResultCode
 import org.ragwortbank.core.selection.SelectionContext
 import org.ragwortbank.core.serving.Endpoint
@@ -82,6 +83,21 @@
         assertEquals(20, roomAt(gateway.tables, tokens = 50))
     }
 
+    // Load: more gateways than twice the connections of an upstream at which others have requests under way.
+    @Test
+    fun `given more gateways than connections, then each may send one request at least`() {
+        turnOn()
+        val endpoint = Endpoint("10.0.1.1", 80)
+        val peers = (1..19).associate { "g$it" to PeerRow("g$it", endpoint, addedAt = gateway.now) }.toPersistentMap()
+        val tables = gateway.tables.copy(peers = peers)
+        val number = gateway.receiveCall("/look/x")
+        val request = gateway.tables.requests.getValue(number)
+        val busy = gateway.tables.upstreams.values.first().copy(inFlight = 0, reportedLoad = ReportedLoad(2, 0))
+        assertEquals(1, ConnectionLimit().roomFor(SelectionContext(tables, request, gateway.now), busy))
+        val used = busy.copy(inFlight = 1)
+        assertEquals(0, ConnectionLimit().roomFor(SelectionContext(tables, request, gateway.now), used))
+    }
+
     private fun roomAt(tables: GatewayTables, tokens: Long, sentSinceDigest: Long = 0): Int {
         val number = send(tokens)
         val request = gateway.tables.requests.getValue(number)
