--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/AdmissionSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/AdmissionSystem.kt
@@ -87,7 +87,7 @@
         if (block != null) return step.refuseWithoutRow(row.number, row.call.id, block.refusal(now))
         val bucket = account?.let { tables.buckets[it.id] }
             ?.refill(now, tables.unresponsivePeers(now), tables.gatewayCount)
-            ?.sampleUse(now, tables.settings.rateWindow)
+            ?.let { tables.withUseSampled(it, now) }
         return when {
             tables.stoppingSince?.let { now - it > tables.settings.admissionAfterStop } == true ->
                 step.refuseWithoutRow(
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/FleetBucket.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/FleetBucket.kt
@@ -5,6 +5,7 @@
 import org.ragwortbank.core.admission.RateMargin
 import org.ragwortbank.core.admission.ReturnPlan
 import org.ragwortbank.core.admission.WindowUse
+import org.ragwortbank.core.serving.Feature
 import org.ragwortbank.core.serving.ServingAccount
 import org.ragwortbank.core.tick.Timestamp
 import kotlin.math.sign
@@ -178,3 +179,7 @@
 
 /** This bucket with a sample of its use at [now], for a comparison of the last [window] with the rate. */
 internal fun FleetBucket.sampleUse(now: Timestamp, window: Duration): FleetBucket = copy(use = use.sample(now, window))
+
+/** [bucket] with a sample of its use at [now], where something is decided by that. */
+internal fun GatewayTables.withUseSampled(bucket: FleetBucket, now: Timestamp): FleetBucket =
+    if (Feature.PRESSURE in settings.features) bucket.sampleUse(now, settings.rateWindow) else bucket
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/PeerSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/PeerSystem.kt
@@ -79,7 +79,7 @@
     private fun GatewayTables.refillBuckets(now: Timestamp): GatewayTables {
         val unresponsive = unresponsivePeers(now)
         val refilled = buckets.mapValues { (_, bucket) ->
-            bucket.refill(now, unresponsive, gatewayCount).sampleUse(now, settings.rateWindow)
+            withUseSampled(bucket.refill(now, unresponsive, gatewayCount), now)
         }
         return copy(buckets = refilled.toPersistentMap())
     }
