Return no tokens that have been refilled meanwhile

A refused request returned its tokens however long it had waited, which under pressure is up to half of its timeout. With its bucket full in between, a window held them twice, beyond what the overdraft leaves.

--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/FleetBucket.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/FleetBucket.kt
@@ -69,6 +69,7 @@
  * @property ownRequests requests that they were admitted for
  * @property use what the level was drained by lately
  * @property returns when the callers that were refused are to return
+ * @property fullAt when it was last seen full; null if it never was
  */
 data class FleetBucket(
     val rate: Long,
@@ -80,6 +81,7 @@
     val ownRequests: Long = 0,
     val use: WindowUse = WindowUse(),
     val returns: ReturnPlan = ReturnPlan(),
+    val fullAt: Timestamp? = null,
 ) {
     /** Mean tokens of the requests that this gateway has admitted; null before the first. */
     val usualTokens: Double? get() = if (ownRequests > 0) ownConsumed.toDouble() / ownRequests else null
@@ -103,6 +105,7 @@
             updatedAt = now,
             peers = chargedPeers,
             use = use.plus(newlyCharged),
+            fullAt = if (newLevel >= burst) now else fullAt,
         )
     }
 
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/RequestCompletion.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/RequestCompletion.kt
@@ -4,6 +4,7 @@
 import org.ragwortbank.core.result.Execution
 import org.ragwortbank.core.result.Refusal
 import org.ragwortbank.core.result.ResultCode
+import org.ragwortbank.core.serving.Feature
 import org.ragwortbank.core.serving.RequestNumber
 import kotlin.time.Duration
 
@@ -51,10 +52,14 @@
 internal fun GatewayTables.refundTokens(row: RequestRow): GatewayTables {
     val account = row.account?.takeIf { !row.mayHaveRun && row.tokens > 0 }
     val bucket = account?.let { buckets[it] }
-    if (account == null || bucket == null) return this
+    if (account == null || bucket == null || isRefilledSince(row, bucket)) return this
     return copy(buckets = buckets.put(account, bucket.consume(-row.tokens)))
 }
 
+/** Whether what [row] took has been refilled: returned as well, it would exceed the rate once requests wait for long. */
+private fun GatewayTables.isRefilledSince(row: RequestRow, bucket: FleetBucket): Boolean =
+    Feature.PRESSURE in settings.features && bucket.fullAt?.let { it > row.arrivedAt } ?: false
+
 /** Queues [row] again for its next attempt. */
 internal fun GatewayTables.requeue(row: RequestRow): GatewayTables =
     releaseUpstream(row).put(row.copy(stage = RequestStage.Waiting()))
