Count the gateways once for a request, not for each upstream

Both limits went through all gateways for each upstream of the service: 385,000 rows a limit and request at 350 gateways by 1,100 upstreams, every 40 ms while it waits.

--- a/core/src/main/kotlin/org/ragwortbank/core/pressure/UpstreamMemoryLimits.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/pressure/UpstreamMemoryLimits.kt
@@ -27,11 +27,11 @@
      * least.
      */
     private fun freeOfFleet(context: SelectionContext, upstream: UpstreamRow, memory: Long): Long {
-        val digest = upstream.freshDigest(context.now, context.tables.engineDigestLifetime)
+        val digest = upstream.freshDigest(context.now, context.digestLifetime)
         val usedTokens = digest?.usedTokens ?: return memory
         val tokens = context.request.call.tokens ?: 0
         val free = memory - usedTokens - digest.queuedRequests * tokens
-        val share = maxOf(free * SHARES / context.tables.gatewayCount, tokens)
+        val share = maxOf(free * SHARES / context.gatewayCount, tokens)
         return minOf(free, share) - upstream.tokensSinceDigest
     }
 }
@@ -44,7 +44,7 @@
     override fun roomFor(context: SelectionContext, upstream: UpstreamRow): Int {
         val connections = context.service?.maxConnections
         if (connections == null || !context.tables.limitsPressure) return SendLimit.UNBOUNDED
-        val share = (connections * SHARES / context.tables.gatewayCount).coerceIn(1L, connections.toLong())
+        val share = (connections * SHARES / context.gatewayCount).coerceIn(1L, connections.toLong())
         return (share - upstream.inFlight).toRoom(upstream)
     }
 }
--- a/core/src/main/kotlin/org/ragwortbank/core/selection/SelectionContext.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/selection/SelectionContext.kt
@@ -14,6 +14,7 @@
 import org.ragwortbank.core.speed.UpstreamSpeeds
 import org.ragwortbank.core.speed.unreadPromptTokens
 import org.ragwortbank.core.tick.Timestamp
+import kotlin.time.Duration
 
 /** A request that looks for an upstream at [now], with the tables of its gateway. */
 class SelectionContext(
@@ -50,5 +51,11 @@
         tables.config?.demands?.get(request.service) ?: ServiceDemands()
     }
 
+    /** Number of gateways, of which each may use its share; counted once for a request. */
+    val gatewayCount: Int by lazy(LazyThreadSafetyMode.NONE) { tables.gatewayCount }
+
+    /** Age above which a placer's digest is ignored. */
+    val digestLifetime: Duration by lazy(LazyThreadSafetyMode.NONE) { tables.engineDigestLifetime }
+
     internal val adapterStates = AdapterStates(tables, request.call.adapterKey, now)
 }
--- a/core/src/test/kotlin/org/ragwortbank/core/pressure/UpstreamMemoryLimitsTest.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/pressure/UpstreamMemoryLimitsTest.kt
@@ -1,5 +1,7 @@
 package org.ragwortbank.core.pressure
 
+import kotlinx.collections.immutable.ImmutableCollection
+import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentSetOf
 import kotlinx.collections.immutable.toPersistentMap
 import org.ragwortbank.core.gateway.AnswerFacts
@@ -98,6 +100,33 @@
         assertEquals(0, ConnectionLimit().roomFor(SelectionContext(tables, request, gateway.now), used))
     }
 
+    // Guards against work for each upstream that grows with the fleet: 350 gateways by 1,100 upstreams for each request.
+    @Test
+    fun `given many gateways, then they are counted once for a request and not for each upstream`() {
+        turnOn()
+        receiveDigest(engines[0], usedTokens = 100, running = 1)
+        val number = send(tokens = 50)
+        val peers = CountedPeers(gateway.tables.peers)
+        val request = gateway.tables.requests.getValue(number)
+        val context = SelectionContext(gateway.tables.copy(peers = peers), request, gateway.now)
+        val upstream = gateway.tables.upstreams.getValue(engines[0])
+        val limits = listOf(TokenMemoryLimit(), ConnectionLimit())
+        limits.forEach { it.roomFor(context, upstream) }
+        val readsForOne = peers.reads
+        repeat(10) { limits.forEach { it.roomFor(context, upstream) } }
+        assertEquals(readsForOne, peers.reads)
+    }
+
+    /** Counts how often all gateways are gone through. */
+    private class CountedPeers(
+        private val peers: PersistentMap<String, PeerRow>,
+    ) : PersistentMap<String, PeerRow> by peers {
+        var reads = 0
+            private set
+
+        override val values: ImmutableCollection<PeerRow> get() = peers.values.also { reads++ }
+    }
+
     private fun roomAt(tables: GatewayTables, tokens: Long, sentSinceDigest: Long = 0): Int {
         val number = send(tokens)
         val request = gateway.tables.requests.getValue(number)
