--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/FleetBucket.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/FleetBucket.kt
@@ -5,6 +5,7 @@
 import org.ragwortbank.core.admission.RateMargin
 import org.ragwortbank.core.admission.ReturnPlan
 import org.ragwortbank.core.admission.WindowUse
+import org.ragwortbank.core.serving.Feature
 import org.ragwortbank.core.serving.ServingAccount
 import org.ragwortbank.core.tick.Timestamp
 import kotlin.math.sign
@@ -75,6 +76,7 @@
  * @property gateways listed gateways, including this one
  * @property use what the level was drained by lately
  * @property returns when the callers that were refused are to return
+ * @property fullAt when it was last seen full; null if it never was
  */
 data class FleetBucket(
     val rate: Long,
@@ -88,6 +90,7 @@
     val returns: ReturnPlan = ReturnPlan(),
     val createdAt: Timestamp = updatedAt,
     val gateways: Int = 1,
+    val fullAt: Timestamp? = null,
 ) {
     /** Mean tokens of the requests that this gateway has admitted; null before the first. */
     val usualTokens: Double? get() = if (ownRequests > 0) ownConsumed.toDouble() / ownRequests else null
@@ -112,6 +115,7 @@
             peers = chargedPeers,
             use = use.plus(newlyCharged),
             gateways = gateways,
+            fullAt = if (newLevel >= burst) now else fullAt,
         )
     }
 
@@ -197,3 +201,7 @@
 
 /** This bucket with a sample of its use at [now], for a comparison of the last [window] with the rate. */
 internal fun FleetBucket.sampleUse(now: Timestamp, window: Duration): FleetBucket = copy(use = use.sample(now, window))
+
+/** [bucket] with a sample of its use at [now], where something is decided by that. */
+internal fun GatewayTables.withUseSampled(bucket: FleetBucket, now: Timestamp): FleetBucket =
+    if (Feature.PRESSURE in settings.features) bucket.sampleUse(now, settings.rateWindow) else bucket
