--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/RequestCompletion.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/RequestCompletion.kt
@@ -56,7 +56,7 @@
     return copy(buckets = buckets.put(account, bucket.consume(-row.tokens)))
 }
 
-/** Whether what [row] took has been refilled: returned as well, it would exceed the rate once requests wait for long. */
+/** Whether what [row] took has been refilled: returned as well, it would exceed the rate. */
 private fun GatewayTables.isRefilledSince(row: RequestRow, bucket: FleetBucket): Boolean =
     Feature.PRESSURE in settings.features && bucket.fullAt?.let { it > row.arrivedAt } ?: false
 
--- a/core/src/test/kotlin/org/ragwortbank/core/admission/RefundTest.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/admission/RefundTest.kt
@@ -28,7 +28,8 @@
 
     @Test
     fun `given a bucket that has been full since, when a request is refused, then its tokens aren't returned again`() {
-        val later = full.refill(start).consume(1_000).refill(start + 1.seconds).consume(1_000).refill(start + 1.5.seconds)
+        val filledAgain = full.refill(start).consume(1_000).refill(start + 1.seconds)
+        val later = filledAgain.consume(1_000).refill(start + 1.5.seconds)
         assertEquals(500.0, levelAfterRefund(later))
     }
 
--- a/core/src/test/kotlin/org/ragwortbank/core/pressure/UpstreamMemoryLimitsTest.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/pressure/UpstreamMemoryLimitsTest.kt
@@ -100,7 +100,7 @@
         assertEquals(0, ConnectionLimit().roomFor(SelectionContext(tables, request, gateway.now), used))
     }
 
-    // Guards against work for each upstream that grows with the fleet: 350 gateways by 1,100 upstreams for each request.
+    // Guards against work for each upstream that grows with the fleet: 350 gateways by 1,100 upstreams a request.
     @Test
     fun `given many gateways, then they are counted once for a request and not for each upstream`() {
         turnOn()
