--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/FleetBucket.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/FleetBucket.kt
@@ -43,7 +43,7 @@
     fun afterDigest(total: Long, consumed: Double, now: Timestamp): PeerConsumption {
         val interval = reportedAt?.let { (now - it).coerceAtLeast(MIN_INTERVAL) }
         val latest = interval?.let { consumed.coerceAtLeast(0.0) / it.toDouble(DurationUnit.SECONDS) }
-        val average = if (latest == null) null else latest * NEWEST_WEIGHT + (tokensPerSecond ?: latest) * OLDER_WEIGHT
+        val average = latest?.let { it * NEWEST_WEIGHT + (tokensPerSecond ?: 0.0) * OLDER_WEIGHT }
         return PeerConsumption(incarnation, total, now, average)
     }
 
@@ -126,7 +126,8 @@
     fun unreported(now: Timestamp): Double {
         val seconds = (now - createdAt).coerceAtLeast(MIN_OWN_TIME).toDouble(DurationUnit.SECONDS)
         val silentPeers = (gateways - 1 - peers.size).coerceAtLeast(0)
-        return silentPeers * ownConsumed + peers.values.sumOf { it.unreported(now, ownConsumed / seconds) }
+        val usual = minOf(ownConsumed / seconds, rate * HOT_FACTOR / gateways)
+        return silentPeers * usual * seconds + peers.values.sumOf { it.unreported(now, usual) }
     }
 
     /** Whether a request of [tokens] is admitted at [now]; one above the burst is admitted when the bucket is full. */
@@ -188,6 +189,9 @@
     private companion object {
         /** Shorter times say nothing of what a gateway admits per second. */
         val MIN_OWN_TIME = 100.milliseconds
+
+        /** What a gateway is expected to admit at most, by its share of the rate. */
+        const val HOT_FACTOR = 2.0
     }
 
     private fun PersistentMap<String, PeerConsumption>.charge(
