Write once what the new parts had written again, and test the admission that is used

The fraction of a rendezvous score stood in three places, the loads before a request in two, and status 421 of a rejection in two. FleetBucket.admits(tokens) had been left to its tests alone; these now ask the margin that admission uses, with the same assertions.

--- a/core/src/main/kotlin/org/ragwortbank/core/admission/RateMargin.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/admission/RateMargin.kt
@@ -44,12 +44,12 @@
         tokens: Long,
         now: Timestamp,
     ): RateMargin {
-        val least = minOf(tokens, bucket.burst).toDouble()
+        val least = bucket.marginOf(tokens)
         val tolerance = tables.settings.rateTolerance?.takeIf { Feature.PRESSURE in tables.settings.features }
-            ?: return RateMargin(0.0, least)
+            ?: return least
         val overdraft = overdraft(tables, bucket, tolerance, now)
         val forOthers = tokens * unseenRequests(tables, bucket, tokens)
-        return RateMargin(overdraft, least + minOf(forOthers, overdraft))
+        return RateMargin(overdraft, least.requiredTokens + minOf(forOthers, overdraft))
     }
 
     /** At most [SPENT_SHARE] of the tolerance, and no more than the window has room for. */
--- a/core/src/main/kotlin/org/ragwortbank/core/admission/StartEstimate.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/admission/StartEstimate.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.collections.immutable.PersistentList
 import org.ragwortbank.core.gateway.AdapterState
+import org.ragwortbank.core.gateway.loadsBefore
 import org.ragwortbank.core.selection.Candidate
 import org.ragwortbank.core.selection.SelectionContext
 import kotlin.math.ceil
@@ -43,8 +44,7 @@
         val receivedAt = row.digestReceivedAt
         val isAwaited = candidate.state == AdapterState.ABSENT || candidate.state == AdapterState.CACHED
         if (digest == null || receivedAt == null || !isAwaited) return null
-        val isAsked = context.request.loadingUpstream == row.registration.id
-        val before = if (isAsked) (digest.requestedLoads - 1).coerceAtLeast(0) else digest.requestedLoads
+        val before = context.request.loadsBefore(digest)
         val shortage = (before + 1 - digest.freeSlots).coerceAtLeast(0)
         val loadRounds = ceil((before + 1.0) / LOADS_AT_ONCE)
         return StartEstimate(LOAD_TIME * loadRounds + SLOT_TIME * shortage, context.now - receivedAt, before)
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/FleetBucket.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/FleetBucket.kt
@@ -130,8 +130,8 @@
         return silentPeers * usual * seconds + peers.values.sumOf { it.unreported(now, usual) }
     }
 
-    /** Whether a request of [tokens] is admitted at [now]; one above the burst is admitted when the bucket is full. */
-    fun admits(tokens: Long, now: Timestamp): Boolean = available(now) >= minOf(tokens, burst)
+    /** The margin of a request of [tokens] without more; one above the burst is admitted when the bucket is full. */
+    fun marginOf(tokens: Long): RateMargin = RateMargin(overdraftTokens = 0.0, minOf(tokens, burst).toDouble())
 
     /** Whether a request with [margin] is admitted at [now]. */
     fun admits(margin: RateMargin, now: Timestamp): Boolean =
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/RequestRow.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/RequestRow.kt
@@ -3,6 +3,7 @@
 import kotlinx.collections.immutable.PersistentSet
 import kotlinx.collections.immutable.persistentSetOf
 import org.ragwortbank.core.model.AccountId
+import org.ragwortbank.core.serving.EngineDigest
 import org.ragwortbank.core.serving.RequestNumber
 import org.ragwortbank.core.serving.ServiceName
 import org.ragwortbank.core.serving.ServingCall
@@ -70,3 +71,7 @@
     /** This row with its present upstream added to those that may have begun to run it. */
     fun markMayHaveRun(): RequestRow = upstream?.let { copy(possibleExecutors = possibleExecutors.add(it)) } ?: this
 }
+
+/** Loads requested at the engine of [digest] without the one for this request, if that was requested there. */
+internal fun RequestRow.loadsBefore(digest: EngineDigest): Int =
+    if (loadingUpstream == digest.upstream) (digest.requestedLoads - 1).coerceAtLeast(0) else digest.requestedLoads
--- a/core/src/main/kotlin/org/ragwortbank/core/pacing/ColdObserver.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/pacing/ColdObserver.kt
@@ -19,7 +19,8 @@
         now: Timestamp,
     ): UpstreamRow {
         val sentAt = (request.stage as? RequestStage.Sent)?.sentAt
-        val isUncounted = outcome == AttemptOutcome.NotSent || outcome == AttemptOutcome.Rejected(MISDIRECTED)
+        val isMisdirected = outcome is AttemptOutcome.Rejected && outcome.isMisdirected
+        val isUncounted = outcome == AttemptOutcome.NotSent || isMisdirected
         val returned = if (isUncounted && sentAt != null) upstream.cold?.withoutRequestSent(sentAt) else upstream.cold
         val isFailure = outcome == AttemptOutcome.NotSent || outcome == AttemptOutcome.Lost
         val isOutage = isFailure && upstream.health.failures >= OUTAGE_FAILURES
@@ -27,7 +28,6 @@
     }
 
     private companion object {
-        const val MISDIRECTED = 421
         const val OUTAGE_FAILURES = 2
     }
 }
--- a/core/src/main/kotlin/org/ragwortbank/core/pacing/ColdSeats.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/pacing/ColdSeats.kt
@@ -22,15 +22,13 @@
     companion object {
         /** The largest fleet of gateways that the smallest share allows for. */
         private const val MAX_GATEWAYS = 350
-        private const val HASH_RANGE = 4_294_967_296.0
 
         /**
          * Requests in any second to [upstream] of a gateway that can't rely on its member list: one, for so few
          * gateways that the largest fleet of them keeps the bound.
          */
         fun smallestSeat(tables: GatewayTables, upstream: UpstreamIncarnation, bound: Double): Int {
-            val score = RendezvousHash.score(hashOf(upstream), RendezvousHash.hashOf(tables.identity.name))
-            val rank = (score.toLong() - Int.MIN_VALUE) / HASH_RANGE
+            val rank = RendezvousHash.fraction(hashOf(upstream), RendezvousHash.hashOf(tables.identity.name))
             return if (rank * MAX_GATEWAYS < ColdSplit.agreedRequests(bound)) 1 else 0
         }
 
--- a/core/src/main/kotlin/org/ragwortbank/core/pacing/PaceObserver.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/pacing/PaceObserver.kt
@@ -35,7 +35,7 @@
         val sentAt = (request.stage as? RequestStage.Sent)?.sentAt
         return when (outcome) {
             is AttemptOutcome.Began -> PaceSample.Began(sentAt, outcome.delay, promptTokens)
-            is AttemptOutcome.Rejected -> PaceSample.Overloaded(sentAt).takeIf { outcome.status != MISDIRECTED }
+            is AttemptOutcome.Rejected -> PaceSample.Overloaded(sentAt).takeIf { !outcome.isMisdirected }
             is AttemptOutcome.Failed -> PaceSample.Overloaded(sentAt).takeIf { outcome.status == UNAVAILABLE }
             AttemptOutcome.Expired -> PaceSample.Overloaded(sentAt).takeIf { sentAt != null }
             AttemptOutcome.Lost, AttemptOutcome.NotSent -> PaceSample.Failed(sentAt)
@@ -44,7 +44,6 @@
     }
 
     private companion object {
-        const val MISDIRECTED = 421
         const val UNAVAILABLE = 503
     }
 }
--- a/core/src/main/kotlin/org/ragwortbank/core/pacing/PaceSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/pacing/PaceSystem.kt
@@ -78,11 +78,11 @@
         val age = tables.identity.incarnation.milliseconds + (now - tables.startedAt) - startedMillis.milliseconds
         val ranBefore = if (startedMillis == 0L) now - tables.startedAt < FIRST_READ_TIME else age > RECENT_START
         val gatewayHash = RendezvousHash.hashOf(tables.identity.name)
-        val score = RendezvousHash.score(gatewayHash, RendezvousHash.hashOf("${row.registration.incarnation}"))
+        val upstreamHash = RendezvousHash.hashOf("${row.registration.incarnation}")
         return PaceRow(
             phase = if (ranBefore) PacePhase.FULL else PacePhase.RAMPING,
             limit = rule.startLimit(conditions),
-            offset = (score.toLong() - Int.MIN_VALUE) / HASH_RANGE,
+            offset = RendezvousHash.fraction(gatewayHash, upstreamHash),
             changedAt = now,
         )
     }
@@ -119,8 +119,6 @@
     private class PaceReview(val gateways: Int, val isTickLate: Boolean, val now: Timestamp)
 
     private companion object {
-        const val HASH_RANGE = 4_294_967_296.0
-
         /** While requests are under way, ticks are at most half as far apart. */
         val LATE_TICK = 100.milliseconds
 
--- a/core/src/main/kotlin/org/ragwortbank/core/ranking/AdapterDelay.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/ranking/AdapterDelay.kt
@@ -3,6 +3,7 @@
 import org.ragwortbank.core.gateway.AdapterState
 import org.ragwortbank.core.gateway.RequestStage
 import org.ragwortbank.core.gateway.UpstreamRow
+import org.ragwortbank.core.gateway.loadsBefore
 import org.ragwortbank.core.hash.RendezvousHash
 import org.ragwortbank.core.selection.SelectionContext
 import kotlin.time.DurationUnit
@@ -26,9 +27,7 @@
     /** The wait for a slot behind the other adapters whose load is requested there. */
     private fun slotWaitMillis(context: SelectionContext, upstream: UpstreamRow): Double {
         val digest = upstream.digest ?: return 0.0
-        val isAsked = context.request.loadingUpstream == upstream.registration.id
-        val others = if (isAsked) (digest.requestedLoads - 1).coerceAtLeast(0) else digest.requestedLoads
-        val shortage = others + 1 - digest.freeSlots
+        val shortage = context.request.loadsBefore(digest) + 1 - digest.freeSlots
         return if (shortage <= 0) 0.0 else NO_FREE_SLOT_MILLIS + (shortage - 1) * SLOT_WAIT_MILLIS
     }
 
@@ -52,8 +51,7 @@
     }
 
     private fun preferenceMillis(context: SelectionContext, upstream: UpstreamRow): Double {
-        val score = RendezvousHash.score(context.adapterHash, upstream.registration.nameHash)
-        val rank = 1.0 - (score.toLong() - Int.MIN_VALUE) / SCORE_RANGE
+        val rank = 1.0 - RendezvousHash.fraction(context.adapterHash, upstream.registration.nameHash)
         return rank * PREFERENCE_MILLIS
     }
 
@@ -70,6 +68,5 @@
         const val USUAL_LOAD_MILLIS = 600.0
         const val REQUESTED_BONUS_MILLIS = 60.0
         const val PREFERENCE_MILLIS = 2_500.0
-        const val SCORE_RANGE = 4_294_967_296.0
     }
 }
--- a/core/src/main/kotlin/org/ragwortbank/core/selection/UpstreamObserver.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/selection/UpstreamObserver.kt
@@ -14,7 +14,14 @@
     data object Lost : AttemptOutcome
 
     /** The upstream stated that it has not run it, with [status]. */
-    data class Rejected(val status: Int) : AttemptOutcome
+    data class Rejected(val status: Int) : AttemptOutcome {
+        /** Whether it lacks what the request needs or is another upstream, so that this says nothing of its load. */
+        val isMisdirected: Boolean get() = status == MISDIRECTED
+
+        private companion object {
+            const val MISDIRECTED = 421
+        }
+    }
 
     /** The upstream answered with the failure [status] after [delay]. */
     data class Failed(val status: Int, val delay: Duration) : AttemptOutcome
--- a/core/src/test/kotlin/org/ragwortbank/core/gateway/FleetBucketTest.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/gateway/FleetBucketTest.kt
@@ -11,6 +11,8 @@
     private val start = Timestamp(0)
     private val bucket = FleetBucket(rate = 100, burst = 200, level = 200.0, updatedAt = start)
 
+    private fun FleetBucket.admits(tokens: Long, now: Timestamp): Boolean = admits(marginOf(tokens), now)
+
     @Test
     fun `given a peer's total, then it counts once however often it is reported`() {
         val updated = bucket
