Count a crash inside the head of an answer as a lost connection

Cause: the decoder reports such an end as an undecodable part, and UpstreamHandler made InvalidAnswer of each of these. CrashSystem counts lost connections only, so the harmful requests were no suspects. Ruled out: the search for causes; with a whole head (WHOLE_HEAD=1) it found the part before, too.

--- a/clients/src/main/kotlin/org/ragwortbank/clients/http/ResponseHandler.kt
+++ b/clients/src/main/kotlin/org/ragwortbank/clients/http/ResponseHandler.kt
@@ -39,6 +39,7 @@
         val result = part.decoderResult()
         when {
             state != ResponseState.EXPECTED -> Unit
+            part.isBrokenOff -> failOnce(ctx.channel(), BROKEN_OFF)
             result.isFailure -> failOnce(ctx.channel(), "malformed response: ${result.cause().message}")
             else -> pass(ctx, part)
         }
@@ -51,7 +52,7 @@
 
     override fun channelInactive(ctx: ChannelHandlerContext) {
         complete(ctx)
-        failOnce(ctx.channel(), "the connection was closed before the end of the response")
+        failOnce(ctx.channel(), BROKEN_OFF)
     }
 
     @Deprecated("Deprecated in Java")
@@ -118,6 +119,8 @@
     }
 }
 
+private const val BROKEN_OFF = "the connection was closed before the end of the response"
+
 /** Whether another answer to the same call follows. */
 private fun HttpResponse.isInterim(): Boolean =
     status().codeClass() == HttpStatusClass.INFORMATIONAL && status() != HttpResponseStatus.SWITCHING_PROTOCOLS
--- a/node/src/main/kotlin/org/ragwortbank/node/gateway/UpstreamHandler.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/gateway/UpstreamHandler.kt
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.LastHttpContent
 import org.ragwortbank.clients.http.ExchangeCodec
+import org.ragwortbank.clients.http.isBrokenOff
 import org.ragwortbank.core.gateway.AttemptFailure
 import org.ragwortbank.core.gateway.AttemptFailure.ConnectionLost
 import org.ragwortbank.core.gateway.AttemptFailure.InvalidAnswer
@@ -56,8 +57,7 @@
         val current = exchange
         when {
             current == null -> rejectUnasked(ctx, part)
-            part is HttpObject && part.decoderResult().isFailure ->
-                current.onFailure(InvalidAnswer("invalid answer: ${part.decoderResult().cause().message}"))
+            part is HttpObject && part.decoderResult().isFailure -> current.onFailure(failure(part))
             part is HttpObject -> pass(ctx, current, part)
         }
     }
@@ -92,6 +92,11 @@
         if (isFirst && part is ByteBuf) observer.onUnaskedBytes(unaskedBytes(history, ctx.channel(), part))
     }
 
+    private fun failure(part: HttpObject): AttemptFailure = when {
+        part.isBrokenOff -> ConnectionLost("the connection was closed inside the head of an answer")
+        else -> InvalidAnswer("invalid answer: ${part.decoderResult().cause().message}")
+    }
+
     private fun failure(cause: Throwable): AttemptFailure {
         val detail = cause.message ?: cause.javaClass.simpleName
         return if (cause is IOException) ConnectionLost(detail) else InvalidAnswer(detail)
