Tell requests apart by method and query when upstreams crash of one

Cause: the fingerprint of a request was made of host, path without its query, key and body, so that each sound answer to another look-up cleared the harmful one of its crashes. Ruled out: the search for causes and the spread between gateways. Change: method, host, whole target, key and body. An answer that clears suspects of crashes is logged now; it left no line.

--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/CrashSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/CrashSystem.kt
@@ -24,7 +24,7 @@
     override fun run(tick: Tick<GatewayInput>, step: GatewayStep): GatewayStep {
         val received = tick.inputs.fold(step) { current, input -> receive(current, input, tick.now) }
         if (!received.tables.crashes.hasEvidence) return received
-        return findCause(received.update { it.sweep(tick.now) }, tick.now)
+        return findCause(received.sweep(tick.now), tick.now)
     }
 
     private fun receive(step: GatewayStep, input: GatewayInput, now: Timestamp): GatewayStep =
@@ -37,7 +37,7 @@
             is GatewayInput.AnswerHeadReceived ->
                 step.onAttempt(input.number, input.attempt) { row -> step.update { it.recordSignOfLife(row, now) } }
             is GatewayInput.AnswerCompleted ->
-                step.onAttempt(input.number, input.attempt) { row -> step.update { it.clearTraits(row, now) } }
+                step.onAttempt(input.number, input.attempt) { row -> step.clearTraits(row, now) }
             is GatewayInput.PeerDigestReceived -> step.receiveCrashReports(input.digest, now)
             else -> step
         }
@@ -68,14 +68,14 @@
     }
 
     /** Clears the traits of the answers that have gone on for long enough. */
-    private fun GatewayTables.sweep(now: Timestamp): GatewayTables {
-        val isDue = crashesSweptAt?.let { now - it >= SWEEP_INTERVAL } ?: true
+    private fun GatewayStep.sweep(now: Timestamp): GatewayStep {
+        val isDue = tables.crashesSweptAt?.let { now - it >= SWEEP_INTERVAL } ?: true
         if (!isDue) return this
-        return requests.values
+        return tables.requests.values
             .filter { it.isProven(now) }
-            .fold(this) { tables, row -> tables.clearTraits(row, now) }
-            .explainByBlocks()
-            .let { it.copy(crashesSweptAt = now, crashes = it.crashes.withoutExpired(now)) }
+            .fold(this) { step, row -> step.clearTraits(row, now) }
+            .update { it.explainByBlocks() }
+            .update { it.copy(crashesSweptAt = now, crashes = it.crashes.withoutExpired(now)) }
     }
 
     private fun GatewayTables.explainByBlocks(): GatewayTables =
@@ -144,11 +144,13 @@
 private fun RequestRow.isProven(now: Timestamp): Boolean =
     (stage as? RequestStage.Relaying)?.let { now - it.beganAt >= PROOF_TIME } ?: false
 
-private fun GatewayTables.clearTraits(row: RequestRow, now: Timestamp): GatewayTables {
+private fun GatewayStep.clearTraits(row: RequestRow, now: Timestamp): GatewayStep {
     val beganAt = (row.stage as? RequestStage.Relaying)?.beganAt
-    if (beganAt == null || !crashes.hasEvidence) return this
-    val until = minOf(now, beganAt + PROOF_TIME)
-    return withClearedTraits(crashTraits(row), until, now)
+    if (beganAt == null || !tables.crashes.hasEvidence) return this
+    val traits = crashTraits(row)
+    val cleared = tables.withClearedTraits(traits, minOf(now, beganAt + PROOF_TIME), now)
+    val text = "requests with $traits are cleared of crashes: ${row.call.id} was answered"
+    return if (cleared === tables) this else update { cleared }.log(LogPart.CRASHES, text)
 }
 
 private fun GatewayTables.withClearedTraits(
--- a/core/src/test/kotlin/org/ragwortbank/core/gateway/CrashSystemTest.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/gateway/CrashSystemTest.kt
@@ -101,6 +101,18 @@
         assertTrue(gateway.tables.crashes.rows.values.none { it.isOpen })
     }
 
+    // Guards against evidence of crashes that vanishes without a trace in the log.
+    @Test
+    fun `given an answer to a suspect, then one line names the request that clears it`() {
+        loseOne("shared")
+        gateway.advance(100.milliseconds)
+        val number = receive("shared")
+        gateway.tick(GatewayInput.AnswerHeadReceived(number, 1, okFacts))
+        gateway.advance(600.milliseconds)
+        val lines = gateway.effects.filterIsInstance<GatewayEffect.Log>().map { it.line.message }
+        assertEquals(1, lines.count { "part:shared" in it && "cleared of crashes" in it })
+    }
+
     @Test
     fun `given an answer that goes on, then its traits are cleared here and at the other gateways`() {
         addPeer()
--- a/node/src/main/kotlin/org/ragwortbank/node/gateway/RequestRegistry.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/gateway/RequestRegistry.kt
@@ -58,7 +58,7 @@
         val number = RequestNumber(++lastNumber)
         openRequests = openRequests.put(number, OpenRequest(call.id, request, sink))
         numbersBySink = numbersBySink.put(sink, number)
-        post(GatewayInput.CallArrived(number, call.copy(fingerprint = fingerprintOf(call, request.body))))
+        post(GatewayInput.CallArrived(number, call.copy(fingerprint = fingerprintOf(call, request))))
     }
 
     override fun onCallerDisconnected(sink: AnswerSink) {
