Notice that a caller has left together with its request

Cause: a connection with input was read once. A request that had waited there was decided on and sent on before the end of the connection behind it was read, one iteration of the event loop later; after a start these take long. Ruled out by reading: a request that was read in time and waited; a known disconnection removes it before the next send. Change: callers' connections are read to their end, and the end is reported before anything is decided on the input. The log line of a disconnection says how late it came and whether the request had been sent. Same cause: the callers' server of entries reads in the same way and got the same change.

--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/CancellationSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/CancellationSystem.kt
@@ -28,7 +28,10 @@
     private fun cancelIfSafe(step: GatewayStep, number: RequestNumber, now: Timestamp): GatewayStep {
         val row = step.tables.requests[number] ?: return step
         val mustFinish = row.route.kind == RequestKind.NON_IDEMPOTENT && row.upstream != null
-        val logged = step.log(LogPart.ANSWER, "request ${row.call.id}: the caller disconnected")
+        val age = (now - row.arrivedAt).inWholeMilliseconds
+        val place = row.upstream?.let { "sent to $it" } ?: "not sent"
+        val text = "request ${row.call.id}: the caller disconnected, $age ms after it arrived, $place"
+        val logged = step.log(LogPart.ANSWER, text)
         return if (mustFinish) logged else logged.cancel(row, now)
     }
 
--- a/node/src/main/kotlin/org/ragwortbank/node/gateway/GatewayHttpHandler.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/gateway/GatewayHttpHandler.kt
@@ -3,7 +3,6 @@
 import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
-import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpRequest
@@ -15,6 +14,7 @@
 import org.ragwortbank.core.result.ResultCode
 import org.ragwortbank.core.serving.ClientLimits
 import org.ragwortbank.node.http.Assembly
+import org.ragwortbank.node.http.CallerConnectionHandler
 import org.ragwortbank.node.http.RequestAssembler
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -23,7 +23,7 @@
 internal class GatewayHttpHandler(
     private val limits: ClientLimits,
     private val listener: CallerListener,
-) : ChannelInboundHandlerAdapter() {
+) : CallerConnectionHandler() {
     private val assembler = RequestAssembler(limits.maxBodyBytes)
     private val reservation = BodyReservation(limits.maxBodyBytes) { listener.bodies }
     private val pipelinedParts = PipelinedParts { listener.bodies }
@@ -45,21 +45,19 @@
         currentAnswer?.onWritabilityChanged()
     }
 
-    override fun channelInactive(ctx: ChannelHandlerContext) {
+    override fun onCallerLeft() {
+        currentAnswer?.let(listener::onCallerDisconnected)
+    }
+
+    override fun onClosed() {
         readTimeout.cancel()
         assembler.clear()
         reservation.release()
         pipelinedParts.release()
-        currentAnswer?.let(listener::onCallerDisconnected)
         currentAnswer?.onWritabilityChanged()
         currentAnswer = null
     }
 
-    @Deprecated("Deprecated in Java")
-    override fun exceptionCaught(ctx: ChannelHandlerContext, cause: Throwable) {
-        ctx.close()
-    }
-
     /** Closes the connection unless a request is in progress. */
     fun closeIfIdle(ctx: ChannelHandlerContext) {
         if (currentAnswer == null) ctx.close()
--- a/node/src/main/kotlin/org/ragwortbank/node/gateway/GatewayHttpServer.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/gateway/GatewayHttpServer.kt
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.HttpServerCodec
 import org.ragwortbank.core.pressure.PressureLimits
 import org.ragwortbank.core.serving.ClientLimits
+import org.ragwortbank.node.http.readToEndOfInput
 import org.ragwortbank.node.log.Logs
 
 /**
@@ -34,6 +35,7 @@
         serverChannel = ServerBootstrap()
             .group(group)
             .channelFactory { NioServerSocketChannel(socket.channel) }
+            .readToEndOfInput()
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, waterMarks)
             .childHandler(CallerChannelInitializer())
--- a/node/src/main/kotlin/org/ragwortbank/node/http/CallHandler.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/http/CallHandler.kt
@@ -1,7 +1,6 @@
 package org.ragwortbank.node.http
 
 import io.netty.channel.ChannelHandlerContext
-import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpRequest
@@ -28,7 +27,7 @@
 internal class CallHandler(
     private val settings: HttpSettings,
     private val dispatcher: CallDispatcher,
-) : ChannelInboundHandlerAdapter() {
+) : CallerConnectionHandler() {
     private val assembler = RequestAssembler(settings.maxBodyBytes)
     private var timeoutTask: ScheduledFuture<*>? = null
     private var requestInProgress: RequestId? = null
@@ -46,19 +45,17 @@
         }
     }
 
-    override fun channelInactive(ctx: ChannelHandlerContext) {
+    override fun onCallerLeft() {
         requestInProgress?.let(dispatcher::onCallerDisconnected)
+    }
+
+    override fun onClosed() {
         timeoutTask?.cancel(false)
         assembler.clear()
         pipelinedParts.forEach { ReferenceCountUtil.release(it) }
         pipelinedParts = persistentListOf()
     }
 
-    @Deprecated("Deprecated in Java")
-    override fun exceptionCaught(ctx: ChannelHandlerContext, cause: Throwable) {
-        ctx.close()
-    }
-
     private fun read(ctx: ChannelHandlerContext, message: HttpObject) {
         if (message is HttpRequest) scheduleTimeout(ctx, settings.receiveTimeout) { refuse(ctx, SLOW_SENDER) }
         val expectsContinue = message is HttpRequest && HttpUtil.is100ContinueExpected(message)
--- a/node/src/main/kotlin/org/ragwortbank/node/http/EntryHttpServer.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/http/EntryHttpServer.kt
@@ -31,6 +31,7 @@
             .group(group)
             .channel(NioServerSocketChannel::class.java)
             .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
+            .readToEndOfInput()
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childHandler(ConnectionInitializer())
             .bind(address.host, address.port)
