--- a/core/src/main/kotlin/org/ragwortbank/core/serving/ServingConfig.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/serving/ServingConfig.kt
@@ -44,6 +44,7 @@
  *
  * @property routes the routes of each host, longest prefix first
  * @property accountsByKey the account that each API key's hash belongs to
+ * @property requiresKeys whether routes that are not public require an API key, also when no account has one
  */
 data class ServingConfig(
     val version: Long = 0,
@@ -52,10 +53,8 @@
     val accounts: PersistentMap<AccountId, ServingAccount> = persistentMapOf(),
     val accountsByKey: PersistentMap<KeyHash, AccountId> = persistentMapOf(),
     val limits: ClientLimits = ClientLimits(),
+    val requiresKeys: Boolean = true,
 ) {
-    /** Whether routes that are not public require an API key. */
-    val requiresKeys: Boolean get() = accounts.isNotEmpty()
-
     /** What the routes to each service ask of its upstreams. */
     val demands: PersistentMap<ServiceName, ServiceDemands> by lazy(LazyThreadSafetyMode.PUBLICATION) {
         routes.values.flatten().fold(persistentMapOf()) { found, route ->
--- a/core/src/test/kotlin/org/ragwortbank/core/gateway/AdmissionSystemTest.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/gateway/AdmissionSystemTest.kt
@@ -1,5 +1,6 @@
 package org.ragwortbank.core.gateway
 
+import kotlinx.collections.immutable.persistentMapOf
 import org.ragwortbank.core.result.Execution
 import org.ragwortbank.core.result.ResultCode
 import org.ragwortbank.core.serving.StoreChange
@@ -110,6 +111,17 @@
         assertEquals(Execution.NOT_RUN, unconfigured.refusals().single().execution)
     }
 
+    // Guards against the last account that leaves and so opens all routes to everyone.
+    @Test
+    fun `given a configuration whose last account has left, then a route that is not public stays closed`() {
+        val empty = gateway.config(version = 2).copy(accounts = persistentMapOf(), accountsByKey = persistentMapOf())
+        gateway.applyChanges(StoreChange.ConfigSet(empty))
+        gateway.receiveCall("/book/x")
+        assertEquals(ResultCode.KEY_UNKNOWN, gateway.refusals().single().code)
+        gateway.receiveCall("/book/x", gateway.call("/book/x").copy(key = null))
+        assertEquals(ResultCode.KEY_MISSING, gateway.refusals().single().code)
+    }
+
     @Test
     fun `given reloaded settings, then they apply at once`() {
         gateway.advance(2.seconds)
