--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/AdmissionSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/AdmissionSystem.kt
@@ -33,7 +33,7 @@
         when {
             step.tables.config == null || step.tables.isCatchingUp(now) ->
                 step.update { it.copy(deferredCalls = it.deferredCalls.add(deferred)) }
-            else -> decide(step, deferred.number, deferred.call, deferred.receivedAt)
+            else -> decide(step, deferred, now)
         }
 
     private fun removeDeferred(step: GatewayStep, number: RequestNumber): GatewayStep {
@@ -47,26 +47,23 @@
         val (due, stillDeferred) =
             step.tables.deferredCalls.partition { canResume || now - it.receivedAt > MAX_CONFIG_WAIT }
         if (due.isEmpty()) return step
-        return due.fold(step) { current, call -> decide(current, call.number, call.call, now) }
+        return due.fold(step) { current, deferred -> decide(current, deferred, now) }
             .update { it.copy(deferredCalls = stillDeferred.toPersistentList()) }
     }
 
-    private fun decide(step: GatewayStep, number: RequestNumber, call: ServingCall, now: Timestamp): GatewayStep =
-        when (val authorization = step.tables.authorize(call, now)) {
-            is Authorization.Denied -> step.refuseWithoutRow(number, call.id, authorization.refusal)
+    private fun decide(step: GatewayStep, deferred: DeferredCall, now: Timestamp): GatewayStep =
+        when (val authorization = step.tables.authorize(deferred.call, now)) {
+            is Authorization.Denied -> step.refuseWithoutRow(deferred.number, deferred.call.id, authorization.refusal)
             is Authorization.Granted ->
-                admit(step, newRow(number, call, authorization, now), authorization.account, now)
+                admit(step, newRow(deferred, authorization, now), authorization.account, now)
         }
 
-    private fun newRow(
-        number: RequestNumber,
-        call: ServingCall,
-        granted: Authorization.Granted,
-        now: Timestamp,
-    ): RequestRow {
+    /** The caller's time runs while its call is deferred. */
+    private fun newRow(deferred: DeferredCall, granted: Authorization.Granted, now: Timestamp): RequestRow {
+        val call = deferred.call
         val timeout = minOf(call.callerTimeout ?: granted.route.timeout, granted.route.timeout)
         return RequestRow(
-            number = number,
+            number = deferred.number,
             call = call,
             route = granted.route,
             service = granted.service,
@@ -74,7 +71,7 @@
             priority = granted.account?.priority ?: granted.route.priority,
             tokens = tokensOf(call, granted.account),
             arrivedAt = now,
-            deadline = now + timeout,
+            deadline = deferred.receivedAt + timeout,
         )
     }
 
--- a/core/src/test/kotlin/org/ragwortbank/core/gateway/AdmissionSystemTest.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/gateway/AdmissionSystemTest.kt
@@ -102,6 +102,16 @@
         assertEquals(1, unconfigured.sentAttempts().size)
     }
 
+    // Guards against an upstream that gets more time than its caller has left.
+    @Test
+    fun `given a call that was deferred, then its deadline counts from its arrival`() {
+        val unconfigured = GatewayFixture(readsStore = false)
+        val arrivedAt = unconfigured.now
+        unconfigured.receiveCall("/book/x", unconfigured.call("/book/x").copy(callerTimeout = 1.seconds))
+        unconfigured.advance(400.milliseconds, GatewayInput.StoreRead(unconfigured.storeContents(), unconfigured.now))
+        assertEquals(arrivedAt + 1.seconds, unconfigured.sentAttempts().single().deadline)
+    }
+
     @Test
     fun `given no configuration within the time limit, then a deferred call is refused as not run`() {
         val unconfigured = GatewayFixture(readsStore = false)
