Describe a clearing of crash traits only when there is one

The fields that give a head's length are compared without a new string for each line. Decisions are the same (RecordedDecisionsTest passes).

--- a/clients/src/main/kotlin/org/ragwortbank/clients/http/HeadGrammar.kt
+++ b/clients/src/main/kotlin/org/ragwortbank/clients/http/HeadGrammar.kt
@@ -10,8 +10,8 @@
     private const val NAME_SYMBOLS = "!#$%&'*+-.^_`|~"
     private const val DELETE = '\u007F'
     private const val CHUNKED = "chunked"
-    private const val CONTENT_LENGTH = "content-length"
-    private const val TRANSFER_ENCODING = "transfer-encoding"
+    private const val CONTENT_LENGTH = "content-length:"
+    private const val TRANSFER_ENCODING = "transfer-encoding:"
 
     /** The defect of [text], the line with [number] of a head, from 1 for the status line; null when it is sound. */
     fun defectOfLine(number: Int, text: String): HeadDefect? {
@@ -21,8 +21,8 @@
 
     /** The first of all [lines] of a head that leaves it open where the body ends; null when there is none. */
     fun defectOfLengths(lines: List<String>): HeadDefect? {
-        val lengths = lines.filter { hasName(it, CONTENT_LENGTH) }
-        val encodings = lines.filter { hasName(it, TRANSFER_ENCODING) }
+        val lengths = lines.filter { it.startsWith(CONTENT_LENGTH, ignoreCase = true) }
+        val encodings = lines.filter { it.startsWith(TRANSFER_ENCODING, ignoreCase = true) }
         val odd = lengths.firstOrNull { !length.matches(valueOf(it)) }
             ?: encodings.firstOrNull { !valueOf(it).equals(CHUNKED, ignoreCase = true) }
             ?: (lengths + encodings).drop(1).firstOrNull()
@@ -42,8 +42,6 @@
         }
     }
 
-    private fun hasName(line: String, name: String): Boolean = line.startsWith("$name:", ignoreCase = true)
-
     private fun valueOf(line: String): String = line.substringAfter(':').trim(' ', '\t')
 
     private fun isNameCharacter(character: Char): Boolean =
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/CrashSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/CrashSystem.kt
@@ -149,10 +149,12 @@
     if (beganAt == null || !tables.crashes.hasEvidence) return this
     val traits = crashTraits(row)
     val cleared = tables.withClearedTraits(traits, minOf(now, beganAt + PROOF_TIME), now)
-    val text = "requests with $traits are cleared of crashes: ${row.call.id} was answered"
-    return if (cleared === tables) this else update { cleared }.log(LogPart.CRASHES, text)
+    return if (cleared === tables) this else update { cleared }.log(LogPart.CRASHES, describeClearing(row, traits))
 }
 
+private fun describeClearing(row: RequestRow, traits: Set<CrashTrait>): String =
+    "requests with $traits are cleared of crashes: ${row.call.id} was answered"
+
 private fun GatewayTables.withClearedTraits(
     traits: Set<CrashTrait>,
     until: Timestamp,
