Refuse the requests of an account whose limits can't be read

Cause: each field that couldn't be read as a whole number became 0, and 0 stands for no limit. Where one of the three fields is there and can't be read, requests of the account get 429, not run, until the configuration can be read again; it is logged. A key of it isn't unknown, so 401 would be wrong.

--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/AdmissionSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/AdmissionSystem.kt
@@ -92,12 +92,17 @@
                     row.call.id,
                     Refusal.notRun(ResultCode.DRAINING, retryAfter = MIN_RETRY_AFTER),
                 )
+            account?.hasReadableLimits == false ->
+                step.refuseWithoutRow(row.number, row.call.id, unreadableLimits(account))
             account == null || bucket == null ->
                 step.log(LogPart.ADMISSION, row.describeAdmission()).update { it.put(row) }
             else -> step.admitWithinRate(row, bucket, margins.marginFor(tables, bucket, row.tokens, now), now)
         }
     }
 
+    private fun unreadableLimits(account: ServingAccount): Refusal =
+        Refusal.notRun(ResultCode.RATE_EXCEEDED, "the limits of ${account.id} can't be read", MIN_RETRY_AFTER)
+
     private companion object {
         val MAX_CONFIG_WAIT = 1.seconds
     }
--- a/core/src/main/kotlin/org/ragwortbank/core/serving/ServingConfig.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/serving/ServingConfig.kt
@@ -19,6 +19,7 @@
  * @property burstTokens size of the account's token bucket
  * @property defaultRequestTokens tokens charged for a request that doesn't state its own
  * @property homes regions whose upstreams may serve its requests; empty for any
+ * @property hasReadableLimits whether its rate, burst and charge are known; its requests are refused if they aren't
  */
 data class ServingAccount(
     val id: AccountId,
@@ -27,6 +28,7 @@
     val burstTokens: Long,
     val defaultRequestTokens: Long,
     val homes: PersistentSet<Region> = persistentSetOf(),
+    val hasReadableLimits: Boolean = true,
 ) {
     val isRateLimited: Boolean get() = tokensPerSecond > 0
 }
--- a/core/src/test/kotlin/org/ragwortbank/core/gateway/AdmissionSystemTest.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/gateway/AdmissionSystemTest.kt
@@ -1,6 +1,7 @@
 package org.ragwortbank.core.gateway
 
 import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.toPersistentMap
 import org.ragwortbank.core.result.Execution
 import org.ragwortbank.core.result.ResultCode
 import org.ragwortbank.core.serving.StoreChange
@@ -83,6 +84,17 @@
         assertEquals(800.milliseconds, refusal.retryAfter)
     }
 
+    // Guards against an account without any limit, because its limits can't be read.
+    @Test
+    fun `given an account whose limits can't be read, then its requests are refused as not run`() {
+        val config = gateway.config(version = 2)
+        val accounts = config.accounts.mapValues { it.value.copy(tokensPerSecond = 0, hasReadableLimits = false) }
+        gateway.applyChanges(StoreChange.ConfigSet(config.copy(accounts = accounts.toPersistentMap())))
+        gateway.receiveCall("/book/x")
+        assertEquals(ResultCode.RATE_EXCEEDED, gateway.refusals().single().code)
+        assertEquals(Execution.NOT_RUN, gateway.refusals().single().execution)
+    }
+
     @Test
     fun `given a restarted process, then its buckets start with a share of the burst only`() {
         val restarted = GatewayFixture(isFirstStart = false)
