--- a/core/src/main/kotlin/org/ragwortbank/core/placer/AdapterSlots.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/placer/AdapterSlots.kt
@@ -52,10 +52,12 @@
 /**
  * Slots that neither a resident nor a loading adapter takes.
  *
- * Limited by the configured number of slots and by the memory that the base models leave for adapters.
+ * Limited by the configured number of slots and by the memory that the base models leave for adapters. There are none
+ * beside a base model whose size isn't known.
  */
 internal fun EngineReport.emptySlots(engine: EngineSpec): Int {
     val loadedModels = residentModels.mapNotNull { engine.models[it] }
+    if (loadedModels.size < residentModels.size) return 0
     val adapterMegabytes = engine.memoryMegabytes - loadedModels.sumOf { it.weightsMegabytes }
     val largestAdapterMegabytes = loadedModels.maxOfOrNull { it.adapterMegabytes }?.takeIf { it > 0 }
     val slotsByMemory = largestAdapterMegabytes?.let { (adapterMegabytes / it).toInt() } ?: engine.adapterSlots
--- a/core/src/test/kotlin/org/ragwortbank/core/placer/CommandSystemTest.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/placer/CommandSystemTest.kt
@@ -182,6 +182,15 @@
         assertTrue(commands().isEmpty())
     }
 
+    // Guards against an engine that loads more than it holds, because a size can't be read and counts as none.
+    @Test
+    fun `given a loaded base model whose size isn't known, then no adapter is loaded beside it`() {
+        val models = persistentSetOf("base", "other")
+        tick(PlacerInput.ReportReceived(engineReport(1).copy(residentModels = models), now))
+        requestLoad("a1")
+        assertTrue(commands().isEmpty())
+    }
+
     @Test
     fun `given adapters in use and an unused one, then the digest counts the slot of the unused one as free`() {
         tick(PlacerInput.DemandDigestReceived(demandDigest(emptyList(), inUse = listOf("a1")), gatewayEndpoint))
