Confirm a configuration only by a store that has it

Cause: each answered read of the store confirmed the configuration in force, whatever the read said of the configuration; an item that can't be decoded was skipped. Change: that there is no configuration to be read is a change of its own. Reads and peers confirm only while the store's latest configuration is the one in force. After the lease keys get 503, not run, as while the store is away; public routes are served. Ruled out: refusing the keys at once, since the store may have a readable one in the next moment.

--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/ConfigChanges.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/ConfigChanges.kt
@@ -23,6 +23,21 @@
         .update { it.copy(config = config, buckets = bucketsFor(it, config, now)) }
 }
 
+/** Notes whether [stored], the configuration in the store, is the one in force: an older one confirms nothing. */
+internal fun GatewayStep.compareWithStored(stored: ServingConfig): GatewayStep {
+    val isNewest = tables.config?.version == stored.version
+    val noted = if (isNewest || !tables.isConfigNewest) this else log(LogPart.CONFIG, describeOlder(stored))
+    return noted.update { it.copy(isConfigNewest = isNewest) }
+}
+
+private fun GatewayStep.describeOlder(stored: ServingConfig): String =
+    "the store's configuration is ${stored.version}, older than ${tables.config?.version} in force, which it doesn't confirm"
+
+/** Notes that the store has no configuration that can be read; the one in force isn't confirmed until it has one. */
+internal fun GatewayStep.doubtConfig(): GatewayStep =
+    log(LogPart.CONFIG, "the store has no configuration that can be read, ${tables.config?.version ?: "none"} in force")
+        .update { it.copy(isConfigNewest = false) }
+
 /** Records the newest version of an adapter; an older one changes nothing. */
 internal fun GatewayTables.recordVersion(change: StoreChange.NewestVersionSet, now: Timestamp): GatewayTables {
     val existing = versions[change.adapter]
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/DigestIntakeSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/DigestIntakeSystem.kt
@@ -88,7 +88,8 @@
         val version = config?.version ?: return this
         val echoedStamp = digest.lastReceived[identity.name]?.takeIf { it.incarnation == identity.incarnation }
         val sentAt = echoedStamp?.let { peerDigestSendTimes[it.number] }
-        val isUsable = sentAt != null && digest.configVersion == version && digest.confirmedMillisAgo >= 0
+        val isSameConfig = isConfigNewest && digest.configVersion == version
+        val isUsable = sentAt != null && isSameConfig && digest.confirmedMillisAgo >= 0
         val peerConfirmedAt = sentAt?.let { it - digest.confirmedMillisAgo.milliseconds }
         val isLater = peerConfirmedAt != null && (confirmedAt == null || peerConfirmedAt > confirmedAt)
         return if (isUsable && isLater) copy(confirmedAt = peerConfirmedAt) else this
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewayTables.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewayTables.kt
@@ -58,6 +58,7 @@
  *
  * @property config newest configuration; null before the first
  * @property confirmedAt when the latest request to the store was made whose reply confirmed [config]
+ * @property isConfigNewest whether the store's configuration is [config], as far as it has been read
  * @property upstreamsByService upstreams of each service
  * @property leavingUpstreams upstreams that have said in an answer that they leave, and when they did
  * @property deferredCalls calls that arrived before the first configuration or right after a suspension of the process
@@ -93,6 +94,7 @@
     val startedAt: Timestamp,
     val config: ServingConfig? = null,
     val confirmedAt: Timestamp? = null,
+    val isConfigNewest: Boolean = false,
     val upstreams: PersistentMap<UpstreamId, UpstreamRow> = persistentMapOf(),
     val upstreamsByService: PersistentMap<ServiceName, PersistentSet<UpstreamId>> = persistentMapOf(),
     val versions: PersistentMap<AdapterKey, NewestVersion> = persistentMapOf(),
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/StoreSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/StoreSystem.kt
@@ -30,7 +30,8 @@
     private fun recordConfirmation(step: GatewayStep, requestedAt: Timestamp): GatewayStep {
         val confirmedAt = step.tables.confirmedAt
         val isKnown = confirmedAt != null && confirmedAt >= requestedAt
-        return if (isKnown) step else step.update { it.copy(confirmedAt = requestedAt) }
+        val isConfirmed = step.tables.isConfigNewest && !isKnown
+        return if (isConfirmed) step.update { it.copy(confirmedAt = requestedAt) } else step
     }
 
     private fun applySnapshot(step: GatewayStep, contents: PersistentList<StoreChange>, now: Timestamp): GatewayStep {
@@ -47,7 +48,9 @@
             .filter { it.isStored && it.trait !in blocks }
             .map { StoreChange.BlockLifted(it.trait) }
         val removals = removedUpstreams + removedPeers + liftedBlocks + step.tables.liftedEvacuations(contents)
-        val applied = applyAll(step, contents + removals, now)
+        val hasConfig = contents.any { it is StoreChange.ConfigSet || it is StoreChange.ConfigUnreadable }
+        val missing = if (hasConfig) emptyList() else listOf(StoreChange.ConfigUnreadable)
+        val applied = applyAll(step, contents + removals + missing, now)
         return applied.update { it.copy(versions = agedVersions(step.tables, it, now)) }
     }
 
@@ -68,7 +71,8 @@
 
     private fun apply(step: GatewayStep, change: StoreChange, now: Timestamp): GatewayStep =
         when (change) {
-            is StoreChange.ConfigSet -> step.applyConfig(change.config, now)
+            is StoreChange.ConfigSet -> step.applyConfig(change.config, now).compareWithStored(change.config)
+            StoreChange.ConfigUnreadable -> step.doubtConfig()
             is StoreChange.UpstreamRegistered -> step.registerUpstream(change.registration)
             is StoreChange.UpstreamRemoved -> step.removeUpstream(change.id)
             is StoreChange.NewestVersionSet -> step.update { it.recordVersion(change, now) }
--- a/core/src/main/kotlin/org/ragwortbank/core/serving/StoreChange.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/serving/StoreChange.kt
@@ -8,6 +8,9 @@
     /** A new version of the operators' configuration was written. */
     data class ConfigSet(val config: ServingConfig) : StoreChange
 
+    /** The store has no configuration, or one that can't be read: nothing says that the one in force is the newest. */
+    data object ConfigUnreadable : StoreChange
+
     /** An upstream was added to the instance list, or its registration changed. */
     data class UpstreamRegistered(val registration: UpstreamRegistration) : StoreChange
 
--- a/core/src/test/kotlin/org/ragwortbank/core/gateway/AdmissionSystemTest.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/gateway/AdmissionSystemTest.kt
@@ -61,6 +61,42 @@
         assertEquals(1, gateway.sentAttempts().size)
     }
 
+    // Guards against a withdrawn key that stays valid because the configuration that withdraws it can't be read.
+    @Test
+    fun `given a newest configuration that can't be read, then no read of the store confirms the one in force`() {
+        gateway.applyChanges(StoreChange.ConfigUnreadable)
+        assertKeysRefusedAfterLease()
+        gateway.applyChanges(StoreChange.ConfigSet(gateway.config(version = 2)))
+        gateway.receiveCall("/book/x")
+        assertEquals(1, gateway.sentAttempts().size)
+    }
+
+    // Guards against keys that stay valid although the store no longer says which are.
+    @Test
+    fun `given a whole read without a configuration, then it doesn't confirm the one in force`() {
+        val upstreams = gateway.storeContents().removeAll { it is StoreChange.ConfigSet }
+        gateway.tick(GatewayInput.StoreRead(upstreams, gateway.now))
+        assertKeysRefusedAfterLease()
+    }
+
+    // Guards against a configuration from an older copy of the store that prolongs the authority of keys.
+    @Test
+    fun `given an older configuration than the one in force, then it doesn't confirm that`() {
+        gateway.applyChanges(StoreChange.ConfigSet(gateway.config(version = 3)))
+        gateway.applyChanges(StoreChange.ConfigSet(gateway.config(version = 2)))
+        assertKeysRefusedAfterLease()
+    }
+
+    private fun assertKeysRefusedAfterLease() {
+        gateway.advance(4.seconds)
+        gateway.confirmConfiguration()
+        gateway.advance(1.seconds)
+        gateway.receiveCall("/book/x")
+        assertEquals(ResultCode.KEYS_UNCONFIRMED, gateway.refusals().single().code)
+        gateway.receiveCall("/open/x")
+        assertEquals(1, gateway.sentAttempts().size)
+    }
+
     @Test
     fun `given a withdrawn key, then it is refused once the new configuration is applied`() {
         gateway.applyChanges(StoreChange.ConfigSet(gateway.config(version = 2, keys = emptyList())))
--- a/core/src/test/kotlin/org/ragwortbank/core/gateway/PeerSystemTest.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/gateway/PeerSystemTest.kt
@@ -44,6 +44,15 @@
         assertFalse(gateway.tables.hasConfigurationLease(gateway.now))
     }
 
+    @Test
+    fun `given a newest configuration that can't be read, then a peer that doesn't know it confirms nothing`() {
+        gateway.applyChanges(StoreChange.PeerRegistered("entry-2", peer), StoreChange.ConfigUnreadable)
+        gateway.advance(4.seconds)
+        val digest = sentDigest()
+        gateway.advance(1.seconds, GatewayInput.PeerDigestReceived(confirmation(digest.number), peer))
+        assertFalse(gateway.tables.hasConfigurationLease(gateway.now))
+    }
+
     private fun sentDigest(): PeerDigest {
         gateway.advance(gateway.tables.settings.peerDigestInterval * 5)
         return gateway.effects.filterIsInstance<GatewayEffect.SendPeerDigest>().last().digest
