Serve nowhere what has homes that can't be read

Callers saw: a route or an account whose homes are in another form than a list of names could be served in any region, so that bodies left their homes (rule HOME, with the feature places). Cause: what wasn't the name of a region was ignored, and no names stood for any region. Change: no homes is null, as decoded from an absent or empty list; an empty set is homes of which none can be read, and no upstream is in them. What names are readable in a list hold, as before.

--- a/core/src/main/kotlin/org/ragwortbank/core/serving/ServingConfig.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/serving/ServingConfig.kt
@@ -4,7 +4,6 @@
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.PersistentSet
 import kotlinx.collections.immutable.persistentMapOf
-import kotlinx.collections.immutable.persistentSetOf
 import org.ragwortbank.core.model.AccountId
 import org.ragwortbank.core.model.KeyHash
 import org.ragwortbank.core.model.Region
@@ -18,7 +17,7 @@
  * @property tokensPerSecond rate limit over the whole fleet; 0 for no limit
  * @property burstTokens size of the account's token bucket
  * @property defaultRequestTokens tokens charged for a request that doesn't state its own
- * @property homes regions whose upstreams may serve its requests; empty for any
+ * @property homes regions whose upstreams may serve its requests; null for any
  * @property hasReadableLimits whether its rate, burst and charge are known; its requests are refused if they aren't
  */
 data class ServingAccount(
@@ -27,7 +26,7 @@
     val tokensPerSecond: Long,
     val burstTokens: Long,
     val defaultRequestTokens: Long,
-    val homes: PersistentSet<Region> = persistentSetOf(),
+    val homes: PersistentSet<Region>? = null,
     val hasReadableLimits: Boolean = true,
 ) {
     val isRateLimited: Boolean get() = tokensPerSecond > 0
--- a/core/src/main/kotlin/org/ragwortbank/core/serving/ServingRoute.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/serving/ServingRoute.kt
@@ -2,7 +2,6 @@
 
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.PersistentSet
-import kotlinx.collections.immutable.persistentSetOf
 import org.ragwortbank.core.model.Region
 import org.ragwortbank.core.model.RouteName
 import kotlin.time.Duration
@@ -37,7 +36,7 @@
  * @property maxAttempts largest number of upstreams to which one request may be sent
  * @property priority rank, where 0 is the most urgent
  * @property isPublic whether requests need no API key
- * @property homes regions whose upstreams may serve its requests; empty for any
+ * @property homes regions whose upstreams may serve its requests; null for any
  */
 data class ServingRoute(
     val name: RouteName,
@@ -52,7 +51,7 @@
     val priority: Int,
     val isPublic: Boolean,
     val maxEventGap: Duration? = null,
-    val homes: PersistentSet<Region> = persistentSetOf(),
+    val homes: PersistentSet<Region>? = null,
 ) {
     /** Whether a request may be sent again after it may have run. */
     val isRetryable: Boolean get() = kind == RequestKind.IDEMPOTENT || (kind == RequestKind.STREAM && isResumable)
--- a/core/src/test/kotlin/org/ragwortbank/core/locality/HomeRegionsTest.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/locality/HomeRegionsTest.kt
@@ -27,7 +27,7 @@
     private val gateway = fleet.gateway
     private val north = Region("north")
     private val south = Region("south")
-    private val anywhere = persistentSetOf<Region>()
+    private val anywhere: PersistentSet<Region>? = null
 
     init {
         setRegions(DOMAIN_A to north, DOMAIN_B to south)
@@ -80,6 +80,15 @@
         assertRefusedAtOnce()
     }
 
+    // Guards against homes that can't be read and count as none.
+    @Test
+    fun `given homes of which none can be read, then requests are refused at once as not run`() {
+        configure(route = persistentSetOf())
+        assertRefusedAtOnce()
+        configure(account = persistentSetOf())
+        assertRefusedAtOnce()
+    }
+
     @Test
     fun `given an upstream whose domain is in no known region, then it is outside, and used without homes`() {
         setRegions(DOMAIN_B to south)
@@ -108,7 +117,7 @@
     private fun setRegions(vararg regions: Pair<FailureDomain, Region>) =
         gateway.tick(GatewayInput.SettingsReloaded(GatewaySettings(regions = persistentMapOf(*regions))))
 
-    private fun configure(route: PersistentSet<Region> = anywhere, account: PersistentSet<Region> = anywhere) {
+    private fun configure(route: PersistentSet<Region>? = anywhere, account: PersistentSet<Region>? = anywhere) {
         val config = gateway.config(version = checkNotNull(gateway.tables.config).version + 1)
         val routes = config.routes["host"].orEmpty().map { it.copy(homes = route) }.toPersistentList()
         val accounts = config.accounts.mapValues { it.value.copy(homes = account) }.toPersistentMap()
