Send nothing to instances whose role or state isn't known

Callers saw: an entry of the instance list with a role that isn't known counted as a sidecar and got requests where the pattern of a pool matches its name; one in a state that isn't known counted as live. Cause: whatever wasn't an entry was a sidecar, and whatever wasn't leaving was live. Change: an entry without a name or a known role names no instance; one that isn't live counts as leaving.

--- a/clients/src/main/kotlin/org/ragwortbank/clients/instances/HttpInstanceList.kt
+++ b/clients/src/main/kotlin/org/ragwortbank/clients/instances/HttpInstanceList.kt
@@ -10,11 +10,8 @@
 import org.ragwortbank.clients.http.HttpClient
 import org.ragwortbank.clients.http.HttpReply
 import org.ragwortbank.clients.http.fetch
-import org.ragwortbank.core.model.FailureDomain
 import org.ragwortbank.core.model.Header
 import org.ragwortbank.core.model.Instance
-import org.ragwortbank.core.model.InstanceName
-import org.ragwortbank.core.model.InstanceRole
 import java.util.concurrent.atomic.AtomicReference
 import kotlin.time.Duration
 
@@ -38,23 +35,13 @@
     private fun decode(reply: HttpReply.Answered): PersistentList<Instance>? =
         try {
             val document = Json.decodeFromString(InstancesDocument.serializer(), reply.text)
-            val instances = document.instances.map(::toInstance).toPersistentList()
+            val instances = document.instances.mapNotNull { it.toInstance() }.toPersistentList()
             cache.set(CachedList(reply.head.header("ETag").orEmpty(), instances))
             instances
         } catch (_: SerializationException) {
             null
         }
 
-    private fun toInstance(document: InstanceDocument): Instance =
-        Instance(
-            name = InstanceName(document.name),
-            role = if (document.role == "entry") InstanceRole.ENTRY else InstanceRole.SIDECAR,
-            peerAddress = document.address,
-            adminAddress = document.admin,
-            failureDomain = FailureDomain(document.domain),
-            isLeaving = document.state == "leaving",
-        )
-
     private data class CachedList(val etag: String, val instances: PersistentList<Instance>)
 
     private companion object {
--- a/clients/src/main/kotlin/org/ragwortbank/clients/instances/InstancesDocument.kt
+++ b/clients/src/main/kotlin/org/ragwortbank/clients/instances/InstancesDocument.kt
@@ -1,6 +1,10 @@
 package org.ragwortbank.clients.instances
 
 import kotlinx.serialization.Serializable
+import org.ragwortbank.core.model.FailureDomain
+import org.ragwortbank.core.model.Instance
+import org.ragwortbank.core.model.InstanceName
+import org.ragwortbank.core.model.InstanceRole
 
 /** The instance list as the platform publishes it. */
 @Serializable
@@ -24,4 +28,23 @@
     val admin: String,
     val domain: String,
     val state: String = "live",
-)
+) {
+    /** The instance of this entry; null without a name or a known role. One that isn't live counts as leaving. */
+    internal fun toInstance(): Instance? {
+        val knownRole = roles[role]
+        if (name.isBlank() || knownRole == null) return null
+        return Instance(
+            name = InstanceName(name),
+            role = knownRole,
+            peerAddress = address,
+            adminAddress = admin,
+            failureDomain = FailureDomain(domain),
+            isLeaving = state != LIVE,
+        )
+    }
+
+    private companion object {
+        const val LIVE = "live"
+        val roles = mapOf("entry" to InstanceRole.ENTRY, "sidecar" to InstanceRole.SIDECAR)
+    }
+}
