Leave out of peers' digests what would widen a limit here

Cause: only the age of a crash and of a confirmation were checked. Evidence: three cases of DigestCodecTest failed before. Change: such totals and traits are left out, such a capacity counts as none stated. The rest of the digest holds.

--- a/node/src/main/kotlin/org/ragwortbank/node/datagram/DemandWire.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/datagram/DemandWire.kt
@@ -34,13 +34,18 @@
     adapterSlots = adapterSlots,
 )
 
-private fun WireEngineSpec.toSpec() = EngineSpec(
-    models = models
-        .associate { it.name to ModelSpec(it.name, it.weightsMegabytes, it.adapterMegabytes) }
-        .toPersistentMap(),
-    memoryMegabytes = memoryMegabytes,
-    adapterSlots = adapterSlots,
-)
+/** The capacity of an engine; null if a size is below zero or isn't finite. */
+private fun WireEngineSpec.toSpec(): EngineSpec? {
+    val sizes = models.flatMap { listOf(it.weightsMegabytes, it.adapterMegabytes) } + memoryMegabytes
+    if (adapterSlots < 0 || sizes.any { !it.isFinite() || it < 0 }) return null
+    return EngineSpec(
+        models = models
+            .associate { it.name to ModelSpec(it.name, it.weightsMegabytes, it.adapterMegabytes) }
+            .toPersistentMap(),
+        memoryMegabytes = memoryMegabytes,
+        adapterSlots = adapterSlots,
+    )
+}
 
 internal fun WireDemand.toDigest() = DemandDigest(
     sender = sender,
--- a/node/src/main/kotlin/org/ragwortbank/node/datagram/PeerWire.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/datagram/PeerWire.kt
@@ -29,16 +29,17 @@
     blocks = blocks.map { it.toString() },
 )
 
+/** The digest of a peer; totals below zero and traits that were cleared in the future are left out. */
 internal fun WirePeer.toDigest() = PeerDigest(
     sender = sender,
     incarnation = stamp.incarnation,
     number = stamp.number,
-    admittedTokens = admittedTokens.mapKeys { AccountId(it.key) }.toPersistentMap(),
+    admittedTokens = admittedTokens.filterValues { it >= 0 }.mapKeys { AccountId(it.key) }.toPersistentMap(),
     configVersion = configVersion,
     confirmedMillisAgo = confirmedMillisAgo,
     lastReceived = lastReceived.mapValues { DigestStamp(it.value.incarnation, it.value.number) }.toPersistentMap(),
     crashes = crashes.map { it.toReport() }.toPersistentList(),
-    clearedTraits = clearedTraits.byTrait { it.milliseconds },
+    clearedTraits = clearedTraits.filterValues { it >= 0 }.byTrait { it.milliseconds },
     blocks = blocks.mapNotNull { CrashTrait.parse(it) }.toPersistentSet(),
 )
 
--- a/node/src/test/kotlin/org/ragwortbank/node/datagram/DigestCodecTest.kt
+++ b/node/src/test/kotlin/org/ragwortbank/node/datagram/DigestCodecTest.kt
@@ -27,6 +27,7 @@
 import kotlin.test.assertEquals
 import kotlin.test.assertIs
 import kotlin.test.assertTrue
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
 class DigestCodecTest {
@@ -81,6 +82,38 @@
         assertEquals(ReceivedDigest.Peer(digest), DigestCodec.decode(DigestCodec.encode(digest)))
     }
 
+    // Guards against a peer's total below zero, which would fill the account's bucket here.
+    @Test
+    fun `given totals of admitted tokens below zero, then they are left out`() {
+        val totals = persistentMapOf(AccountId("club") to -5L, AccountId("other") to 9L)
+        val decoded = DigestCodec.decode(DigestCodec.encode(PeerDigest("e", 1, 2, totals)))
+        val digest = assertIs<ReceivedDigest.Peer>(decoded).digest
+        assertEquals(mapOf(AccountId("other") to 9L), digest.admittedTokens.toMap())
+    }
+
+    // Guards against a part that crashes engines and is taken for sound at a time that has not come yet.
+    @Test
+    fun `given a trait that was cleared in the future, then it is left out`() {
+        val parts = listOf("a", "b").map { CrashTrait.PromptPart(PromptPartId(it)) }
+        val ages = persistentMapOf<CrashTrait, Duration>(parts[0] to (-90_000).milliseconds, parts[1] to 20.milliseconds)
+        val decoded = DigestCodec.decode(DigestCodec.encode(PeerDigest("e", 1, 2, clearedTraits = ages)))
+        assertEquals(setOf(parts[1]), assertIs<ReceivedDigest.Peer>(decoded).digest.clearedTraits.keys.toSet())
+    }
+
+    // Guards against an engine that loads more than it holds.
+    @Test
+    fun `given an engine's capacity with a size below zero, then it isn't used`() =
+        listOf(
+            EngineSpec(persistentMapOf("m" to ModelSpec("m", -70.5, 1.5)), 76.0, 26),
+            EngineSpec(persistentMapOf("m" to ModelSpec("m", 70.5, -1.5)), 76.0, 26),
+            EngineSpec(persistentMapOf("m" to ModelSpec("m", Double.NaN, 1.5)), 76.0, 26),
+            EngineSpec(persistentMapOf(), Double.POSITIVE_INFINITY, 26),
+        ).forEach { engine ->
+            val digest = DemandDigest("e", 1, 2, UpstreamId("i"), engine = engine)
+            val decoded = DigestCodec.decode(DigestCodec.encode(digest))
+            assertEquals(null, assertIs<ReceivedDigest.Demand>(decoded).digest.engine, "$engine")
+        }
+
     @Test
     fun `given an engine with all adapter slots taken, then its digest fits into one datagram`() {
         val resident = (1..26).associate { AdapterKey("daka510000", "a${2_900 + it}") to 12L }.toPersistentMap()
