Refuse messages between entries with amounts below zero

What could happen: a request for credit with an amount below zero lowered what the owner of a bucket counts as granted, so that it granted more than its bucket has; a grant or a handover with one did the same elsewhere. Cause: amounts were decoded in whatever range. Change: such a frame is no message: it is counted as bad input and its link closed, as with other malformed frames. Returned credit and a bucket's level may be below zero, after an overdraft.

--- a/node/src/main/kotlin/org/ragwortbank/node/wire/EntryCodec.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/wire/EntryCodec.kt
@@ -23,8 +23,19 @@
         is EntryMessage.ConfigVersionNotice -> WireMessage.ConfigVersionNotice(version)
     }
 
-/** Returns the message between entries in this frame; null if the frame is of another kind. */
-internal fun WireMessage.toEntryMessage(): EntryMessage? =
+/** Returns the message between entries in this frame; null if it is of another kind or has an amount below zero. */
+internal fun WireMessage.toEntryMessage(): EntryMessage? = if (hasValidAmounts()) decodeEntryMessage() else null
+
+/** A return of credit may be below zero, for what was overdrawn, and so may the level of a bucket. */
+private fun WireMessage.hasValidAmounts(): Boolean =
+    when (this) {
+        is WireMessage.CreditRequest -> needs.all { it >= 0 }
+        is WireMessage.CreditGrant -> granted >= 0
+        is WireMessage.BucketHandover -> unspent >= 0
+        else -> true
+    }
+
+private fun WireMessage.decodeEntryMessage(): EntryMessage? =
     when (this) {
         is WireMessage.CreditRequest -> EntryMessage.CreditRequest(ask, AccountId(account), needs.toPersistentList())
         is WireMessage.CreditGrant ->
