Keep the bounds in force when a reload lacks them or can't read them

The retry ratio of a deployment wasn't read at all. Cause: each read of the file began from the defaults, and the template passed on the slack only. Change: at a reload the bounds in force take the place of the defaults; at a start there is nothing but the defaults.

--- a/cli/src/main/kotlin/org/ragwortbank/cli/command/EntryCommand.kt
+++ b/cli/src/main/kotlin/org/ragwortbank/cli/command/EntryCommand.kt
@@ -2,6 +2,7 @@
 
 import org.ragwortbank.cli.settings.SettingsFile
 import org.ragwortbank.node.entry.EntryNode
+import org.ragwortbank.node.settings.EntryNodeSettings
 import picocli.CommandLine.Command
 import picocli.CommandLine.Option
 import java.nio.file.Path
@@ -18,6 +19,9 @@
     private lateinit var config: Path
 
     override fun call(): Int =
-        ProcessRunner<_, EntryNode>({ SettingsFile.readEntry(config) }, { it.logLevel }, { it.logFormat })
-            .run { settings -> { EntryNode(settings) } }
+        ProcessRunner<EntryNodeSettings, EntryNode>(
+            readSettings = { SettingsFile.readEntry(config) },
+            logLevelOf = { it.logLevel },
+            logFormatOf = { it.logFormat },
+        ).run { settings -> { EntryNode(settings) } }
 }
--- a/cli/src/main/kotlin/org/ragwortbank/cli/command/ProcessRunner.kt
+++ b/cli/src/main/kotlin/org/ragwortbank/cli/command/ProcessRunner.kt
@@ -2,6 +2,7 @@
 
 import org.ragwortbank.cli.settings.SettingsFile
 import org.ragwortbank.cli.toml.Validated
+import org.ragwortbank.core.gateway.GatewaySettings
 import org.ragwortbank.node.NodeProcess
 import org.ragwortbank.node.gateway.GatewayNode
 import org.ragwortbank.node.gateway.ListeningSocket
@@ -12,14 +13,16 @@
 import org.ragwortbank.node.log.SettingsLog
 import org.ragwortbank.node.placer.PlacerNode
 import org.ragwortbank.node.settings.GatewayNodeSettings
+import org.ragwortbank.node.settings.PlacerNodeSettings
 import org.ragwortbank.platform.PreparedPlatform
 import java.io.IOException
 import java.nio.file.Path
+import java.util.concurrent.atomic.AtomicReference
 
 /** Runs a gateway with the settings file [config] until TERM or INT, and returns the exit code. */
 internal fun runGateway(config: Path): Int =
     ProcessRunner(
-        readSettings = { SettingsFile.readGateway(config) },
+        readSettings = { inForce -> SettingsFile.readGateway(config, inForce?.gateway ?: GatewaySettings()) },
         logLevelOf = { it.logLevel },
         logFormatOf = { it.logFormat },
         logTarget = LogTarget.STANDARD_OUTPUT,
@@ -32,7 +35,7 @@
 
 /** Runs a placer with the settings file [config] until TERM or INT, and returns the exit code. */
 internal fun runPlacer(config: Path): Int =
-    ProcessRunner<_, PlacerNode>(
+    ProcessRunner<PlacerNodeSettings, PlacerNode>(
         readSettings = { SettingsFile.readPlacer(config) },
         logLevelOf = { it.logLevel },
         logFormatOf = { it.logFormat },
@@ -42,17 +45,18 @@
 /**
  * Runs a process until TERM or INT; HUP reloads its settings file.
  *
- * @property readSettings reads and validates the settings file
+ * @property readSettings reads and validates the settings file, given the settings in force; null at the start
  * @property applySettings applies reloaded settings, as far as possible without a restart
  */
 internal class ProcessRunner<S, P : NodeProcess>(
-    private val readSettings: () -> Validated<S>,
+    private val readSettings: (S?) -> Validated<S>,
     private val logLevelOf: (S) -> String,
     private val logFormatOf: (S) -> LogFormat,
     private val logTarget: LogTarget = LogTarget.STANDARD_ERROR,
     private val applySettings: (P, S) -> Unit = { _, _ -> },
 ) {
     private val signals = ProcessSignals(::reloadSettings)
+    private val settingsInForce = AtomicReference<S?>(null)
 
     /**
      * Runs a process until it stops, and returns the exit code.
@@ -61,13 +65,14 @@
      */
     fun run(prepare: (S) -> () -> P): Int {
         signals.handle()
-        return when (val settings = readSettings()) {
+        return when (val settings = readSettings(null)) {
             is Validated.Invalid -> reportProblems(settings.problems)
             is Validated.Valid -> if (signals.isStopRequested) ExitCode.OK.number else run(settings, prepare)
         }
     }
 
     private fun run(settings: Validated.Valid<S>, prepare: (S) -> () -> P): Int {
+        settingsInForce.set(settings.value)
         val createProcess = prepare(settings.value)
         LogSetup.configure(logLevelOf(settings.value), logFormatOf(settings.value), logTarget)
         settings.warnings.forEach(SettingsLog::replacedByDefault)
@@ -95,9 +100,10 @@
 
     /** Reads the settings file again; if it has problems, the present settings stay in force. */
     private fun reloadSettings(process: P) {
-        when (val settings = readSettings()) {
+        when (val settings = readSettings(settingsInForce.get())) {
             is Validated.Invalid -> settings.problems.forEach(SettingsLog::rejected)
             is Validated.Valid -> {
+                settingsInForce.set(settings.value)
                 SettingsLog.reloaded()
                 settings.warnings.forEach(SettingsLog::replacedByDefault)
                 applySettings(process, settings.value)
--- a/cli/src/main/kotlin/org/ragwortbank/cli/command/SidecarCommandLine.kt
+++ b/cli/src/main/kotlin/org/ragwortbank/cli/command/SidecarCommandLine.kt
@@ -1,6 +1,7 @@
 package org.ragwortbank.cli.command
 
 import org.ragwortbank.cli.settings.SettingsFile
+import org.ragwortbank.node.settings.SidecarNodeSettings
 import org.ragwortbank.node.sidecar.SidecarNode
 import picocli.CommandLine.Command
 import picocli.CommandLine.Option
@@ -18,6 +19,9 @@
     private lateinit var config: Path
 
     override fun call(): Int =
-        ProcessRunner<_, SidecarNode>({ SettingsFile.readSidecar(config) }, { it.logLevel }, { it.logFormat })
-            .run { settings -> { SidecarNode(settings) } }
+        ProcessRunner<SidecarNodeSettings, SidecarNode>(
+            readSettings = { SettingsFile.readSidecar(config) },
+            logLevelOf = { it.logLevel },
+            logFormatOf = { it.logFormat },
+        ).run { settings -> { SidecarNode(settings) } }
 }
--- a/cli/src/main/kotlin/org/ragwortbank/cli/settings/GatewayReader.kt
+++ b/cli/src/main/kotlin/org/ragwortbank/cli/settings/GatewayReader.kt
@@ -23,9 +23,9 @@
 import org.ragwortbank.node.log.LogFormat
 import org.ragwortbank.node.settings.GatewayNodeSettings
 import org.ragwortbank.node.settings.PlacerNodeSettings
+import kotlin.math.roundToInt
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
 
 private const val MAX_PORT = 65_535
 private const val MAX_RETRY_SLACK = 1_000_000.0
@@ -40,6 +40,7 @@
 private val rateOverageRange = 0.0..MAX_RATE_OVERAGE
 private val rateSlackRange = 0.0..MAX_RATE_SLACK
 private val retryPercentRange = 0..MAX_RETRY_PERCENT
+private val retryRatioRange = 0.0..MAX_RETRY_PERCENT / HUNDRED_PERCENT
 private val coldOverageRange = 0.0..MAX_COLD_OVERAGE
 private val coldSlackRange = 0.0..MAX_COLD_SLACK
 
@@ -48,9 +49,12 @@
 
 /** Part of the shortest of the bounds on changes in the store that may pass before the store is read. */
 private const val READ_DELAY_SHARE = 0.375
-private val DEFAULT_STORE_BOUND = 2.seconds
 
-internal fun readGatewayNodeSettings(reader: TomlReader): GatewayNodeSettings {
+/** Reads the settings of a gateway; [inForce] has the bounds that stand for those that can't be read. */
+internal fun readGatewayNodeSettings(
+    reader: TomlReader,
+    inForce: GatewaySettings = GatewaySettings(),
+): GatewayNodeSettings {
     val anyLoopbackPort = Address("127.0.0.1", 0)
     return GatewayNodeSettings(
         name = reader.string("name"),
@@ -63,11 +67,11 @@
         storeAddress = reader.address("store_address", default = null),
         isFirstStart = reader.optionalBoolean("first_start") ?: false,
         connectTimeout = reader.duration("connect_timeout", DEFAULT_CONNECT_TIMEOUT),
-        gateway = reader.optionalSection("bounds", ::readGatewaySettings)
+        gateway = reader.optionalSection("bounds") { readGatewaySettings(it, inForce) }
             .copy(
                 features = reader.section("features", ::readFeatures),
                 regions = reader.optionalSection("regions", ::readRegions),
-                pressure = reader.optionalSection("limits", ::readPressureLimits),
+                pressure = reader.optionalSection("limits") { readPressureLimits(it, inForce.pressure) },
             ),
         logLevel = reader.section("log") { readLogLevel(it, LogFormat.JSON) },
         logFormat = reader.section("log") { readLogFormat(it, LogFormat.JSON) },
@@ -106,19 +110,18 @@
         .toPersistentMap()
 
 /** Derives what is held for slow readers from the memory that the process may use. */
-private fun readPressureLimits(reader: TomlReader): PressureLimits =
-    reader.optionalBytes("memory")?.let { PressureLimits.of(it, Runtime.getRuntime().maxMemory()) } ?: PressureLimits()
+private fun readPressureLimits(reader: TomlReader, inForce: PressureLimits): PressureLimits =
+    reader.optionalBytes("memory")?.let { PressureLimits.of(it, Runtime.getRuntime().maxMemory()) } ?: inForce
 
 /** Reads the bounds that operators set and derives the gateway's internal limits from them. */
-private fun readGatewaySettings(reader: TomlReader): GatewaySettings {
-    val defaults = GatewaySettings()
+private fun readGatewaySettings(reader: TomlReader, defaults: GatewaySettings): GatewaySettings {
     val keyRevocationBound = reader.duration("key_withdrawal", defaults.configurationLease + KEY_REVOCATION_MARGIN)
     val defaultVersionBound = defaults.previousVersionLifetime * 2 + defaults.storeReadDelay
     val versionSwitchBound = reader.duration("adapter_version", defaultVersionBound)
     val stopGrace = reader.duration("stop_grace", defaults.drainTimeout + STOP_GRACE_MARGIN)
-    val retryPercent = reader.int("retry_percent", (defaults.retryRatio * HUNDRED_PERCENT).toInt(), retryPercentRange)
-    val configurationBound = reader.duration("configuration", DEFAULT_STORE_BOUND)
-    val leavingUpstreamBound = reader.duration("leaving_upstream", DEFAULT_STORE_BOUND)
+    val storeBound = defaults.storeReadDelay / READ_DELAY_SHARE
+    val configurationBound = reader.duration("configuration", storeBound)
+    val leavingUpstreamBound = reader.duration("leaving_upstream", storeBound)
     val evacuationBound = reader.duration("evacuation", minOf(configurationBound, leavingUpstreamBound))
     val storeReadDelay = minOf(configurationBound, leavingUpstreamBound, evacuationBound) * READ_DELAY_SHARE
     val rateWindow = reader.duration("rate_window", defaults.rateWindow)
@@ -126,20 +129,27 @@
         configurationLease = keyRevocationBound - KEY_REVOCATION_MARGIN,
         previousVersionLifetime = ((versionSwitchBound - storeReadDelay) / 2).coerceAtLeast(Duration.ZERO),
         drainTimeout = stopGrace - STOP_GRACE_MARGIN,
-        retryRatio = retryPercent / HUNDRED_PERCENT,
+        retryRatio = readRetryRatio(reader, defaults.retryRatio),
         retrySlack = reader.number("retry_slack", defaults.retrySlack, retrySlackRange),
         storeReadDelay = storeReadDelay,
         coldOverage = reader.number("cold_overage", defaults.coldOverage, coldOverageRange),
         coldSlack = reader.number("cold_slack", defaults.coldSlack, coldSlackRange),
         rateWindow = rateWindow,
-        rateTolerance = readRateTolerance(reader, rateWindow),
+        rateTolerance = readRateTolerance(reader, rateWindow, defaults.rateTolerance),
     )
 }
 
+/** Reads the retries per request, as a ratio or in percent; the ratio goes before. */
+private fun readRetryRatio(reader: TomlReader, default: Double): Double {
+    val percent = reader.int("retry_percent", (default * HUNDRED_PERCENT).roundToInt(), retryPercentRange)
+    val ratio = if (reader.isGiven("retry_percent")) percent / HUNDRED_PERCENT else default
+    return reader.number("retry_ratio", ratio, retryRatioRange)
+}
+
 /** Reads what is tolerated beyond the accounts' rates; null where the operators name nothing. */
-private fun readRateTolerance(reader: TomlReader, window: Duration): RateTolerance? {
-    val overage = reader.number("rate_overage", 0.0, rateOverageRange)
-    val slack = reader.number("rate_slack", 0.0, rateSlackRange)
+private fun readRateTolerance(reader: TomlReader, window: Duration, default: RateTolerance?): RateTolerance? {
+    val overage = reader.number("rate_overage", default?.overage ?: 0.0, rateOverageRange)
+    val slack = reader.number("rate_slack", default?.slackTokens ?: 0.0, rateSlackRange)
     return RateTolerance(window, overage, slack).takeIf { overage > 0 || slack > 0 }
 }
 
--- a/cli/src/main/kotlin/org/ragwortbank/cli/settings/SettingsFile.kt
+++ b/cli/src/main/kotlin/org/ragwortbank/cli/settings/SettingsFile.kt
@@ -4,6 +4,7 @@
 import org.ragwortbank.cli.toml.TomlFile
 import org.ragwortbank.cli.toml.TomlReader
 import org.ragwortbank.cli.toml.Validated
+import org.ragwortbank.core.gateway.GatewaySettings
 import org.ragwortbank.node.settings.EntryNodeSettings
 import org.ragwortbank.node.settings.GatewayNodeSettings
 import org.ragwortbank.node.settings.PlacerNodeSettings
@@ -18,8 +19,9 @@
     /** Reads the settings of a sidecar. */
     fun readSidecar(path: Path): Validated<SidecarNodeSettings> = read(path, ::readSidecarNodeSettings)
 
-    /** Reads the settings of a gateway. */
-    fun readGateway(path: Path): Validated<GatewayNodeSettings> = read(path, ::readGatewayNodeSettings)
+    /** Reads the settings of a gateway; those [inForce] stand for bounds that are missing or can't be read. */
+    fun readGateway(path: Path, inForce: GatewaySettings = GatewaySettings()): Validated<GatewayNodeSettings> =
+        read(path) { readGatewayNodeSettings(it, inForce) }
 
     /** Reads the settings of a placer. */
     fun readPlacer(path: Path): Validated<PlacerNodeSettings> = read(path, ::readPlacerNodeSettings)
--- a/cli/src/main/kotlin/org/ragwortbank/cli/settings/SettingsList.kt
+++ b/cli/src/main/kotlin/org/ragwortbank/cli/settings/SettingsList.kt
@@ -13,7 +13,7 @@
     fun sidecarSettings(): List<TomlSetting> = settingsReadBy(::readSidecarNodeSettings)
 
     /** All settings of a gateway. */
-    fun gatewaySettings(): List<TomlSetting> = settingsReadBy(::readGatewayNodeSettings)
+    fun gatewaySettings(): List<TomlSetting> = settingsReadBy { readGatewayNodeSettings(it) }
 
     /** All settings of a placer. */
     fun placerSettings(): List<TomlSetting> = settingsReadBy(::readPlacerNodeSettings)
--- a/cli/src/test/kotlin/org/ragwortbank/cli/settings/GatewaySettingsTest.kt
+++ b/cli/src/test/kotlin/org/ragwortbank/cli/settings/GatewaySettingsTest.kt
@@ -124,6 +124,34 @@
         assertContains(warnings, "bounds.retry_slak: found an unknown setting")
     }
 
+    // Guards against a bound that a reload widens to its default, because it is missing or can't be read.
+    @Test
+    fun `given a reload with bounds that are missing or can't be read, then those in force stay`() {
+        val bounds = "key_withdrawal = \"2s\"\nadapter_version = \"3s\"\nconfiguration = \"1s\"\nretry_slack = 5\n" +
+            "retry_ratio = 0.1\nrate_window = \"4s\"\nrate_overage = 0.2\nrate_slack = 9\nstop_grace = \"5s\""
+        val inForce = validWithBounds(bounds).value.gateway
+        listOf("", "key_withdrawal = true\nretry_slack = \"many\"\nconfiguration = 7\nrate_slack = \"x\"").forEach {
+            validWithBounds(it)
+            val reloaded = assertIs<Validated.Valid<GatewayNodeSettings>>(SettingsFile.readGateway(file, inForce))
+            assertEquals(inForce, reloaded.value.gateway, it)
+        }
+    }
+
+    @Test
+    fun `given a reload with other bounds, then these hold`() {
+        val inForce = validWithBounds("key_withdrawal = \"2s\"").value.gateway
+        validWithBounds("key_withdrawal = \"9s\"")
+        val reloaded = assertIs<Validated.Valid<GatewayNodeSettings>>(SettingsFile.readGateway(file, inForce))
+        assertEquals(8_800.milliseconds, reloaded.value.gateway.configurationLease)
+    }
+
+    // Guards against more retries than a deployment allows, because its ratio isn't read.
+    @Test
+    fun `given a retry ratio, then it is read from the deployed template's settings`() {
+        assertEquals(0.05, validWithBounds("retry_ratio = 0.05").value.gateway.retryRatio)
+        assertContains(Path.of("..", "deploy", "gateway.toml").readText(), "retry_ratio = {{bounds.retry_budget_ratio}}")
+    }
+
     @Test
     fun `given a missing required setting, then the file is rejected with all findings`() {
         file.writeText("name = \"edge-1\"\n[bounds]\nretry_slack = \"many\"\n")
