Require keys in a deployment with accounts whose configuration lacks the list of them

Cause: only the configuration was asked. A list that is there and empty kept routes closed, one that is missing didn't. Evidence: the new case of AdmissionSystemTest failed before; the one beside it shows that a deployment without accounts stays as it was. Change: the settings' feature tenants, which the deployed template passes on, requires keys by itself.

--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/Authorization.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/Authorization.kt
@@ -3,6 +3,7 @@
 import org.ragwortbank.core.hash.RendezvousHash
 import org.ragwortbank.core.result.Refusal
 import org.ragwortbank.core.result.ResultCode
+import org.ragwortbank.core.serving.Feature
 import org.ragwortbank.core.serving.ServiceName
 import org.ragwortbank.core.serving.ServingAccount
 import org.ragwortbank.core.serving.ServingCall
@@ -38,11 +39,15 @@
         route == null ->
             denied(ResultCode.ROUTE_UNKNOWN, "no route for ${call.host}${call.path} in configuration ${config.version}")
         service == null -> denied(ResultCode.NO_UPSTREAM, "route ${route.name} has no service", MIN_RETRY_AFTER)
-        route.isPublic || !config.requiresKeys -> Authorization.Granted(route, service, null)
+        route.isPublic || !requiresKeys(config) -> Authorization.Granted(route, service, null)
         else -> authorizeKey(config, call, Authorization.Granted(route, service, null), now)
     }
 }
 
+/** A deployment with accounts requires keys also where its configuration lacks the list of them. */
+private fun GatewayTables.requiresKeys(config: ServingConfig): Boolean =
+    config.requiresKeys || Feature.ACCOUNTS in settings.features
+
 private fun GatewayTables.authorizeKey(
     config: ServingConfig,
     call: ServingCall,
--- a/core/src/test/kotlin/org/ragwortbank/core/gateway/AdmissionSystemTest.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/gateway/AdmissionSystemTest.kt
@@ -1,9 +1,11 @@
 package org.ragwortbank.core.gateway
 
 import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.persistentSetOf
 import kotlinx.collections.immutable.toPersistentMap
 import org.ragwortbank.core.result.Execution
 import org.ragwortbank.core.result.ResultCode
+import org.ragwortbank.core.serving.Feature
 import org.ragwortbank.core.serving.StoreChange
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -120,6 +122,29 @@
         assertEquals(800.milliseconds, refusal.retryAfter)
     }
 
+    // Guards against a configuration without its accounts that opens all routes to everyone.
+    @Test
+    fun `given a deployment with accounts and a configuration without any list of them, then keys are required`() {
+        val settings = GatewaySettings(features = persistentSetOf(Feature.ACCOUNTS))
+        gateway.tick(GatewayInput.SettingsReloaded(settings))
+        val open = gateway.config(version = 2, keys = emptyList()).copy(requiresKeys = false)
+        gateway.applyChanges(StoreChange.ConfigSet(open))
+        gateway.receiveCall("/book/x")
+        assertEquals(ResultCode.KEY_UNKNOWN, gateway.refusals().single().code)
+        gateway.receiveCall("/book/x", gateway.call("/book/x").copy(key = null))
+        assertEquals(ResultCode.KEY_MISSING, gateway.refusals().single().code)
+        gateway.receiveCall("/open/x")
+        assertEquals(1, gateway.sentAttempts().size)
+    }
+
+    @Test
+    fun `given a deployment without accounts and a configuration without any list of them, then no key is required`() {
+        val open = gateway.config(version = 2, keys = emptyList()).copy(requiresKeys = false)
+        gateway.applyChanges(StoreChange.ConfigSet(open))
+        gateway.receiveCall("/book/x", gateway.call("/book/x").copy(key = null))
+        assertEquals(1, gateway.sentAttempts().size)
+    }
+
     // Guards against an account without any limit, because its limits can't be read.
     @Test
     fun `given an account whose limits can't be read, then its requests are refused as not run`() {
