Keep features and regions in force when a reload names none

What could happen: after a reload whose sections of features or regions were empty, keys, homes and evacuations were out of force (rules CONFIG, HOME, EVAC). Cause: an empty section was read as one that ends each feature. Change: a section without names changes nothing; a feature ends when it is set to false or the section names others only.

--- a/cli/src/main/kotlin/org/ragwortbank/cli/settings/GatewayReader.kt
+++ b/cli/src/main/kotlin/org/ragwortbank/cli/settings/GatewayReader.kt
@@ -69,8 +69,8 @@
         connectTimeout = reader.duration("connect_timeout", DEFAULT_CONNECT_TIMEOUT),
         gateway = reader.optionalSection("bounds") { readGatewaySettings(it, inForce) }
             .copy(
-                features = reader.section("features", ::readFeatures),
-                regions = reader.optionalSection("regions", ::readRegions),
+                features = reader.section("features") { readFeatures(it, inForce.features) },
+                regions = reader.optionalSection("regions") { readRegions(it, inForce.regions) },
                 pressure = reader.optionalSection("limits") { readPressureLimits(it, inForce.pressure) },
             ),
         logLevel = reader.section("log") { readLogLevel(it, LogFormat.JSON) },
@@ -90,17 +90,25 @@
     )
 }
 
-/** Reads the features that are set to true; names that this build doesn't know are ignored. */
-private fun readFeatures(reader: TomlReader): PersistentSet<Feature> {
+/** Reads the features that are set to true; names that this build doesn't know are ignored, no names change nothing. */
+private fun readFeatures(reader: TomlReader, inForce: PersistentSet<Feature>): PersistentSet<Feature> {
+    if (reader.names.isEmpty()) return inForce
     val features = Feature.entries.filter { reader.optionalBoolean(it.label) ?: false }.toPersistentSet()
     reader.names.forEach { reader.isGiven(it) }
     val needsPace = Feature.PLACES in features || Feature.PRESSURE in features
     return if (needsPace) features.add(Feature.PACE) else features
 }
 
-/** Reads the region of each failure domain; a name that can't be read is reported, and its domain is in no region. */
-private fun readRegions(reader: TomlReader): PersistentMap<FailureDomain, Region> =
-    reader.names
+/**
+ * Reads the region of each failure domain; a name that can't be read is reported, and its domain is in no region. No
+ * names change nothing.
+ */
+private fun readRegions(
+    reader: TomlReader,
+    inForce: PersistentMap<FailureDomain, Region>,
+): PersistentMap<FailureDomain, Region> {
+    if (reader.names.isEmpty()) return inForce
+    return reader.names
         .mapNotNull { domain ->
             reader.value(domain, default = "", "the name of a region", ::stringContent)
                 ?.takeIf { it.isNotEmpty() }
@@ -108,6 +116,7 @@
         }
         .toMap()
         .toPersistentMap()
+}
 
 /** Derives what is held for slow readers from the memory that the process may use. */
 private fun readPressureLimits(reader: TomlReader, inForce: PressureLimits): PressureLimits =
--- a/cli/src/test/kotlin/org/ragwortbank/cli/settings/GatewaySettingsTest.kt
+++ b/cli/src/test/kotlin/org/ragwortbank/cli/settings/GatewaySettingsTest.kt
@@ -127,14 +127,40 @@
     // Guards against a bound that a reload widens to its default, because it is missing or can't be read.
     @Test
     fun `given a reload with bounds that are missing or can't be read, then those in force stay`() {
-        val bounds = "key_withdrawal = \"2s\"\nadapter_version = \"3s\"\nconfiguration = \"1s\"\nretry_slack = 5\n" +
-            "retry_ratio = 0.1\nrate_window = \"4s\"\nrate_overage = 0.2\nrate_slack = 9\nstop_grace = \"5s\""
+        val bounds =
+            """
+            key_withdrawal = "2s"
+            adapter_version = "3s"
+            configuration = "1s"
+            retry_slack = 5
+            retry_ratio = 0.1
+            rate_window = "4s"
+            rate_overage = 0.2
+            rate_slack = 9
+            stop_grace = "5s"
+            """.trimIndent()
         val inForce = validWithBounds(bounds).value.gateway
-        listOf("", "key_withdrawal = true\nretry_slack = \"many\"\nconfiguration = 7\nrate_slack = \"x\"").forEach {
+        val unreadable = "key_withdrawal = true\nretry_slack = \"many\"\nconfiguration = 7\nrate_slack = \"x\""
+        listOf("", unreadable).forEach {
+            validWithBounds(it)
+            val reloaded = assertIs<Validated.Valid<GatewayNodeSettings>>(SettingsFile.readGateway(file, inForce))
+            assertEquals(inForce, reloaded.value.gateway, it)
+        }
+    }
+
+    // Guards against keys, homes and evacuations that a reload puts out of force, because a section is empty.
+    @Test
+    fun `given a reload without features or regions, then those in force stay, and one that is set to false doesn't`() {
+        val sections = "[features]\ntenants = true\nplaces = true\n[regions]\na = \"north\""
+        val inForce = validWithBounds(sections).value.gateway
+        listOf("", "[features]\n[regions]").forEach {
             validWithBounds(it)
             val reloaded = assertIs<Validated.Valid<GatewayNodeSettings>>(SettingsFile.readGateway(file, inForce))
             assertEquals(inForce, reloaded.value.gateway, it)
         }
+        validWithBounds("[features]\ntenants = true\nplaces = false")
+        val reloaded = assertIs<Validated.Valid<GatewayNodeSettings>>(SettingsFile.readGateway(file, inForce))
+        assertEquals(setOf(Feature.ACCOUNTS), reloaded.value.gateway.features)
     }
 
     @Test
@@ -149,7 +175,8 @@
     @Test
     fun `given a retry ratio, then it is read from the deployed template's settings`() {
         assertEquals(0.05, validWithBounds("retry_ratio = 0.05").value.gateway.retryRatio)
-        assertContains(Path.of("..", "deploy", "gateway.toml").readText(), "retry_ratio = {{bounds.retry_budget_ratio}}")
+        val template = Path.of("..", "deploy", "gateway.toml").readText()
+        assertContains(template, "retry_ratio = {{bounds.retry_budget_ratio}}")
     }
 
     @Test
