--- a/clients/src/main/kotlin/org/ragwortbank/clients/instances/InstancesDocument.kt
+++ b/clients/src/main/kotlin/org/ragwortbank/clients/instances/InstancesDocument.kt
@@ -42,9 +42,7 @@
             isLeaving = state != LIVE,
         )
     }
-
-    private companion object {
-        const val LIVE = "live"
-        val roles = mapOf("entry" to InstanceRole.ENTRY, "sidecar" to InstanceRole.SIDECAR)
-    }
 }
+
+private const val LIVE = "live"
+private val roles = mapOf("entry" to InstanceRole.ENTRY, "sidecar" to InstanceRole.SIDECAR)
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/ConfigChanges.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/ConfigChanges.kt
@@ -31,7 +31,7 @@
 }
 
 private fun GatewayStep.describeOlder(stored: ServingConfig): String =
-    "the store's configuration is ${stored.version}, older than ${tables.config?.version} in force, which it doesn't confirm"
+    "the store has configuration ${stored.version}, which doesn't confirm the newer ${tables.config?.version} in force"
 
 /** Notes that the store has no configuration that can be read; the one in force isn't confirmed until it has one. */
 internal fun GatewayStep.doubtConfig(): GatewayStep =
--- a/core/src/main/kotlin/org/ragwortbank/core/serving/Feature.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/serving/Feature.kt
@@ -6,7 +6,7 @@
  * @property label name in the settings
  */
 enum class Feature(val label: String) {
-    /** Client accounts have API keys: a route that isn't public needs one, also where a configuration lists no accounts. */
+    /** A route that isn't public needs an API key, also where a configuration lists no accounts. */
     ACCOUNTS("tenants"),
 
     /** Failure domains can be emptied, upstreams can be cold, and routes and client accounts can have home regions. */
--- a/node/src/test/kotlin/org/ragwortbank/node/datagram/DigestCodecTest.kt
+++ b/node/src/test/kotlin/org/ragwortbank/node/datagram/DigestCodecTest.kt
@@ -95,7 +95,8 @@
     @Test
     fun `given a trait that was cleared in the future, then it is left out`() {
         val parts = listOf("a", "b").map { CrashTrait.PromptPart(PromptPartId(it)) }
-        val ages = persistentMapOf<CrashTrait, Duration>(parts[0] to (-90_000).milliseconds, parts[1] to 20.milliseconds)
+        val (later, earlier) = listOf(-90_000, 20).map { it.milliseconds }
+        val ages = persistentMapOf<CrashTrait, Duration>(parts[0] to later, parts[1] to earlier)
         val decoded = DigestCodec.decode(DigestCodec.encode(PeerDigest("e", 1, 2, clearedTraits = ages)))
         assertEquals(setOf(parts[1]), assertIs<ReceivedDigest.Peer>(decoded).digest.clearedTraits.keys.toSet())
     }
