--- a/standins/src/test/kotlin/org/ragwortbank/standins/prepared/PlacesTest.kt
+++ b/standins/src/test/kotlin/org/ragwortbank/standins/prepared/PlacesTest.kt
@@ -118,8 +118,12 @@
         assertEquals(setOf("a"), zonesThatRun("account"))
         configure(4, route = """["south"]""", account = """["north"]""")
         assertEquals(503, (fleet.caller.callIdempotent("neither") as Answered).status)
-        configure(5, route = "7", account = """{"north":true}""")
-        assertTrue(fleet.caller.callIdempotent("odd").hasSucceeded())
+        configure(5, route = "7")
+        assertEquals(503, (fleet.caller.callIdempotent("odd route") as Answered).status)
+        configure(6, account = """{"north":true}""")
+        assertEquals(503, (fleet.caller.callIdempotent("odd account") as Answered).status)
+        configure(7)
+        assertTrue(fleet.caller.callIdempotent("anywhere").hasSucceeded())
     }
 
     private fun empty(zone: String) {
