Logs name the era and revision of the store with each read and configuration

Cause: the logs couldn't tell a store that came back from an older copy from a slow read, a change that was skipped or an answer that was mistaken: no line named the revision, and the header Store-Era was read nowhere.

Change: StorePosition, an era and a revision, goes with each reply and input of the store.

--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/ConfigChanges.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/ConfigChanges.kt
@@ -19,7 +19,8 @@
     if (existing != null && existing.version >= config.version) return this
     val previous = existing?.version ?: "none"
     val rates = describeRates(config)
-    return log(LogPart.CONFIG, "configuration ${config.version} in force, previous version $previous, rates $rates")
+    val source = "read from the store at ${tables.storePosition}"
+    return log(LogPart.CONFIG, "configuration ${config.version} in force, $source, previous $previous, rates $rates")
         .update { it.copy(config = config, buckets = bucketsFor(it, config, now)) }
 }
 
@@ -31,12 +32,16 @@
 }
 
 private fun GatewayStep.describeOlder(stored: ServingConfig): String =
-    "the store has configuration ${stored.version}, which doesn't confirm the newer ${tables.config?.version} in force"
+    "the store has configuration ${stored.version} at ${tables.storePosition}, " +
+        "which doesn't confirm the newer ${tables.config?.version} in force"
 
 /** Notes that the store has no configuration that can be read; the one in force isn't confirmed until it has one. */
 internal fun GatewayStep.doubtConfig(): GatewayStep =
-    log(LogPart.CONFIG, "the store has no configuration that can be read, ${tables.config?.version ?: "none"} in force")
-        .update { it.copy(isConfigNewest = false) }
+    log(LogPart.CONFIG, describeUnreadable()).update { it.copy(isConfigNewest = false) }
+
+private fun GatewayStep.describeUnreadable(): String =
+    "the store has no configuration that can be read at ${tables.storePosition}, " +
+        "${tables.config?.version ?: "none"} in force"
 
 /** Records the newest version of an adapter; an older one changes nothing. */
 internal fun GatewayTables.recordVersion(change: StoreChange.NewestVersionSet, now: Timestamp): GatewayTables {
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewayInput.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewayInput.kt
@@ -9,6 +9,7 @@
 import org.ragwortbank.core.serving.RequestNumber
 import org.ragwortbank.core.serving.ServingCall
 import org.ragwortbank.core.serving.StoreChange
+import org.ragwortbank.core.serving.StorePosition
 import org.ragwortbank.core.serving.UpstreamIncarnation
 import org.ragwortbank.core.tick.Timestamp
 import kotlin.time.Duration
@@ -87,11 +88,19 @@
         val trace: ExchangeTrace? = null,
     ) : GatewayInput
 
-    /** A read of the store's whole contents, requested at [requestedAt]. */
-    data class StoreRead(val contents: PersistentList<StoreChange>, val requestedAt: Timestamp) : GatewayInput
+    /** A read of the store's whole contents at [position] or later, requested at [requestedAt]. */
+    data class StoreRead(
+        val contents: PersistentList<StoreChange>,
+        val requestedAt: Timestamp,
+        val position: StorePosition = StorePosition.NONE,
+    ) : GatewayInput
 
-    /** Changes of the store up to its reply to a request made at [requestedAt]. */
-    data class StoreChanged(val changes: PersistentList<StoreChange>, val requestedAt: Timestamp) : GatewayInput
+    /** Changes of the store up to [position], in its reply to a request made at [requestedAt]. */
+    data class StoreChanged(
+        val changes: PersistentList<StoreChange>,
+        val requestedAt: Timestamp,
+        val position: StorePosition = StorePosition.NONE,
+    ) : GatewayInput
 
     /** A placer reported the state of its engine. */
     data class EngineDigestReceived(val digest: EngineDigest) : GatewayInput
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewayTables.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewayTables.kt
@@ -23,6 +23,7 @@
 import org.ragwortbank.core.serving.ServiceName
 import org.ragwortbank.core.serving.ServingCall
 import org.ragwortbank.core.serving.ServingConfig
+import org.ragwortbank.core.serving.StorePosition
 import org.ragwortbank.core.serving.UpstreamId
 import org.ragwortbank.core.serving.UpstreamIncarnation
 import org.ragwortbank.core.speed.ServiceSpeed
@@ -59,6 +60,7 @@
  * @property config newest configuration; null before the first
  * @property confirmedAt when the latest request to the store was made whose reply confirmed [config]
  * @property isConfigNewest whether the store's configuration is [config], as far as it has been read
+ * @property storePosition how far the store has been read
  * @property upstreamsByService upstreams of each service
  * @property leavingUpstreams upstreams that have said in an answer that they leave, and when they did
  * @property deferredCalls calls that arrived before the first configuration or right after a suspension of the process
@@ -95,6 +97,7 @@
     val config: ServingConfig? = null,
     val confirmedAt: Timestamp? = null,
     val isConfigNewest: Boolean = false,
+    val storePosition: StorePosition = StorePosition.NONE,
     val upstreams: PersistentMap<UpstreamId, UpstreamRow> = persistentMapOf(),
     val upstreamsByService: PersistentMap<ServiceName, PersistentSet<UpstreamId>> = persistentMapOf(),
     val versions: PersistentMap<AdapterKey, NewestVersion> = persistentMapOf(),
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/StoreSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/StoreSystem.kt
@@ -7,6 +7,7 @@
 import org.ragwortbank.core.locality.liftedEvacuations
 import org.ragwortbank.core.serving.AdapterKey
 import org.ragwortbank.core.serving.StoreChange
+import org.ragwortbank.core.serving.StorePosition
 import org.ragwortbank.core.tick.Tick
 import org.ragwortbank.core.tick.TickSystem
 import org.ragwortbank.core.tick.Timestamp
@@ -19,14 +20,20 @@
     override fun run(tick: Tick<GatewayInput>, step: GatewayStep): GatewayStep =
         tick.inputs.fold(step) { current, input ->
             when (input) {
-                is GatewayInput.StoreRead ->
-                    recordConfirmation(applySnapshot(current, input.contents, tick.now), input.requestedAt)
-                is GatewayInput.StoreChanged ->
-                    recordConfirmation(applyAll(current, input.changes, tick.now), input.requestedAt)
+                is GatewayInput.StoreRead -> {
+                    val read = applySnapshot(current.moveTo(input.position), input.contents, tick.now)
+                    recordConfirmation(read, input.requestedAt)
+                }
+                is GatewayInput.StoreChanged -> {
+                    val changed = applyAll(current.moveTo(input.position), input.changes, tick.now)
+                    recordConfirmation(changed, input.requestedAt)
+                }
                 else -> current
             }
         }
 
+    private fun GatewayStep.moveTo(position: StorePosition): GatewayStep = update { it.copy(storePosition = position) }
+
     private fun recordConfirmation(step: GatewayStep, requestedAt: Timestamp): GatewayStep {
         val confirmedAt = step.tables.confirmedAt
         val isKnown = confirmedAt != null && confirmedAt >= requestedAt
--- a/node/src/main/kotlin/org/ragwortbank/node/gateway/StoreWatcher.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/gateway/StoreWatcher.kt
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop
 import org.ragwortbank.core.gateway.GatewayInput
+import org.ragwortbank.core.serving.StorePosition
 import org.ragwortbank.core.tick.Timestamp
 import org.ragwortbank.node.log.Logs
 import org.ragwortbank.node.port.StoreClient
@@ -43,8 +44,9 @@
             when (reply) {
                 is StoreReply.FullRead -> {
                     recordSuccess()
-                    post(GatewayInput.StoreRead(reply.contents, requestedAt))
-                    schedule(readDelay()) { readChanges(reply.revision) }
+                    Logs.platform.info("the whole store was read at {}, {} items", reply.position, reply.contents.size)
+                    post(GatewayInput.StoreRead(reply.contents, requestedAt, reply.position))
+                    schedule(readDelay()) { readChanges(reply.position) }
                 }
                 is StoreReply.Changes, StoreReply.Compacted, StoreReply.TooLarge -> schedule(readDelay(), ::readAll)
                 is StoreReply.Failed -> retryAfterFailure(reply.cause, ::readAll)
@@ -52,24 +54,24 @@
         }
     }
 
-    private fun readChanges(revision: Long) {
+    private fun readChanges(after: StorePosition) {
         val requestedAt = now()
-        store.readChanges(revision, MAX_CHANGE_WAIT) { reply ->
+        store.readChanges(after, MAX_CHANGE_WAIT) { reply ->
             when (reply) {
                 is StoreReply.Changes -> {
                     recordSuccess()
-                    post(GatewayInput.StoreChanged(reply.changes, requestedAt))
-                    schedule(readDelay()) { readChanges(reply.revision) }
+                    post(GatewayInput.StoreChanged(reply.changes, requestedAt, reply.position))
+                    schedule(readDelay()) { readChanges(reply.position) }
                 }
                 is StoreReply.FullRead, StoreReply.Compacted -> {
-                    Logs.platform.info("the store no longer has the changes since {}, reading all of it", revision)
+                    Logs.platform.info("the store no longer has the changes since {}, reading all of it", after)
                     readAll()
                 }
                 StoreReply.TooLarge -> {
-                    Logs.platform.info("too many changes since {} for one reply, reading the whole store", revision)
+                    Logs.platform.info("too many changes since {} for one reply, reading the whole store", after)
                     readAll()
                 }
-                is StoreReply.Failed -> retryAfterFailure(reply.cause) { readChanges(revision) }
+                is StoreReply.Failed -> retryAfterFailure(reply.cause) { readChanges(after) }
             }
         }
     }
--- a/node/src/main/kotlin/org/ragwortbank/node/port/StoreClient.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/port/StoreClient.kt
@@ -4,15 +4,16 @@
 import org.ragwortbank.core.crash.CrashTrait
 import org.ragwortbank.core.serving.Endpoint
 import org.ragwortbank.core.serving.StoreChange
+import org.ragwortbank.core.serving.StorePosition
 import kotlin.time.Duration
 
 /** Outcome of a read of the platform's store. */
 sealed interface StoreReply {
-    /** Everything in the store. Items are of [revision] or later, not a snapshot of one moment. */
-    data class FullRead(val contents: PersistentList<StoreChange>, val revision: Long) : StoreReply
+    /** Everything in the store. Items are of [position] or later, not a snapshot of one moment. */
+    data class FullRead(val contents: PersistentList<StoreChange>, val position: StorePosition) : StoreReply
 
-    /** The changes up to [revision]. */
-    data class Changes(val changes: PersistentList<StoreChange>, val revision: Long) : StoreReply
+    /** The changes up to [position]. */
+    data class Changes(val changes: PersistentList<StoreChange>, val position: StorePosition) : StoreReply
 
     /** The store no longer keeps the requested changes. */
     data object Compacted : StoreReply
@@ -50,8 +51,8 @@
     /** Reads the whole store. */
     fun readAll(onReply: (StoreReply) -> Unit)
 
-    /** Reads the changes since [revision], waiting up to [maxWait] for a first change. */
-    fun readChanges(revision: Long, maxWait: Duration, onReply: (StoreReply) -> Unit)
+    /** Reads the changes since [after], waiting up to [maxWait] for a first change. */
+    fun readChanges(after: StorePosition, maxWait: Duration, onReply: (StoreReply) -> Unit)
 
     /** Registers this process as [name] at [endpoint] under a lease that expires [lifetime] after its last renewal. */
     fun join(name: String, endpoint: Endpoint, lifetime: Duration, onReply: (MembershipReply) -> Unit)
--- a/node/src/test/kotlin/org/ragwortbank/node/gateway/MembershipTest.kt
+++ b/node/src/test/kotlin/org/ragwortbank/node/gateway/MembershipTest.kt
@@ -3,6 +3,7 @@
 import io.netty.channel.DefaultEventLoop
 import org.ragwortbank.core.crash.CrashTrait
 import org.ragwortbank.core.serving.Endpoint
+import org.ragwortbank.core.serving.StorePosition
 import org.ragwortbank.node.port.BlockReply
 import org.ragwortbank.node.port.MembershipReply
 import org.ragwortbank.node.port.StoreClient
@@ -38,7 +39,7 @@
 
         override fun readAll(onReply: (StoreReply) -> Unit) = Unit
 
-        override fun readChanges(revision: Long, maxWait: Duration, onReply: (StoreReply) -> Unit) = Unit
+        override fun readChanges(after: StorePosition, maxWait: Duration, onReply: (StoreReply) -> Unit) = Unit
 
         override fun join(name: String, endpoint: Endpoint, lifetime: Duration, onReply: (MembershipReply) -> Unit) {
             joinCalls.incrementAndGet()
--- a/node/src/test/kotlin/org/ragwortbank/node/gateway/StoreWatcherTest.kt
+++ b/node/src/test/kotlin/org/ragwortbank/node/gateway/StoreWatcherTest.kt
@@ -5,6 +5,7 @@
 import org.ragwortbank.core.crash.CrashTrait
 import org.ragwortbank.core.gateway.GatewayInput
 import org.ragwortbank.core.serving.Endpoint
+import org.ragwortbank.core.serving.StorePosition
 import org.ragwortbank.core.tick.Timestamp
 import org.ragwortbank.node.port.BlockReply
 import org.ragwortbank.node.port.MembershipReply
@@ -52,13 +53,13 @@
         override fun readAll(onReply: (StoreReply) -> Unit) {
             val revision = if (calls.isEmpty()) FLOODED else LATEST
             calls = calls + "all $revision"
-            onReply(StoreReply.FullRead(persistentListOf(), revision))
+            onReply(StoreReply.FullRead(persistentListOf(), StorePosition(0, revision)))
         }
 
-        override fun readChanges(revision: Long, maxWait: Duration, onReply: (StoreReply) -> Unit) {
-            calls = calls + "changes $revision"
-            val isFlooded = revision < LATEST
-            onReply(if (isFlooded) StoreReply.TooLarge else StoreReply.Changes(persistentListOf(), revision))
+        override fun readChanges(after: StorePosition, maxWait: Duration, onReply: (StoreReply) -> Unit) {
+            calls = calls + "changes ${after.revision}"
+            val isFlooded = after.revision < LATEST
+            onReply(if (isFlooded) StoreReply.TooLarge else StoreReply.Changes(persistentListOf(), after))
         }
 
         override fun join(name: String, endpoint: Endpoint, lifetime: Duration, onReply: (MembershipReply) -> Unit) =
