A store that comes back from an older copy is read again from its new era

Cause: a revision was taken for a place in one history. After a drill the store gives revisions out again; a watch from the old one skips what was written below it, and a full read joined pages of both histories under the revision of the first.

Ruled out: a lower revision alone. The store answers 410 to a watch from a revision that it doesn't have, and that has always led to a full read; the fault needs that the count has passed the old one by the next watch.

Change: positions are compared within an era only. Any other call that shows a new era (a renewal, a join, a block) tells the watcher once, so that a watch on a silent connection doesn't hold the read back.

--- a/node/src/main/kotlin/org/ragwortbank/node/gateway/GatewayNode.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/gateway/GatewayNode.kt
@@ -84,6 +84,7 @@
         process.run {
             pressure.apply(settings.gateway)
             ticker.start()
+            store.observeNewEras(storeWatcher::onNewEra)
             storeWatcher.start()
         }
         httpServer.open(callerSocket)
--- a/node/src/main/kotlin/org/ragwortbank/node/gateway/StoreWatcher.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/gateway/StoreWatcher.kt
@@ -20,7 +20,7 @@
  *
  * @property readDelay returns the delay between a reply and the next request
  */
-internal class StoreWatcher(
+class StoreWatcher(
     private val loop: EventLoop,
     private val store: StoreClient,
     private val now: () -> Timestamp,
@@ -29,6 +29,10 @@
 ) {
     private var isStoreUnavailable = false
     private var isStopped = false
+    private var isReadingAll = false
+
+    /** Number of the latest read; replies to earlier ones, and what was scheduled after them, are ignored. */
+    private var readNumber = 0L
 
     /** Reads the whole store and then its changes until [stop]. */
     fun start() = readAll()
@@ -38,44 +42,64 @@
         isStopped = true
     }
 
+    /** Reads the whole store at once, because it has come back from an older copy. */
+    fun onNewEra() {
+        if (!isReadingAll && !isStopped) readAll()
+    }
+
+    /** A read that is under way notices a new era by itself. */
     private fun readAll() {
         val requestedAt = now()
+        val number = ++readNumber
+        isReadingAll = true
         store.readAll { reply ->
-            when (reply) {
-                is StoreReply.FullRead -> {
-                    recordSuccess()
-                    Logs.platform.info("the whole store was read at {}, {} items", reply.position, reply.contents.size)
-                    post(GatewayInput.StoreRead(reply.contents, requestedAt, reply.position))
-                    schedule(readDelay()) { readChanges(reply.position) }
-                }
-                is StoreReply.Changes, StoreReply.Compacted, StoreReply.TooLarge -> schedule(readDelay(), ::readAll)
-                is StoreReply.Failed -> retryAfterFailure(reply.cause, ::readAll)
+            if (number == readNumber) {
+                isReadingAll = false
+                onFullReadReply(reply, requestedAt)
             }
         }
     }
 
+    private fun onFullReadReply(reply: StoreReply, requestedAt: Timestamp) =
+        when (reply) {
+            is StoreReply.FullRead -> {
+                recordSuccess()
+                Logs.platform.info("the whole store was read at {}, {} items", reply.position, reply.contents.size)
+                post(GatewayInput.StoreRead(reply.contents, requestedAt, reply.position))
+                schedule(readDelay()) { readChanges(reply.position) }
+            }
+            is StoreReply.Changes, StoreReply.NewEra, StoreReply.Compacted, StoreReply.TooLarge ->
+                schedule(readDelay(), ::readAll)
+            is StoreReply.Failed -> retryAfterFailure(reply.cause, ::readAll)
+        }
+
     private fun readChanges(after: StorePosition) {
         val requestedAt = now()
+        val number = ++readNumber
         store.readChanges(after, MAX_CHANGE_WAIT) { reply ->
-            when (reply) {
-                is StoreReply.Changes -> {
-                    recordSuccess()
-                    post(GatewayInput.StoreChanged(reply.changes, requestedAt, reply.position))
-                    schedule(readDelay()) { readChanges(reply.position) }
-                }
-                is StoreReply.FullRead, StoreReply.Compacted -> {
-                    Logs.platform.info("the store no longer has the changes since {}, reading all of it", after)
-                    readAll()
-                }
-                StoreReply.TooLarge -> {
-                    Logs.platform.info("too many changes since {} for one reply, reading the whole store", after)
-                    readAll()
-                }
-                is StoreReply.Failed -> retryAfterFailure(reply.cause) { readChanges(after) }
-            }
+            if (number == readNumber) onChangesReply(reply, after, requestedAt)
         }
     }
 
+    private fun onChangesReply(reply: StoreReply, after: StorePosition, requestedAt: Timestamp) =
+        when (reply) {
+            is StoreReply.Changes -> {
+                recordSuccess()
+                post(GatewayInput.StoreChanged(reply.changes, requestedAt, reply.position))
+                schedule(readDelay()) { readChanges(reply.position) }
+            }
+            StoreReply.NewEra -> readAll()
+            is StoreReply.FullRead, StoreReply.Compacted -> {
+                Logs.platform.info("the store no longer has the changes since {}, reading all of it", after)
+                readAll()
+            }
+            StoreReply.TooLarge -> {
+                Logs.platform.info("too many changes since {} for one reply, reading the whole store", after)
+                readAll()
+            }
+            is StoreReply.Failed -> retryAfterFailure(reply.cause) { readChanges(after) }
+        }
+
     private fun retryAfterFailure(cause: String, retry: () -> Unit) {
         if (!isStoreUnavailable) Logs.platform.warn("the store does not answer: {}", cause)
         isStoreUnavailable = true
@@ -88,7 +112,9 @@
     }
 
     private fun schedule(delay: Duration, action: () -> Unit) {
-        if (!isStopped) loop.schedule(action, delay.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+        if (isStopped) return
+        val number = readNumber
+        loop.schedule({ if (number == readNumber) action() }, delay.inWholeMilliseconds, TimeUnit.MILLISECONDS)
     }
 
     private companion object {
--- a/node/src/main/kotlin/org/ragwortbank/node/port/StoreClient.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/port/StoreClient.kt
@@ -15,6 +15,9 @@
     /** The changes up to [position]. */
     data class Changes(val changes: PersistentList<StoreChange>, val position: StorePosition) : StoreReply
 
+    /** The store has come back from an older copy: all that was read before may be missing there, or be another. */
+    data object NewEra : StoreReply
+
     /** The store no longer keeps the requested changes. */
     data object Compacted : StoreReply
 
@@ -48,6 +51,9 @@
 
 /** Client of the platform's store. Each call's outcome is delivered exactly once, on the event loop's thread. */
 interface StoreClient {
+    /** Calls [observer] before the outcome of each call that shows that the store has come back from an older copy. */
+    fun observeNewEras(observer: () -> Unit)
+
     /** Reads the whole store. */
     fun readAll(onReply: (StoreReply) -> Unit)
 
--- a/node/src/test/kotlin/org/ragwortbank/node/gateway/MembershipTest.kt
+++ b/node/src/test/kotlin/org/ragwortbank/node/gateway/MembershipTest.kt
@@ -37,6 +37,8 @@
         val renewCalls = AtomicInteger()
         val leaveCalls = AtomicInteger()
 
+        override fun observeNewEras(observer: () -> Unit) = Unit
+
         override fun readAll(onReply: (StoreReply) -> Unit) = Unit
 
         override fun readChanges(after: StorePosition, maxWait: Duration, onReply: (StoreReply) -> Unit) = Unit
--- a/node/src/test/kotlin/org/ragwortbank/node/gateway/StoreWatcherTest.kt
+++ b/node/src/test/kotlin/org/ragwortbank/node/gateway/StoreWatcherTest.kt
@@ -11,12 +11,14 @@
 import org.ragwortbank.node.port.MembershipReply
 import org.ragwortbank.node.port.StoreClient
 import org.ragwortbank.node.port.StoreReply
+import java.util.concurrent.ConcurrentLinkedQueue
 import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.TimeUnit
 import kotlin.test.AfterTest
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertIs
+import kotlin.test.assertTrue
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -42,6 +44,43 @@
         assertEquals(listOf("all 7", "changes 7", "all 9", "changes 9"), store.calls.take(4))
     }
 
+    // Guards against a watch at a connection that has gone silent, which keeps a gateway from reading the older copy.
+    @Test
+    fun `given a watch without an answer, when a new era is told, then the whole store is read at once, and once`() {
+        val store = SilentStore()
+        val watcher = StoreWatcher(loop, store, { Timestamp(0) }, { 1.milliseconds }, inputs::add)
+        loop.submit { watcher.start() }.get()
+        store.answerRead(revision = 7)
+        assertIs<GatewayInput.StoreRead>(nextInput())
+        while (store.changeReplies.isEmpty()) Thread.sleep(1)
+        repeat(2) { loop.submit { watcher.onNewEra() }.get() }
+        store.answerRead(revision = 3)
+        assertEquals(3, assertIs<GatewayInput.StoreRead>(nextInput()).position.revision)
+        loop.submit { store.changeReplies.first()(StoreReply.Changes(persistentListOf(), StorePosition(1, 8))) }.get()
+        while (store.changeReplies.size < 2) Thread.sleep(1)
+        watcher.stop()
+        assertTrue(inputs.isEmpty() && store.readReplies.isEmpty())
+    }
+
+    /** A store that answers reads of everything when told to, and reads of changes never. */
+    private inner class SilentStore : StoreClient by FloodedStore() {
+        val readReplies = ConcurrentLinkedQueue<(StoreReply) -> Unit>()
+        val changeReplies = ConcurrentLinkedQueue<(StoreReply) -> Unit>()
+
+        override fun readAll(onReply: (StoreReply) -> Unit) {
+            readReplies.add(onReply)
+        }
+
+        override fun readChanges(after: StorePosition, maxWait: Duration, onReply: (StoreReply) -> Unit) {
+            changeReplies.add(onReply)
+        }
+
+        fun answerRead(revision: Long) {
+            val read = StoreReply.FullRead(persistentListOf(), StorePosition(1, revision))
+            loop.submit { readReplies.remove()(read) }.get()
+        }
+    }
+
     private fun nextInput(): GatewayInput? = inputs.poll(INPUT_SECONDS, TimeUnit.SECONDS)
 
     /** A store whose history since revision 7 is larger than a reply may be; by then it is at revision 9. */
@@ -50,6 +89,8 @@
         var calls = emptyList<String>()
             private set
 
+        override fun observeNewEras(observer: () -> Unit) = Unit
+
         override fun readAll(onReply: (StoreReply) -> Unit) {
             val revision = if (calls.isEmpty()) FLOODED else LATEST
             calls = calls + "all $revision"
