--- a/standins/src/main/kotlin/org/ragwortbank/standins/prepared/StoreState.kt
+++ b/standins/src/main/kotlin/org/ragwortbank/standins/prepared/StoreState.kt
@@ -23,6 +23,12 @@
         return updated
     }
 
+    /** Continues with [snapshot], and without the watches that wait. */
+    fun restart(snapshot: StoreSnapshot) {
+        pendingWatches.set(persistentListOf())
+        current.set(snapshot)
+    }
+
     /** Keeps [watch] until a change affects it or [complete] is called. */
     fun register(watch: Watch) {
         pendingWatches.updateAndGet { it.add(watch) }
