Members join again when the store has come back from an older copy

What followed: a gateway that the copy lacks was off the list of members until its next renewal, up to 2 s, and the others charged its share of each rate to fewer gateways. One whose lease was in the copy but not its entry renewed that lease for good and stayed off the list. A lease number that the store gives out again belongs to another process: renewals kept that one's entry, and a stop revoked it.

Cause: a lease was taken for valid until the store said otherwise, and lease numbers, as revisions, are counted anew in the copy.

Change: on a new era the lease is forgotten, replies to earlier calls are ignored, and the member joins again after 0 to 500 ms by a hash of its name.

Evidence: with the new call doing nothing, 3 of 5 cases of MembershipTest red (the old lease is renewed or revoked, the process joins 2 s later); with the change all green.

--- a/node/src/main/kotlin/org/ragwortbank/node/gateway/GatewayNode.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/gateway/GatewayNode.kt
@@ -81,17 +81,20 @@
 
     override fun start(): ListenAddresses {
         val digestEndpoint = link.open(settings.digestAddress.endpoint())
+        membership = Membership(process.loop, store, settings.name, digestEndpoint)
         process.run {
             pressure.apply(settings.gateway)
             ticker.start()
-            store.observeNewEras(storeWatcher::onNewEra)
+            store.observeNewEras {
+                storeWatcher.onNewEra()
+                membership.onNewEra()
+            }
             storeWatcher.start()
         }
         httpServer.open(callerSocket)
         val admin = AdminServer(process.group, GatewayPages())
         admin.start(settings.readinessAddress)
         val adminAddress = admin.start(settings.adminAddress)
-        membership = Membership(process.loop, store, settings.name, digestEndpoint)
         process.run { membership.start() }
         val callerAddress = callerSocket.address
         Logs.drain.info(
--- a/node/src/main/kotlin/org/ragwortbank/node/gateway/Membership.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/gateway/Membership.kt
@@ -1,6 +1,7 @@
 package org.ragwortbank.node.gateway
 
 import io.netty.channel.EventLoop
+import org.ragwortbank.core.hash.RendezvousHash
 import org.ragwortbank.core.serving.Endpoint
 import org.ragwortbank.node.log.Logs
 import org.ragwortbank.node.port.MembershipReply
@@ -20,6 +21,9 @@
     private var lease: Long? = null
     private var isStopped = false
 
+    /** Number of the latest call; replies to earlier ones, and what was scheduled after them, are ignored. */
+    private var callNumber = 0L
+
     /** Joins, and keeps renewing the lease from then on. */
     fun start() = join()
 
@@ -29,12 +33,30 @@
         lease?.let { store.leave(it) { } }
     }
 
-    private fun join() = store.join(name, endpoint, LEASE_LIFETIME, ::onReply)
+    /**
+     * Joins again, because the store has come back from an older copy: that may lack the entry of this process, and may
+     * have granted the lease to another one since.
+     */
+    fun onNewEra() {
+        if (isStopped || callNumber == 0L) return
+        lease = null
+        callNumber++
+        scheduleNext(rejoinDelay(name))
+    }
+
+    private fun join() {
+        val number = ++callNumber
+        store.join(name, endpoint, LEASE_LIFETIME) { onReply(it, number) }
+    }
 
-    private fun renew(lease: Long) = store.renew(lease, ::onReply)
+    private fun renew(lease: Long) {
+        val number = ++callNumber
+        store.renew(lease) { onReply(it, number) }
+    }
 
-    private fun onReply(reply: MembershipReply) {
+    private fun onReply(reply: MembershipReply, number: Long) {
         when {
+            number != callNumber -> Unit
             !isStopped -> onReplyWhileRunning(reply)
             reply is MembershipReply.Registered && lease == null -> store.leave(reply.lease) { }
             else -> Unit
@@ -63,7 +85,8 @@
     }
 
     private fun scheduleNext(delay: Duration) {
-        loop.schedule(::renewOrJoin, delay.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+        val number = callNumber
+        loop.schedule({ if (number == callNumber) renewOrJoin() }, delay.inWholeMilliseconds, TimeUnit.MILLISECONDS)
     }
 
     /** A process that has left must not join again, or the other members would count on it after it has stopped. */
@@ -71,9 +94,14 @@
         if (!isStopped) lease?.let(::renew) ?: join()
     }
 
-    private companion object {
-        val LEASE_LIFETIME = 6.seconds
-        val RENEW_INTERVAL = 2.seconds
-        val RETRY_DELAY = 700.milliseconds
+    companion object {
+        private val LEASE_LIFETIME = 6.seconds
+        private val RENEW_INTERVAL = 2.seconds
+        private val RETRY_DELAY = 700.milliseconds
+        private const val REJOIN_SPREAD_MILLIS = 500L
+
+        /** Time from a new era until the member [name] joins again: the store takes few writes at a time. */
+        fun rejoinDelay(name: String): Duration =
+            RendezvousHash.hashOf(name).mod(REJOIN_SPREAD_MILLIS).milliseconds
     }
 }
