Upstreams and gateways that an older copy of the store lacks or brings back

Cause: a full read was taken for the newest word on each upstream.

Change: StoreRead with a later era enters a copy. What it lacks stays for 2 s, the time within which those that live are listed again, also across further reads. An earlier start than the known one is passed over. One that drained stays out until it restarts. One that was removed stays out until it registers in the new era, restarts, or is listed for 15 s: by then the store has dropped entries that nobody writes. Whole reads of the same era remove as before.

--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewaySchedule.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewaySchedule.kt
@@ -9,6 +9,7 @@
 import org.ragwortbank.core.selection.UpstreamPolicy
 import org.ragwortbank.core.selection.defaultUpstreamPolicy
 import org.ragwortbank.core.speed.SpeedSystem
+import org.ragwortbank.core.storecopy.StoreCopySystem
 import org.ragwortbank.core.tick.Schedule
 
 /** The systems of a gateway in the order in which they run; [policy] selects the upstreams. */
@@ -20,6 +21,7 @@
             SuspensionSystem(),
             SettingsSystem(),
             StoreSystem(),
+            StoreCopySystem(),
             ColdSystem(),
             EvacuationSystem(),
             DigestIntakeSystem(),
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewayTables.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewayTables.kt
@@ -27,6 +27,8 @@
 import org.ragwortbank.core.serving.UpstreamId
 import org.ragwortbank.core.serving.UpstreamIncarnation
 import org.ragwortbank.core.speed.ServiceSpeed
+import org.ragwortbank.core.storecopy.GoneUpstream
+import org.ragwortbank.core.storecopy.StoreCopyRow
 import org.ragwortbank.core.tick.Step
 import org.ragwortbank.core.tick.Timestamp
 import kotlin.time.Duration
@@ -61,6 +63,8 @@
  * @property confirmedAt when the latest request to the store was made whose reply confirmed [config]
  * @property isConfigNewest whether the store's configuration is [config], as far as it has been read
  * @property storePosition how far the store has been read
+ * @property storeCopy older copy from which the store came back; null once that is complete
+ * @property goneUpstreams incarnations of upstreams that were lately removed from the instance list
  * @property upstreamsByService upstreams of each service
  * @property leavingUpstreams upstreams that have said in an answer that they leave, and when they did
  * @property deferredCalls calls that arrived before the first configuration or right after a suspension of the process
@@ -98,6 +102,8 @@
     val confirmedAt: Timestamp? = null,
     val isConfigNewest: Boolean = false,
     val storePosition: StorePosition = StorePosition.NONE,
+    val storeCopy: StoreCopyRow? = null,
+    val goneUpstreams: PersistentMap<UpstreamIncarnation, GoneUpstream> = persistentMapOf(),
     val upstreams: PersistentMap<UpstreamId, UpstreamRow> = persistentMapOf(),
     val upstreamsByService: PersistentMap<ServiceName, PersistentSet<UpstreamId>> = persistentMapOf(),
     val versions: PersistentMap<AdapterKey, NewestVersion> = persistentMapOf(),
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/MembershipChanges.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/MembershipChanges.kt
@@ -8,6 +8,7 @@
 import org.ragwortbank.core.serving.StoreChange
 import org.ragwortbank.core.serving.UpstreamId
 import org.ragwortbank.core.serving.UpstreamRegistration
+import org.ragwortbank.core.storecopy.rememberGone
 import org.ragwortbank.core.tick.Timestamp
 
 private typealias UpstreamsByService = PersistentMap<ServiceName, PersistentSet<UpstreamId>>
@@ -22,7 +23,7 @@
 }
 
 /** Removes an upstream that left the list. */
-internal fun GatewayStep.removeUpstream(id: UpstreamId): GatewayStep {
+internal fun GatewayStep.removeUpstream(id: UpstreamId, now: Timestamp): GatewayStep {
     val row = tables.upstreams[id] ?: return this
     return log(LogPart.MEMBERS, "upstream $id of ${row.registration.service} left the list")
         .update { tables ->
@@ -30,7 +31,7 @@
                 upstreams = tables.upstreams.remove(id),
                 upstreamsByService = tables.upstreamsByService.without(row.registration.service, id),
                 sentDemand = tables.sentDemand.remove(id),
-            )
+            ).rememberGone(row, now)
         }
 }
 
@@ -75,6 +76,7 @@
         if (isInOtherService) upstreamsByService.without(previousService, registration.id) else upstreamsByService
     return copy(
         upstreams = upstreams.put(registration.id, row),
+        goneUpstreams = goneUpstreams.remove(registration.incarnation),
         sentDemand = if (isSame) sentDemand else sentDemand.remove(registration.id),
         upstreamsByService = updatedServices.put(service, updatedServices[service].orEmptySet().add(registration.id)),
     ).markSuperseded(registration)
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/StoreSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/StoreSystem.kt
@@ -8,6 +8,14 @@
 import org.ragwortbank.core.serving.AdapterKey
 import org.ragwortbank.core.serving.StoreChange
 import org.ragwortbank.core.serving.StorePosition
+import org.ragwortbank.core.storecopy.enterCopy
+import org.ragwortbank.core.storecopy.goneAmong
+import org.ragwortbank.core.storecopy.isAwaited
+import org.ragwortbank.core.storecopy.isOfNewEra
+import org.ragwortbank.core.storecopy.markGone
+import org.ragwortbank.core.storecopy.notePresent
+import org.ragwortbank.core.storecopy.noteWritten
+import org.ragwortbank.core.storecopy.withoutOutdated
 import org.ragwortbank.core.tick.Tick
 import org.ragwortbank.core.tick.TickSystem
 import org.ragwortbank.core.tick.Timestamp
@@ -20,18 +28,30 @@
     override fun run(tick: Tick<GatewayInput>, step: GatewayStep): GatewayStep =
         tick.inputs.fold(step) { current, input ->
             when (input) {
-                is GatewayInput.StoreRead -> {
-                    val read = applySnapshot(current.moveTo(input.position), input.contents, tick.now)
-                    recordConfirmation(read, input.requestedAt)
-                }
-                is GatewayInput.StoreChanged -> {
-                    val changed = applyAll(current.moveTo(input.position), input.changes, tick.now)
-                    recordConfirmation(changed, input.requestedAt)
-                }
+                is GatewayInput.StoreRead -> recordConfirmation(read(current, input, tick.now), input.requestedAt)
+                is GatewayInput.StoreChanged -> recordConfirmation(change(current, input, tick.now), input.requestedAt)
                 else -> current
             }
         }
 
+    private fun read(step: GatewayStep, input: GatewayInput.StoreRead, now: Timestamp): GatewayStep =
+        if (step.tables.isOfNewEra(input.position)) {
+            readCopy(step, input, now)
+        } else {
+            applySnapshot(step.moveTo(input.position), input.contents, now).update { it.notePresent(input.contents) }
+        }
+
+    private fun readCopy(step: GatewayStep, input: GatewayInput.StoreRead, now: Timestamp): GatewayStep {
+        val contents = step.tables.withoutOutdated(input.contents)
+        val gone = step.tables.goneAmong(contents)
+        val entered = step.enterCopy(contents, input.position, now).moveTo(input.position)
+        return applySnapshot(entered, contents, now).markGone(gone)
+    }
+
+    private fun change(step: GatewayStep, input: GatewayInput.StoreChanged, now: Timestamp): GatewayStep =
+        applyAll(step.moveTo(input.position), input.changes, now)
+            .update { it.notePresent(input.changes).noteWritten(input.changes) }
+
     private fun GatewayStep.moveTo(position: StorePosition): GatewayStep = update { it.copy(storePosition = position) }
 
     private fun recordConfirmation(step: GatewayStep, requestedAt: Timestamp): GatewayStep {
@@ -45,10 +65,10 @@
         val upstreams = contents.mapNotNull { (it as? StoreChange.UpstreamRegistered)?.registration?.id }.toSet()
         val peers = contents.mapNotNull { (it as? StoreChange.PeerRegistered)?.name }.toSet()
         val removedUpstreams = step.tables.upstreams.keys
-            .filter { it !in upstreams }
+            .filter { it !in upstreams && !step.tables.isAwaited(it) }
             .map { StoreChange.UpstreamRemoved(it) }
         val removedPeers = step.tables.peers.values
-            .filter { it.isListed && it.name !in peers }
+            .filter { it.isListed && it.name !in peers && !step.tables.isAwaited(it) }
             .map { StoreChange.PeerRemoved(it.name) }
         val blocks = contents.mapNotNull { (it as? StoreChange.BlockSet)?.trait }.toSet()
         val liftedBlocks = step.tables.blocks.values
@@ -81,7 +101,7 @@
             is StoreChange.ConfigSet -> step.applyConfig(change.config, now).compareWithStored(change.config)
             StoreChange.ConfigUnreadable -> step.doubtConfig()
             is StoreChange.UpstreamRegistered -> step.registerUpstream(change.registration)
-            is StoreChange.UpstreamRemoved -> step.removeUpstream(change.id)
+            is StoreChange.UpstreamRemoved -> step.removeUpstream(change.id, now)
             is StoreChange.NewestVersionSet -> step.update { it.recordVersion(change, now) }
             is StoreChange.PeerRegistered -> step.update { it.registerPeer(change, now) }
             is StoreChange.BlockSet -> step.storeBlock(change.trait, now)
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/UpstreamRow.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/UpstreamRow.kt
@@ -79,6 +79,7 @@
  * @property slowness how slow it is, as it has last stated in an answer; null if it never has
  * @property reading how long it takes to read prompts
  * @property isSuperseded whether a later incarnation has the same endpoint, so that this one has terminated
+ * @property isGone whether it has left the list and only an older copy of the store has it
  * @property cold whether it may be cold; null where its service has no bound for that, and until it is known
  * @property pace limit on this gateway's requests there; null where its service has none, and right after a start
  */
@@ -100,6 +101,7 @@
     val isLeaving: Boolean = false,
     val quietUntil: Timestamp? = null,
     val isSuperseded: Boolean = false,
+    val isGone: Boolean = false,
     val cold: ColdRow? = null,
     val sentAt: Timestamp? = null,
     val failedAt: Timestamp? = null,
@@ -108,7 +110,7 @@
     val reading: PromptReading = PromptReading(),
 ) {
     /** Whether it accepts new work according to its registration and to itself. */
-    val isAccepting: Boolean get() = registration.isAccepting && !isSuperseded && !isLeaving
+    val isAccepting: Boolean get() = registration.isAccepting && !isSuperseded && !isLeaving && !isGone
 
     /** Whether this gateway has used an adapter there since its last digest to the placer. */
     val isInUse: Boolean get() = inUse.isNotEmpty() || usedSinceDigest.isNotEmpty()
--- a/core/src/test/kotlin/org/ragwortbank/core/gateway/GatewayFixture.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/gateway/GatewayFixture.kt
@@ -84,10 +84,10 @@
         tick(*inputs)
     }
 
-    fun confirmConfiguration() = tick(GatewayInput.StoreChanged(persistentListOf(), now))
+    fun confirmConfiguration() = tick(GatewayInput.StoreChanged(persistentListOf(), now, tables.storePosition))
 
     fun applyChanges(vararg changes: StoreChange) =
-        tick(GatewayInput.StoreChanged(changes.toList().toPersistentList(), now))
+        tick(GatewayInput.StoreChanged(changes.toList().toPersistentList(), now, tables.storePosition))
 
     fun receiveEngineDigest(engine: UpstreamId, resident: Map<String, Long> = mapOf("a1" to 1), freeSlots: Int = 3) =
         tick(GatewayInput.EngineDigestReceived(digest(engine, resident).copy(freeSlots = freeSlots)))
