Refuse an answer in whose body another one begins

Cause: where an answer ends with its connection, or is broken off before its length is reached, whatever its upstream sends next on the connection counted as its body. Only skipped bodies were searched for another answer, and an answer counted before all that had arrived with it was read.

Change: AnswerBodyScan looks in each body for a status line with a head in which a field names a request or a run; a body that merely quotes an answer is passed on. An answer counts once all that arrived with it is read, so that a head across the end of its body is seen too. Then the attempt has failed with an invalid answer, as any other one: retried where the route allows, 502 or a broken off answer otherwise.

Ruled out: a status line alone as the mark, since bodies may quote one. Not seen: a body that ends with its connection inside the status line of another, and a body made up to its length by bytes of which the rest comes in a later read.

The stand-in worker can leave out the last bytes of an answer, write answers with the load, and answer as usual in a given form; cases that there were stay as they are.

--- a/node/src/main/kotlin/org/ragwortbank/node/gateway/UpstreamExchange.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/gateway/UpstreamExchange.kt
@@ -56,6 +56,7 @@
     private var isSent = false
     private var isSkipping = false
     private var bytesBeforeHead = 0L
+    private var bodyScan: AnswerBodyScan? = null
     private val skipped = SkippedAnswers(observer)
     private val matcher = AnswerMatcher(requestId, dialect)
     private val recorder = ExchangeRecorder(dialect, listener::onTrace)
@@ -128,10 +129,11 @@
         if (isSkipping) recorder.onSkipped(response) else recorder.onRead(response)
         when (match) {
             AnswerMatch.Interim -> Unit
-            AnswerMatch.OfOtherRequest -> skipped.onHead()?.let(::refuse)
+            AnswerMatch.OfOtherRequest -> skipped.onHead()?.let { refuse(it) }
             is AnswerMatch.Refused -> refuse(match.cause)
             AnswerMatch.Own -> {
                 head = response
+                bodyScan = AnswerBodyScan(endsWithConnection = !response.hasFraming, dialect::namesRun)
                 listener.onHead(response)
             }
         }
@@ -140,23 +142,30 @@
     /** A part of an answer's body was received. */
     fun onContent(content: ByteBuf) {
         if (isClosed || !content.isReadable) return
-        if (isSkipping) skipped.onContent(content)?.let(::refuse) else listener.onContent(content)
+        val defect = if (isSkipping) skipped.onContent(content) else bodyScan?.onContent(content)
+        when {
+            defect != null -> refuse(defect)
+            !isSkipping -> listener.onContent(content)
+        }
     }
 
-    /** The last part of an answer was received. */
+    /** The last part of an answer was received; it counts once all that arrived with it is read. */
     fun onComplete(opened: Channel) {
         val answerHead = head
         if (isClosed || isSkipping || answerHead == null) return
-        isClosed = true
-        val hasFraming = HttpUtil.isContentLengthSet(answerHead) || HttpUtil.isTransferEncodingChunked(answerHead)
-        val isReusable = HttpUtil.isKeepAlive(answerHead) && hasFraming && skipped.count == 0 && isSent
-        val handler = opened.upstreamHandler
         opened.config().isAutoRead = true
-        handler.end(opened, CompletedExchange(requestId, answerHead.status().code())) {
-            val isKept = isReusable && !handler.history.isUsedUp
-            if (isKept) release(opened, dialect.reuseTimeout(answerHead)) else opened.close()
+        opened.upstreamHandler.end(opened, CompletedExchange(requestId, answerHead.status().code())) { rest ->
+            if (!isClosed) conclude(opened, answerHead, rest)
         }
-        listener.onComplete()
+    }
+
+    private fun conclude(opened: Channel, answerHead: HttpResponse, rest: String) {
+        val isReusable = HttpUtil.isKeepAlive(answerHead) && answerHead.hasFraming && skipped.count == 0 && isSent
+        val isKept = isReusable && rest.isEmpty() && !opened.upstreamHandler.history.isUsedUp
+        isClosed = true
+        if (isKept) release(opened, dialect.reuseTimeout(answerHead)) else opened.close()
+        val defect = bodyScan?.onEnd(rest)
+        if (defect == null) listener.onComplete() else listener.onFailure(InvalidAnswer(defect))
     }
 
     /** The connection was lost or delivered bytes that are no valid answer. */
@@ -167,19 +176,22 @@
         listener.onFailure(cause)
     }
 
-    private fun refuse(cause: String) = onFailure(InvalidAnswer(cause))
-
     private companion object {
         /** Room for a whole answer to another request. */
         const val MAX_BYTES_BEFORE_HEAD = 2_097_152L
     }
 }
 
+private fun UpstreamExchange.refuse(cause: String) = onFailure(InvalidAnswer(cause))
+
 /** Guards against an upstream that closes an idle connection while the next request is in flight. */
 private val REUSE_MARGIN = 700.milliseconds
 private val DEFAULT_REUSE_TIMEOUT = 1.seconds
 private val MAX_REUSE_TIMEOUT = 20.seconds
 
+private val HttpResponse.hasFraming: Boolean
+    get() = HttpUtil.isContentLengthSet(this) || HttpUtil.isTransferEncodingChunked(this)
+
 /** How long the connection that [response] came on may idle before its next use. */
 private fun RequestDialect.reuseTimeout(response: HttpResponse): Duration {
     val upstreamTimeout = keepAliveTimeout(response) ?: return DEFAULT_REUSE_TIMEOUT
--- a/node/src/main/kotlin/org/ragwortbank/node/gateway/UpstreamHandler.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/gateway/UpstreamHandler.kt
@@ -26,8 +26,8 @@
     history: ConnectionHistory,
     private val observer: ConnectionObserver,
 ) : SimpleChannelInboundHandler<Any>() {
-    private var hasUnaskedBytes = false
-    private var onIdle: (() -> Unit)? = null
+    private var unaskedText = ""
+    private var onRead: ((String) -> Unit)? = null
     private var codec: ExchangeCodec? = null
 
     /** What the connection has carried so far. */
@@ -44,11 +44,14 @@
         codec = ExchangeCodec(method).also { it.addBefore(this, channel.pipeline()) }
     }
 
-    /** Ends the exchange on [channel]; calls [onIdle] when all that has arrived is read and the connection is sound. */
-    fun end(channel: Channel, completed: CompletedExchange, onIdle: () -> Unit) {
+    /**
+     * Ends the exchange on [channel]; calls [onRead] when all that has arrived is read, with the beginning of what
+     * follows the answer. If that isn't empty, the connection is being closed.
+     */
+    fun end(channel: Channel, completed: CompletedExchange, onRead: (String) -> Unit) {
         exchange = null
         history = history.after(completed)
-        this.onIdle = onIdle
+        this.onRead = onRead
         codec?.removeFrom(channel.pipeline())
         codec = null
     }
@@ -63,13 +66,12 @@
     }
 
     override fun channelReadComplete(ctx: ChannelHandlerContext) {
-        val action = onIdle
-        onIdle = null
-        if (!hasUnaskedBytes) action?.invoke()
+        concludeRead()
         ctx.fireChannelReadComplete()
     }
 
     override fun channelInactive(ctx: ChannelHandlerContext) {
+        concludeRead()
         exchange?.onFailure(ConnectionLost("the connection was closed"))
     }
 
@@ -79,6 +81,12 @@
         ctx.close()
     }
 
+    private fun concludeRead() {
+        val action = onRead
+        onRead = null
+        action?.invoke(unaskedText)
+    }
+
     private fun pass(ctx: ChannelHandlerContext, exchange: UpstreamExchange, part: HttpObject) {
         if (part is HttpResponse) exchange.onHead(part)
         if (part is HttpContent) exchange.onContent(part.content())
@@ -86,22 +94,30 @@
     }
 
     private fun rejectUnasked(ctx: ChannelHandlerContext, part: Any) {
-        val isFirst = !hasUnaskedBytes
-        hasUnaskedBytes = true
+        val isFirst = unaskedText.isEmpty()
+        unaskedText = (unaskedText + textOf(part)).take(MAX_UNASKED_LENGTH)
         ctx.close()
         if (isFirst && part is ByteBuf) observer.onUnaskedBytes(unaskedBytes(history, ctx.channel(), part))
     }
 
-    private fun failure(part: HttpObject): AttemptFailure = when {
-        part.isBrokenOff -> ConnectionLost("the connection was closed inside the head of an answer")
-        else -> InvalidAnswer("invalid answer: ${part.decoderResult().cause().message}")
-    }
-
-    private fun failure(cause: Throwable): AttemptFailure {
-        val detail = cause.message ?: cause.javaClass.simpleName
-        return if (cause is IOException) ConnectionLost(detail) else InvalidAnswer(detail)
+    private companion object {
+        /** Room for the fields of a head that say whose it is. */
+        const val MAX_UNASKED_LENGTH = 1_024
     }
 }
 
 /** The handler that [UpstreamConnections] adds to each connection. */
 internal val Channel.upstreamHandler: UpstreamHandler get() = pipeline().get(UpstreamHandler::class.java)
+
+private fun textOf(part: Any): String =
+    if (part is ByteBuf) part.toString(Charsets.ISO_8859_1) else part.toString()
+
+private fun failure(part: HttpObject): AttemptFailure = when {
+    part.isBrokenOff -> ConnectionLost("the connection was closed inside the head of an answer")
+    else -> InvalidAnswer("invalid answer: ${part.decoderResult().cause().message}")
+}
+
+private fun failure(cause: Throwable): AttemptFailure {
+    val detail = cause.message ?: cause.javaClass.simpleName
+    return if (cause is IOException) ConnectionLost(detail) else InvalidAnswer(detail)
+}
--- a/node/src/main/kotlin/org/ragwortbank/node/port/RequestDialect.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/port/RequestDialect.kt
@@ -28,6 +28,9 @@
     /** The id of the request that [response] says it answers; null when it names none. */
     fun requestId(response: HttpResponse): String?
 
+    /** Whether [line] of an answer's head names the request that it answers, or the run that made it. */
+    fun namesRun(line: String): Boolean
+
     /** Why [response] can't be the upstream's own answer although it answers the request; null when it can. */
     fun defect(response: HttpResponse): String?
 
--- a/node/src/test/kotlin/org/ragwortbank/node/gateway/IdDialect.kt
+++ b/node/src/test/kotlin/org/ragwortbank/node/gateway/IdDialect.kt
@@ -28,6 +28,8 @@
 
     override fun requestId(response: HttpResponse): String? = response.headers()["X-Request-Id"]
 
+    override fun namesRun(line: String) = line.startsWith("X-Request-Id:", ignoreCase = true)
+
     override fun defect(response: HttpResponse): String? = null
 
     override fun keepAliveTimeout(response: HttpResponse): Duration? = null
--- a/standins/src/main/kotlin/org/ragwortbank/standins/prepared/AnswerForm.kt
+++ b/standins/src/main/kotlin/org/ragwortbank/standins/prepared/AnswerForm.kt
@@ -31,6 +31,12 @@
         override fun encode(requestId: String, signature: String) = answer.encode(requestId, signature).take(length)
     }
 
+    /** [answer] without its last [missing] bytes. */
+    data class Short(val answer: AnswerForm, val missing: Int) : AnswerForm {
+        override fun encode(requestId: String, signature: String) =
+            answer.encode(requestId, signature).dropLast(missing)
+    }
+
     /** [text] and then [answer]. */
     data class Preceded(val text: String, val answer: AnswerForm) : AnswerForm {
         override fun encode(requestId: String, signature: String) = text + answer.encode(requestId, signature)
@@ -57,6 +63,12 @@
         private val SUCCESSES = 200..299
         private const val KEEP_ALIVE = "Keep-Alive: timeout=5\r\n"
 
+        /** Fields that all answers of workers have that tell their load, if the connection stays open. */
+        const val REGULAR_FIELDS: String = "X-Server-Load: 1,0,8\r\nContent-Type: application/json\r\n$KEEP_ALIVE"
+
+        /** Fields that all answers of workers have that tell their load, if the connection is closed. */
+        const val REGULAR_LAST_FIELDS: String = "X-Server-Load: 1,0,8\r\nContent-Type: application/json\r\n"
+
         /** The form that second answers are known to have. */
         val knownSecond = Complete(200, "ok", fields = "")
 
--- a/standins/src/main/kotlin/org/ragwortbank/standins/prepared/StutteringWorker.kt
+++ b/standins/src/main/kotlin/org/ragwortbank/standins/prepared/StutteringWorker.kt
@@ -28,8 +28,12 @@
     val written: PersistentList<String> = persistentListOf(),
 )
 
-/** Stand-in for a worker that writes answers to plan, byte by byte, and may write a second one to a request. */
-class StutteringWorker(private val id: String) {
+/**
+ * Stand-in for a worker that writes answers to plan, byte by byte, and may write a second one to a request.
+ *
+ * @property usual how requests are answered for which nothing is planned
+ */
+class StutteringWorker(private val id: String, private val usual: AnswerPlan = AnswerPlan()) {
     private val server = ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress())
     private val plans = AtomicReference<PersistentMap<String, AnswerPlan>>(persistentMapOf())
     private val runsBySignature = AtomicReference<PersistentMap<String, WorkerRun>>(persistentMapOf())
@@ -47,7 +51,7 @@
     /** Closes the socket on which it listens. */
     fun stop() = server.close()
 
-    /** Sets how the request [requestId] is answered; others are answered with 200. */
+    /** Sets how the request [requestId] is answered; others are answered as usual. */
     fun plan(requestId: String, plan: AnswerPlan) {
         plans.updateAndGet { it.put(requestId, plan) }
     }
@@ -82,7 +86,7 @@
         fun serve() {
             while (true) {
                 val requestId = reader.readRequestId() ?: return
-                val plan = plans.get()[requestId] ?: AnswerPlan()
+                val plan = plans.get()[requestId] ?: usual
                 if (!answer(requestId, plan)) return
             }
         }
--- a/standins/src/test/kotlin/org/ragwortbank/standins/prepared/SecondAnswerTest.kt
+++ b/standins/src/test/kotlin/org/ragwortbank/standins/prepared/SecondAnswerTest.kt
@@ -43,6 +43,18 @@
     fun `given a whole second answer and then a failed run on its connection, then no caller reads a success`() =
         start(workerCount = 1).assertKept(StutterCases.failuresAfterStutters(StutterCases.seconds))
 
+    // Guards against a second answer that passes for a part of a body that ends with its connection.
+    @Test
+    fun `given a success in any framing and a whole second answer, then a caller reads the body of its own run`() =
+        start(workerCount = 1).assertKept(StutterCases.repeatedSuccesses(StutterCases.successes, StutterCases.seconds))
+
+    // Guards against a body that is broken off and made up to its length from a second answer.
+    @Test
+    fun `given a success whose last bytes are missing and a second answer, then no caller reads a joined body`() =
+        start(workerCount = 1).assertKept(
+            StutterCases.repeatedSuccesses(StutterCases.shortSuccesses, mapOf("known" to AnswerForm.knownSecond)),
+        )
+
     @Test
     fun `given seeded answers of one worker, then each caller reads the whole answer of its own run or a failure`() =
         start(workerCount = 1).assertKept(StutterCases.chosen(Random(seed), count))
@@ -51,8 +63,10 @@
     fun `given seeded answers of three workers, then each caller reads the whole answer of its own run or a failure`() =
         start(workerCount = 3).assertKept(StutterCases.chosen(Random(seed), count))
 
-    private fun start(workerCount: Int): StutterFleet =
-        StutterFleet(workerCount).also { fleet = it }.also { check(it.start()) { "the gateway did not become ready" } }
+    private fun start(workerCount: Int, usual: AnswerPlan = AnswerPlan()): StutterFleet =
+        StutterFleet(workerCount, usual)
+            .also { fleet = it }
+            .also { check(it.start()) { "the gateway did not become ready" } }
 
     private companion object {
         val seed: Int = Integer.getInteger("stutter.seed", 1)
--- a/standins/src/test/kotlin/org/ragwortbank/standins/prepared/StutterCase.kt
+++ b/standins/src/test/kotlin/org/ragwortbank/standins/prepared/StutterCase.kt
@@ -5,6 +5,7 @@
 import org.ragwortbank.standins.prepared.AnswerForm.Framing
 import org.ragwortbank.standins.prepared.AnswerForm.Preceded
 import org.ragwortbank.standins.prepared.AnswerForm.Raw
+import org.ragwortbank.standins.prepared.AnswerForm.Short
 import org.ragwortbank.standins.prepared.SecondAnswerTime.After
 import org.ragwortbank.standins.prepared.SecondAnswerTime.AfterNextAnswer
 import org.ragwortbank.standins.prepared.SecondAnswerTime.BeforeNextAnswer
@@ -68,6 +69,24 @@
         "nothing" to Raw(""),
     )
 
+    /** Forms in which a run that ended with 200 answers whole. */
+    val successes: Map<String, AnswerForm> = mapOf(
+        "whole" to success,
+        "chunks" to success.copy(framing = Framing.CHUNKS),
+        "ends with connection" to success.copy(framing = Framing.END_OF_CONNECTION),
+        "regular" to success.copy(fields = AnswerForm.REGULAR_FIELDS),
+        "regular, chunks" to success.copy(fields = AnswerForm.REGULAR_FIELDS, framing = Framing.CHUNKS),
+        "regular, ends with connection" to
+            success.copy(fields = AnswerForm.REGULAR_LAST_FIELDS, framing = Framing.END_OF_CONNECTION),
+        "regular, with a length, last" to
+            success.copy(fields = "Connection: close\r\n" + AnswerForm.REGULAR_LAST_FIELDS),
+    )
+
+    /** Answers of a run that ended with 200 of which the last bytes never come, although the connection goes on. */
+    val shortSuccesses: Map<String, AnswerForm> = listOf(success, success.copy(framing = Framing.CHUNKS))
+        .flatMap { form -> (1..MOST_MISSING).map { "${form.framing} short of $it" to Short(form, it) } }
+        .toMap()
+
     /** Forms of whole second answers. */
     val seconds: Map<String, AnswerForm> = mapOf(
         "known" to AnswerForm.knownSecond,
@@ -80,6 +99,12 @@
         "200 with body" to success,
     )
 
+    /** Those of [seconds] in the form that second answers are known to have, whatever their framing and id. */
+    val knownSeconds: Map<String, AnswerForm> = seconds.filterKeys { it.startsWith("known") }
+
+    /** How workers that tell their load answer. */
+    val regularPlan = AnswerPlan(first = Complete(200, fields = AnswerForm.REGULAR_FIELDS))
+
     /** Second answers of which the rest never comes. */
     val cutSeconds: Map<String, AnswerForm> = listOf(1, 4, 8, 9, 12, STATUS_LINE, 16, 17, 30, 60, 95, 100).associate {
         "known, cut at $it" to Cut(AnswerForm.knownSecond, it)
@@ -103,6 +128,17 @@
         }
     }
 
+    /** A run that ended with 200 and answers in each of the [firsts], then with each of the [others], at each time. */
+    fun repeatedSuccesses(firsts: Map<String, AnswerForm>, others: Map<String, AnswerForm>): List<StutterCase> =
+        firsts.flatMap { (firstName, first) ->
+            others.flatMap { (otherName, other) ->
+                times.map { (timeName, time) ->
+                    val plan = AnswerPlan(200, BODY, first, other, time.first)
+                    StutterCase("200 [$firstName], second [$otherName], $timeName", plan, AnswerPlan(), time.second)
+                }
+            }
+        }
+
     /** A success with each of the [forms] as second answer at each time, before a request that fails. */
     fun failuresAfterStutters(forms: Map<String, AnswerForm>): List<StutterCase> = forms.flatMap { (formName, form) ->
         times.flatMap { (timeName, time) ->
@@ -141,6 +177,7 @@
     }
 
     private const val SPLIT_RANGE = 100
+    private const val MOST_MISSING = 31
     private const val NON_REPEATABLE_SHARE = 4
     private val failedPlans = mapOf(
         "500" to AnswerPlan(500),
--- a/standins/src/test/kotlin/org/ragwortbank/standins/prepared/StutterFleet.kt
+++ b/standins/src/test/kotlin/org/ragwortbank/standins/prepared/StutterFleet.kt
@@ -6,11 +6,14 @@
 import java.util.concurrent.Executors
 import kotlin.test.assertTrue
 
-/** A gateway process before [LANES] services, each with [workerCount] workers that stutter, which plays cases there. */
-class StutterFleet(private val workerCount: Int) {
+/**
+ * A gateway process before [LANES] services, each with [workerCount] workers that stutter, which plays cases there; the
+ * workers answer other requests with the [usual] plan.
+ */
+class StutterFleet(private val workerCount: Int, usual: AnswerPlan = AnswerPlan()) {
     private val launcher = testLauncher("ragwortbank-stutter", Path.of(System.getProperty("stutter.jar", BUILT_JAR)))
     private val fleet = PreparedFleet(launcher)
-    private val lanes = List(LANES) { StutterLane("lane-$it", fleet.gateway.address("http"), workerCount) }
+    private val lanes = List(LANES) { StutterLane("lane-$it", fleet.gateway.address("http"), workerCount, usual) }
 
     /** Adds the services; false if the gateway did not get ready in time. */
     fun start(): Boolean {
--- a/standins/src/test/kotlin/org/ragwortbank/standins/prepared/StutterLane.kt
+++ b/standins/src/test/kotlin/org/ragwortbank/standins/prepared/StutterLane.kt
@@ -13,9 +13,17 @@
 /** A broken promise, with what the worker wrote and the caller read. */
 data class Violation(val case: StutterCase, val requestId: String, val broken: List<String>, val evidence: String)
 
-/** One service with [workerCount] workers behind the gateway at [gateway], where cases are played one after another. */
-class StutterLane(val service: String, private val gateway: Address, workerCount: Int) {
-    private val workers = List(workerCount) { StutteringWorker("$service-$it") }
+/**
+ * One service with [workerCount] workers behind the gateway at [gateway], where cases are played one after another; the
+ * workers answer other requests with the [usual] plan.
+ */
+class StutterLane(
+    val service: String,
+    private val gateway: Address,
+    workerCount: Int,
+    usual: AnswerPlan = AnswerPlan(),
+) {
+    private val workers = List(workerCount) { StutteringWorker("$service-$it", usual) }
     private var played = 0
 
     /** Starts the workers and returns their addresses. */
