Blocks are saved again in an older copy of the store, lifted ones stay lifted

What followed: a stored block that the copy lacked was taken as lifted by operators, so that requests of which upstreams crash ran again at all gateways.

Cause: what a full read lacks counts as dropped, what it has as set, though a copy says neither.

Change: on the first read of a new era all blocks count as not stored; those that the copy lacks are saved again by their finder or keeper. Evacuations hold as the copy has them, versions and the configuration only rise, as before.

--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewayTables.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewayTables.kt
@@ -84,6 +84,7 @@
  * @property traitsClearedAt when a trait was last added to these
  * @property blocks traits whose requests are refused
  * @property replacedBlocks traits whose requests were refused before a broader trait took their place, and when it did
+ * @property liftedBlocks blocks that the store no longer had, and when that was learned
  * @property memberList how this gateway knows of the others; null where no service has a bound on cold upstreams
  * @property evacuations failure domains to whose upstreams nothing is sent
  * @property lostDomains failure domains that are likely lost, so that others are preferred for a while
@@ -128,6 +129,7 @@
     val traitsClearedAt: Timestamp? = null,
     val blocks: PersistentMap<CrashTrait, BlockRow> = persistentMapOf(),
     val replacedBlocks: PersistentMap<CrashTrait, Timestamp> = persistentMapOf(),
+    val liftedBlocks: PersistentMap<CrashTrait, Timestamp> = persistentMapOf(),
     val evacuations: PersistentMap<FailureDomain, EvacuationRow> = persistentMapOf(),
     val lostDomains: PersistentMap<FailureDomain, LostDomainRow> = persistentMapOf(),
     val lossSweptAt: Timestamp? = null,
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/StoreSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/StoreSystem.kt
@@ -8,10 +8,12 @@
 import org.ragwortbank.core.serving.AdapterKey
 import org.ragwortbank.core.serving.StoreChange
 import org.ragwortbank.core.serving.StorePosition
+import org.ragwortbank.core.storecopy.dropLifted
 import org.ragwortbank.core.storecopy.enterCopy
 import org.ragwortbank.core.storecopy.goneAmong
 import org.ragwortbank.core.storecopy.isAwaited
 import org.ragwortbank.core.storecopy.isOfNewEra
+import org.ragwortbank.core.storecopy.liftStoredBlock
 import org.ragwortbank.core.storecopy.markGone
 import org.ragwortbank.core.storecopy.notePresent
 import org.ragwortbank.core.storecopy.noteWritten
@@ -42,9 +44,12 @@
         }
 
     private fun readCopy(step: GatewayStep, input: GatewayInput.StoreRead, now: Timestamp): GatewayStep {
-        val contents = step.tables.withoutOutdated(input.contents)
+        val contents = step.tables.withoutOutdated(input.contents, now)
         val gone = step.tables.goneAmong(contents)
-        val entered = step.enterCopy(contents, input.position, now).moveTo(input.position)
+        val entered = step
+            .dropLifted(input.contents, now)
+            .enterCopy(contents, input.position, now)
+            .moveTo(input.position)
         return applySnapshot(entered, contents, now).markGone(gone)
     }
 
@@ -105,7 +110,7 @@
             is StoreChange.NewestVersionSet -> step.update { it.recordVersion(change, now) }
             is StoreChange.PeerRegistered -> step.update { it.registerPeer(change, now) }
             is StoreChange.BlockSet -> step.storeBlock(change.trait, now)
-            is StoreChange.BlockLifted -> step.liftBlock(change.trait)
+            is StoreChange.BlockLifted -> step.liftStoredBlock(change.trait, now)
             is StoreChange.DomainEvacuated -> step.evacuate(change, now)
             is StoreChange.EvacuationLifted -> step.liftEvacuation(change.domain, now)
             is StoreChange.PeerRemoved -> step.update { it.unlistPeer(change.name) }
--- a/core/src/main/kotlin/org/ragwortbank/core/storecopy/StoreCopyChanges.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/storecopy/StoreCopyChanges.kt
@@ -39,7 +39,7 @@
             .toPersistentSet(),
     )
     return log(LogPart.MEMBERS, tables.describe(copy, position))
-        .update { it.copy(storeCopy = copy).rememberLeaving(registrations, now) }
+        .update { it.copy(storeCopy = copy).rememberLeaving(registrations, now).withBlocksUnsaved() }
 }
 
 private fun GatewayTables.describe(copy: StoreCopyRow, position: StorePosition): String =
@@ -47,8 +47,17 @@
         "${copy.missingUpstreams.size} upstreams and ${copy.missingPeers.size} gateways that are known"
 
 /** Of the [contents] of an older copy, what isn't known to be out of date. */
-internal fun GatewayTables.withoutOutdated(contents: PersistentList<StoreChange>): PersistentList<StoreChange> =
-    contents.filterNot { it is StoreChange.UpstreamRegistered && isOutdated(it.registration) }.toPersistentList()
+internal fun GatewayTables.withoutOutdated(
+    contents: PersistentList<StoreChange>,
+    now: Timestamp,
+): PersistentList<StoreChange> = contents.filterNot { isOutdated(it, now) }.toPersistentList()
+
+private fun GatewayTables.isOutdated(change: StoreChange, now: Timestamp): Boolean =
+    when (change) {
+        is StoreChange.UpstreamRegistered -> isOutdated(change.registration)
+        is StoreChange.BlockSet -> isLifted(change.trait, now)
+        else -> false
+    }
 
 /** Whether a later start under the same id is known. */
 private fun GatewayTables.isOutdated(registration: UpstreamRegistration): Boolean =
