A starting gateway doesn't refuse or accept by a configuration known as old

What callers saw: at a gateway that started while the store served an older copy, an added route got 404 and an added key 401, and a key that the lost configuration had withdrawn was accepted until it was written again (strict_revoke, which holds for all machines).

Cause: a gateway that has read nothing before takes the store for the newest word, though digests of the others name a later configuration.

Change: the newest version that any digest names is kept with the time at which it came. An answer of the store that was requested later and still lacks that version shows an older copy: what the store confirmed until then doesn't count, keys get 503 (3010) and unknown routes 503 (3009), not run. Known public routes are served: a refusal of all would last as long as the operators take to write it again, and would help no rule that the fleet keeps. An answer requested before the digest proves nothing, so an ordinary change of configuration, which gateways read one after the other, changes nothing.

What remains: until the first digest and the next answer, one to two seconds after its start, such a gateway decides by the copy.

--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/Authorization.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/Authorization.kt
@@ -36,6 +36,7 @@
     val service = route?.targetFor(RendezvousHash.hashOf(call.id).toInt())
     return when {
         config == null -> denied(ResultCode.NO_CONFIGURATION, "not yet read from the store", MIN_RETRY_AFTER)
+        route == null && isConfigOutdated -> denied(ResultCode.NO_CONFIGURATION, describeOutdated(), MIN_RETRY_AFTER)
         route == null ->
             denied(ResultCode.ROUTE_UNKNOWN, "no route for ${call.host}${call.path} in configuration ${config.version}")
         service == null -> denied(ResultCode.NO_UPSTREAM, "route ${route.name} has no service", MIN_RETRY_AFTER)
@@ -44,6 +45,10 @@
     }
 }
 
+/** A later configuration may have the route. */
+private fun GatewayTables.describeOutdated(): String =
+    "the store has only ${config?.version}, another gateway has ${namedConfig?.version}"
+
 /** A deployment with accounts requires keys also where its configuration lacks the list of them. */
 private fun GatewayTables.requiresKeys(config: ServingConfig): Boolean =
     config.requiresKeys || Feature.ACCOUNTS in settings.features
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/DigestIntakeSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/DigestIntakeSystem.kt
@@ -5,6 +5,7 @@
 import org.ragwortbank.core.serving.Endpoint
 import org.ragwortbank.core.serving.EngineDigest
 import org.ragwortbank.core.serving.PeerDigest
+import org.ragwortbank.core.storecopy.noteNamedConfig
 import org.ragwortbank.core.tick.Tick
 import org.ragwortbank.core.tick.TickSystem
 import org.ragwortbank.core.tick.Timestamp
@@ -49,6 +50,7 @@
                 needsFullPeerDigest = tables.needsFullPeerDigest || !isSameProcess,
             )
             .renewLeaseFrom(digest)
+            .noteNamedConfig(digest.configVersion, now)
     }
 
     /**
@@ -88,7 +90,7 @@
         val version = config?.version ?: return this
         val echoedStamp = digest.lastReceived[identity.name]?.takeIf { it.incarnation == identity.incarnation }
         val sentAt = echoedStamp?.let { peerDigestSendTimes[it.number] }
-        val isSameConfig = isConfigNewest && digest.configVersion == version
+        val isSameConfig = isConfigNewest && !isConfigOutdated && digest.configVersion == version
         val isUsable = sentAt != null && isSameConfig && digest.confirmedMillisAgo >= 0
         val peerConfirmedAt = sentAt?.let { it - digest.confirmedMillisAgo.milliseconds }
         val isLater = peerConfirmedAt != null && (confirmedAt == null || peerConfirmedAt > confirmedAt)
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewayTables.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewayTables.kt
@@ -28,6 +28,7 @@
 import org.ragwortbank.core.serving.UpstreamIncarnation
 import org.ragwortbank.core.speed.ServiceSpeed
 import org.ragwortbank.core.storecopy.GoneUpstream
+import org.ragwortbank.core.storecopy.NamedConfig
 import org.ragwortbank.core.storecopy.StoreCopyRow
 import org.ragwortbank.core.tick.Step
 import org.ragwortbank.core.tick.Timestamp
@@ -62,6 +63,8 @@
  * @property config newest configuration; null before the first
  * @property confirmedAt when the latest request to the store was made whose reply confirmed [config]
  * @property isConfigNewest whether the store's configuration is [config], as far as it has been read
+ * @property namedConfig newest configuration of any other gateway; null before the first digest
+ * @property isConfigOutdated whether another gateway has a later configuration than [config], which the store lacks
  * @property storePosition how far the store has been read
  * @property storeCopy older copy from which the store came back; null once that is complete
  * @property goneUpstreams incarnations of upstreams that were lately removed from the instance list
@@ -102,6 +105,8 @@
     val config: ServingConfig? = null,
     val confirmedAt: Timestamp? = null,
     val isConfigNewest: Boolean = false,
+    val namedConfig: NamedConfig? = null,
+    val isConfigOutdated: Boolean = false,
     val storePosition: StorePosition = StorePosition.NONE,
     val storeCopy: StoreCopyRow? = null,
     val goneUpstreams: PersistentMap<UpstreamIncarnation, GoneUpstream> = persistentMapOf(),
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/StoreSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/StoreSystem.kt
@@ -8,6 +8,7 @@
 import org.ragwortbank.core.serving.AdapterKey
 import org.ragwortbank.core.serving.StoreChange
 import org.ragwortbank.core.serving.StorePosition
+import org.ragwortbank.core.storecopy.checkConfig
 import org.ragwortbank.core.storecopy.dropLifted
 import org.ragwortbank.core.storecopy.enterCopy
 import org.ragwortbank.core.storecopy.goneAmong
@@ -60,10 +61,11 @@
     private fun GatewayStep.moveTo(position: StorePosition): GatewayStep = update { it.copy(storePosition = position) }
 
     private fun recordConfirmation(step: GatewayStep, requestedAt: Timestamp): GatewayStep {
-        val confirmedAt = step.tables.confirmedAt
+        val checked = step.checkConfig(requestedAt)
+        val confirmedAt = checked.tables.confirmedAt
         val isKnown = confirmedAt != null && confirmedAt >= requestedAt
-        val isConfirmed = step.tables.isConfigNewest && !isKnown
-        return if (isConfirmed) step.update { it.copy(confirmedAt = requestedAt) } else step
+        val isConfirmed = checked.tables.isConfigNewest && !checked.tables.isConfigOutdated && !isKnown
+        return if (isConfirmed) checked.update { it.copy(confirmedAt = requestedAt) } else checked
     }
 
     private fun applySnapshot(step: GatewayStep, contents: PersistentList<StoreChange>, now: Timestamp): GatewayStep {
