--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewayTables.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewayTables.kt
@@ -28,6 +28,7 @@
 import org.ragwortbank.core.serving.UpstreamIncarnation
 import org.ragwortbank.core.speed.ServiceSpeed
 import org.ragwortbank.core.storecopy.GoneUpstream
+import org.ragwortbank.core.storecopy.NamedConfig
 import org.ragwortbank.core.storecopy.StoreCopyRow
 import org.ragwortbank.core.tick.Step
 import org.ragwortbank.core.tick.Timestamp
@@ -62,6 +63,8 @@
  * @property config newest configuration; null before the first
  * @property confirmedAt when the latest request to the store was made whose reply confirmed [config]
  * @property isConfigNewest whether the store's configuration is [config], as far as it has been read
+ * @property namedConfig newest configuration of any other gateway; null before the first digest
+ * @property isConfigOutdated whether another gateway has a later configuration than [config], which the store lacks
  * @property storePosition how far the store has been read
  * @property storeCopy older copy from which the store came back; null once that is complete
  * @property goneUpstreams incarnations of upstreams that were lately removed from the instance list
@@ -84,6 +87,7 @@
  * @property traitsClearedAt when a trait was last added to these
  * @property blocks traits whose requests are refused
  * @property replacedBlocks traits whose requests were refused before a broader trait took their place, and when it did
+ * @property liftedBlocks blocks that the store no longer had, and when that was learned
  * @property memberList how this gateway knows of the others; null where no service has a bound on cold upstreams
  * @property evacuations failure domains to whose upstreams nothing is sent
  * @property lostDomains failure domains that are likely lost, so that others are preferred for a while
@@ -101,6 +105,8 @@
     val config: ServingConfig? = null,
     val confirmedAt: Timestamp? = null,
     val isConfigNewest: Boolean = false,
+    val namedConfig: NamedConfig? = null,
+    val isConfigOutdated: Boolean = false,
     val storePosition: StorePosition = StorePosition.NONE,
     val storeCopy: StoreCopyRow? = null,
     val goneUpstreams: PersistentMap<UpstreamIncarnation, GoneUpstream> = persistentMapOf(),
@@ -128,6 +134,7 @@
     val traitsClearedAt: Timestamp? = null,
     val blocks: PersistentMap<CrashTrait, BlockRow> = persistentMapOf(),
     val replacedBlocks: PersistentMap<CrashTrait, Timestamp> = persistentMapOf(),
+    val liftedBlocks: PersistentMap<CrashTrait, Timestamp> = persistentMapOf(),
     val evacuations: PersistentMap<FailureDomain, EvacuationRow> = persistentMapOf(),
     val lostDomains: PersistentMap<FailureDomain, LostDomainRow> = persistentMapOf(),
     val lossSweptAt: Timestamp? = null,
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/StoreSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/StoreSystem.kt
@@ -8,10 +8,13 @@
 import org.ragwortbank.core.serving.AdapterKey
 import org.ragwortbank.core.serving.StoreChange
 import org.ragwortbank.core.serving.StorePosition
+import org.ragwortbank.core.storecopy.checkConfig
+import org.ragwortbank.core.storecopy.dropLifted
 import org.ragwortbank.core.storecopy.enterCopy
 import org.ragwortbank.core.storecopy.goneAmong
 import org.ragwortbank.core.storecopy.isAwaited
 import org.ragwortbank.core.storecopy.isOfNewEra
+import org.ragwortbank.core.storecopy.liftStoredBlock
 import org.ragwortbank.core.storecopy.markGone
 import org.ragwortbank.core.storecopy.notePresent
 import org.ragwortbank.core.storecopy.noteWritten
@@ -42,9 +45,12 @@
         }
 
     private fun readCopy(step: GatewayStep, input: GatewayInput.StoreRead, now: Timestamp): GatewayStep {
-        val contents = step.tables.withoutOutdated(input.contents)
+        val contents = step.tables.withoutOutdated(input.contents, now)
         val gone = step.tables.goneAmong(contents)
-        val entered = step.enterCopy(contents, input.position, now).moveTo(input.position)
+        val entered = step
+            .dropLifted(input.contents, now)
+            .enterCopy(contents, input.position, now)
+            .moveTo(input.position)
         return applySnapshot(entered, contents, now).markGone(gone)
     }
 
@@ -55,10 +61,11 @@
     private fun GatewayStep.moveTo(position: StorePosition): GatewayStep = update { it.copy(storePosition = position) }
 
     private fun recordConfirmation(step: GatewayStep, requestedAt: Timestamp): GatewayStep {
-        val confirmedAt = step.tables.confirmedAt
+        val checked = step.checkConfig(requestedAt)
+        val confirmedAt = checked.tables.confirmedAt
         val isKnown = confirmedAt != null && confirmedAt >= requestedAt
-        val isConfirmed = step.tables.isConfigNewest && !isKnown
-        return if (isConfirmed) step.update { it.copy(confirmedAt = requestedAt) } else step
+        val isConfirmed = checked.tables.isConfigNewest && !checked.tables.isConfigOutdated && !isKnown
+        return if (isConfirmed) checked.update { it.copy(confirmedAt = requestedAt) } else checked
     }
 
     private fun applySnapshot(step: GatewayStep, contents: PersistentList<StoreChange>, now: Timestamp): GatewayStep {
@@ -105,7 +112,7 @@
             is StoreChange.NewestVersionSet -> step.update { it.recordVersion(change, now) }
             is StoreChange.PeerRegistered -> step.update { it.registerPeer(change, now) }
             is StoreChange.BlockSet -> step.storeBlock(change.trait, now)
-            is StoreChange.BlockLifted -> step.liftBlock(change.trait)
+            is StoreChange.BlockLifted -> step.liftStoredBlock(change.trait, now)
             is StoreChange.DomainEvacuated -> step.evacuate(change, now)
             is StoreChange.EvacuationLifted -> step.liftEvacuation(change.domain, now)
             is StoreChange.PeerRemoved -> step.update { it.unlistPeer(change.name) }
