Don't pass on a success that lacks what its upstream's others have

Cause: if the own answer of a run never comes, the first one with the id and the signature was taken for it. A second answer has both.

Change: AnswerHabits learns for each incarnation of an upstream which traits its successes have: the load, what becomes of the connection, the content type. A success with fewer than half of those that it is expected to have fails its attempt as an irregular answer, outcome unknown: repeated where the route allows, 502 otherwise. Nothing is expected of an upstream that has not answered or tells nothing, and one that gives up a habit is refused eight times at most.

Ruled out: the length of the body, its type alone, the time since the request was sent; a rule for each service, since an incarnation may tell less than others of its service.

--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/AttemptFailure.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/AttemptFailure.kt
@@ -16,4 +16,9 @@
     data class InvalidAnswer(override val detail: String) : AttemptFailure {
         override val label: String get() = "invalid answer"
     }
+
+    /** The upstream answered in a form that its other answers don't have, so that this is none of them. */
+    data class IrregularAnswer(override val detail: String) : AttemptFailure {
+        override val label: String get() = "irregular answer"
+    }
 }
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/AttemptSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/AttemptSystem.kt
@@ -69,10 +69,17 @@
         val facts = input.facts
         val upstream = row.upstream ?: return step
         val sentAt = (row.stage as? RequestStage.Sent)?.sentAt ?: now
+        val lost = step.tables.irregularAnswer(row, input)
         val updated = step.update { tables ->
-            tables.updateUpstream(upstream) { it.copy(answeredAt = now).withReportedLoad(facts.load, now) }
+            tables.updateUpstream(upstream) {
+                it.copy(answeredAt = now).withReportedLoad(facts.load, now).withAnswer(facts)
+            }
         }
         return when {
+            lost != null -> {
+                val cancelled = GatewayEffect.CancelAttempt(row.number, row.attemptCount, CancelCause.FAILED)
+                handleLostAttempt(updated.emit(cancelled), row, lost, now)
+            }
             facts.notRun -> handleRejection(updated, row, input, now)
             facts.status >= FIRST_SERVER_ERROR -> {
                 val failed = AttemptOutcome.Failed(facts.status, now - sentAt)
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewayInput.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewayInput.kt
@@ -2,6 +2,8 @@
 
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.PersistentSet
+import kotlinx.collections.immutable.persistentSetOf
 import org.ragwortbank.core.pressure.HeldMeasure
 import org.ragwortbank.core.serving.Endpoint
 import org.ragwortbank.core.serving.EngineDigest
@@ -19,13 +21,22 @@
  * @property notRun whether the upstream states that it has not run the request and never will
  * @property load load that the upstream reported with the answer; null if it reported none
  * @property notice what the upstream says of itself; null if it says nothing
+ * @property traits what it holds beside what belongs to its request
  */
 data class AnswerFacts(
     val status: Int,
     val notRun: Boolean,
     val load: ReportedLoad?,
     val notice: UpstreamNotice? = null,
-)
+    val traits: PersistentSet<AnswerTrait> = persistentSetOf(),
+) {
+    /** Whether the request was run and ended well. */
+    val isSuccess: Boolean get() = status in SUCCESSES
+
+    private companion object {
+        val SUCCESSES = 200..299
+    }
+}
 
 /**
  * What an upstream says of itself in the head of an answer, whatever the answer is.
--- /dev/null
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/IrregularAnswer.kt
@@ -0,0 +1,14 @@
+package org.ragwortbank.core.gateway
+
+/** How the present attempt of [row] has failed if the answer of [input] can't be its upstream's own; null if it can. */
+internal fun GatewayTables.irregularAnswer(
+    row: RequestRow,
+    input: GatewayInput.AnswerHeadReceived,
+): GatewayInput.AttemptFailed? {
+    val habits = row.upstream?.let { upstreams[it] }?.answerHabits
+    val traits = input.facts.traits
+    if (habits == null || !input.facts.isSuccess || !habits.isIrregular(traits)) return null
+    val detail = "a success without ${(habits.expected - traits).joinToString()}, which others from there have"
+    val cause = AttemptFailure.IrregularAnswer(detail)
+    return GatewayInput.AttemptFailed(input.number, input.attempt, cause, input.trace)
+}
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/UpstreamRow.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/UpstreamRow.kt
@@ -78,6 +78,7 @@
  * @property failedAt when a request of this gateway last failed there without an answer
  * @property slowness how slow it is, as it has last stated in an answer; null if it never has
  * @property reading how long it takes to read prompts
+ * @property answerHabits which traits its successes have
  * @property isSuperseded whether a later incarnation has the same endpoint, so that this one has terminated
  * @property cold whether it may be cold; null where its service has no bound for that, and until it is known
  * @property pace limit on this gateway's requests there; null where its service has none, and right after a start
@@ -106,6 +107,7 @@
     val pace: PaceRow? = null,
     val slowness: MomentarySlowness? = null,
     val reading: PromptReading = PromptReading(),
+    val answerHabits: AnswerHabits = AnswerHabits(),
 ) {
     /** Whether it accepts new work according to its registration and to itself. */
     val isAccepting: Boolean get() = registration.isAccepting && !isSuperseded && !isLeaving
@@ -191,6 +193,10 @@
             )
         }
 
+    /** This row with an answer that held [facts]. */
+    fun withAnswer(facts: AnswerFacts): UpstreamRow =
+        if (facts.isSuccess) copy(answerHabits = answerHabits.after(facts.traits)) else this
+
     private fun PersistentMap<AdapterKey, Int>.adjust(
         adapter: AdapterKey?,
         delta: Int,
--- a/standins/src/test/kotlin/org/ragwortbank/standins/prepared/SecondAnswerOfFailureTest.kt
+++ b/standins/src/test/kotlin/org/ragwortbank/standins/prepared/SecondAnswerOfFailureTest.kt
@@ -5,7 +5,7 @@
 import kotlin.test.AfterTest
 import kotlin.test.Test
 
-/** Runs a gateway as a process before workers whose first answers are missing. */
+/** Runs a gateway as a process before workers whose first answers are missing and second ones may look like them. */
 @Tag("known-red")
 class SecondAnswerOfFailureTest {
     private var fleet: StutterFleet? = null
@@ -15,10 +15,12 @@
         fleet?.stop()
     }
 
-    // Guards against a second answer that is taken for the answer to a run whose failure was never read.
+    // Guards against a second answer in the form of a first one, for a run whose failure was never read.
     @Test
-    fun `given a failed run with no answer but a second that says ok, then no caller reads a success`() =
-        start(workerCount = 1).assertKept(StutterCases.repeatedFailures(StutterCases.missingFailures))
+    fun `given a failed run with no answer but a second in the form of a first, then no caller reads a success`() =
+        start(workerCount = 1).assertKept(
+            StutterCases.repeatedFailures(StutterCases.missingFailures, StutterCases.successes.getValue("whole")),
+        )
 
     @Test
     fun `given seeded answers of three workers, some missing, then each caller reads its own run's`() =
--- a/standins/src/test/kotlin/org/ragwortbank/standins/prepared/SecondAnswerTest.kt
+++ b/standins/src/test/kotlin/org/ragwortbank/standins/prepared/SecondAnswerTest.kt
@@ -55,6 +55,30 @@
             StutterCases.repeatedSuccesses(StutterCases.shortSuccesses, mapOf("known" to AnswerForm.knownSecond)),
         )
 
+    // Guards against a second answer that is taken for the answer to a run whose own answer was lost.
+    @Test
+    fun `given a failed run with no answer but a second that says ok, then no caller reads a success`() =
+        start(workerCount = 1).assertKept(StutterCases.repeatedFailures(StutterCases.missingFailures))
+
+    // Guards against the same where the run had ended well, with another body.
+    @Test
+    fun `given a run whose answer is lost and a second one, then no caller reads the second`() =
+        start(1, StutterCases.regularPlan).assertKept(
+            StutterCases.repeatedSuccesses(StutterCases.missingFailures, StutterCases.knownSeconds),
+        )
+
+    @Test
+    fun `given seeded answers of regular workers, some lost, then each caller reads its own run's`() =
+        start(workerCount = 3, StutterCases.regularPlan).assertKept(
+            StutterCases.chosen(
+                Random(seed),
+                count,
+                StutterCases.failures + StutterCases.spoiltFailures + StutterCases.missingFailures,
+                StutterCases.knownSeconds + StutterCases.cutSeconds,
+                isInterleaved = true,
+            ),
+        )
+
     @Test
     fun `given seeded answers of one worker, then each caller reads the whole answer of its own run or a failure`() =
         start(workerCount = 1).assertKept(StutterCases.chosen(Random(seed), count))
--- a/standins/src/test/kotlin/org/ragwortbank/standins/prepared/StutterCase.kt
+++ b/standins/src/test/kotlin/org/ragwortbank/standins/prepared/StutterCase.kt
@@ -120,11 +120,14 @@
         "after the next answer" to (AfterNextAnswer to 0L),
     )
 
-    /** A failed run with a known second answer, for each of the [forms] of its first answer and each time. */
-    fun repeatedFailures(forms: Map<String, AnswerForm>): List<StutterCase> = forms.flatMap { (formName, form) ->
+    /** A failed run with the [second] answer, for each of the [forms] of its first answer and each time. */
+    fun repeatedFailures(
+        forms: Map<String, AnswerForm>,
+        second: AnswerForm = AnswerForm.knownSecond,
+    ): List<StutterCase> = forms.flatMap { (formName, form) ->
         times.filterValues { it.first is After }.map { (timeName, time) ->
-            val plan = AnswerPlan(500, "", form, AnswerForm.knownSecond, time.first)
-            StutterCase("500 [$formName], second [known], $timeName", plan, AnswerPlan(), time.second)
+            val plan = AnswerPlan(500, "", form, second, time.first)
+            StutterCase("500 [$formName], second answer, $timeName", plan, AnswerPlan(), time.second)
         }
     }
 
