The drill's check counts what no version allows as a false denial

Cause: a denial that no version allows was taken for an act on an older version (NOT_REVERTED, IN_FORCE), without the ten that the rule leaves to all machines. Both are now broken only where one of the versions before does allow it; what none allows is counted with the false denials, which in turn include those by machines in touch of what all versions that may be in force allow.

--- a/standins/src/test/kotlin/org/ragwortbank/standins/drill/DrillCheck.kt
+++ b/standins/src/test/kotlin/org/ragwortbank/standins/drill/DrillCheck.kt
@@ -24,7 +24,7 @@
         isConcerned && it.from <= request.endedAt && it.until > request.sentAt - DrillBounds.contact
     }
 
-    private fun isInForce(request: DrillRequest): Boolean = versionsDueBy(request).any { isAllowedBy(it, request) }
+    private fun isInForce(request: DrillRequest): Boolean = !isAsOnlyBefore(versionsDueBy(request), request)
 
     /** The versions that may be in force while [request] is handled at a machine in touch. */
     private fun versionsDueBy(request: DrillRequest): List<PublishedConfig> {
@@ -36,9 +36,15 @@
         val latestEffect = effects[request.machine to request.incarnation].orEmpty()
             .filter { it.seenAt + DrillBounds.revertSlack < request.sentAt }
             .maxOfOrNull { it.version } ?: 0
-        return published
-            .filter { it.sentAt <= request.endedAt && it.config.version >= latestEffect }
-            .none { isAllowedBy(it, request) }
+        val later = published.filter { it.sentAt <= request.endedAt && it.config.version >= latestEffect }
+        return isAsOnlyBefore(later, request)
+    }
+
+    /** Whether [request] was handled as none of [versions] allows and one before them does. */
+    private fun isAsOnlyBefore(versions: List<PublishedConfig>, request: DrillRequest): Boolean {
+        val oldest = versions.first().config.version
+        return versions.none { isAllowedBy(it, request) } &&
+            published.any { it.config.version < oldest && isAllowedBy(it, request) }
     }
 
     private fun isRunAfterWithdrawal(request: DrillRequest): Boolean {
@@ -50,9 +56,12 @@
     private fun isNeverAllowed(request: DrillRequest): Boolean =
         record.outcome(request) is Outcome.Run && published.none { isAllowedBy(it, request) }
 
+    /** Denials of what all versions allow, or all that may be in force at a machine in touch. */
     private fun falseDenials(): Breach? {
         val denied = record.requests.filter { request ->
-            record.outcome(request) == Outcome.Denied && published.all { it.config.serves(request) }
+            val isDenied = record.outcome(request) == Outcome.Denied
+            val versions = if (isInTouch(request) && isInForce(request)) versionsDueBy(request) else published
+            isDenied && versions.all { it.config.serves(request) }
         }
         return denied.firstOrNull()
             ?.takeIf { denied.size > DrillBounds.MAX_FALSE_DENIALS }
