Refuse replies to the pooled clients in whose body another answer begins

The clients of the store, engines and services have the fault of the gateways' exchanges: what follows a reply that ends with its connection, or one that is broken off before its length, was read as its body. A reply joined from two could pass for a reading of the store or an engine's word.

Change: AnswerBodyScan moves to the clients; ResponseBody uses it for bodies of JSON and of events, in which a head with any field can't be a quotation. Bodies of other types aren't searched there.

The scan took a status line that is quoted at the very end of a whole body for the beginning of the second answer behind it. Of status lines that follow each other only the last may begin a head.

--- a/node/src/main/kotlin/org/ragwortbank/node/gateway/AnswerBodyScan.kt
+++ b/clients/src/main/kotlin/org/ragwortbank/clients/http/AnswerBodyScan.kt
@@ -1,20 +1,18 @@
-package org.ragwortbank.node.gateway
+package org.ragwortbank.clients.http
 
 import io.netty.buffer.ByteBuf
-import org.ragwortbank.clients.http.STATUS_LINE_LENGTH
-import org.ragwortbank.clients.http.statusLines
 
 /**
  * Looks for another answer inside the body of one. If an upstream sends less of a body than its length says, or a body
  * that ends with its connection, what it sends next passes for a part of that body.
  *
- * A body may quote any text, also a status line. Only fields by which upstreams name a request or a run, in a head that
- * begins there, tell an answer from a quotation.
+ * A body may quote any text, also a status line. Only fields that no quotation has, in a head that begins there, tell
+ * an answer from one.
  *
  * @property endsWithConnection whether the body has neither a length nor chunks
- * @property namesRun whether a line of a head names a request or a run
+ * @property isMark whether a line of a head is a field that no quotation has
  */
-internal class AnswerBodyScan(private val endsWithConnection: Boolean, private val namesRun: (String) -> Boolean) {
+class AnswerBodyScan(private val endsWithConnection: Boolean, private val isMark: (String) -> Boolean) {
     private var kept = ""
 
     /** A part of the body was received; returns why it can't be one, or null. */
@@ -45,12 +43,14 @@
         return '\r' in rest && HEAD_END !in rest && fields.all { ':' in it } && lines.none { '\n' in it }
     }
 
-    private fun isHead(text: String, statusLine: IntRange): Boolean =
-        text.substring(statusLine.first, minOf(text.length, statusLine.first + MAX_HEAD_LENGTH))
+    /** Of status lines that follow each other, only the last may begin a head; those before it are quotations. */
+    private fun isHead(text: String, statusLine: IntRange): Boolean {
+        val lines = text.substring(statusLine.first, minOf(text.length, statusLine.first + MAX_HEAD_LENGTH))
             .substringBefore(HEAD_END)
             .split(LINE_END)
-            .drop(1)
-            .any(namesRun)
+        val fields = lines.drop(1).takeWhile { statusLines(it).isEmpty() }
+        return statusLines(lines.first()).size == 1 && fields.any(isMark)
+    }
 
     private companion object {
         const val LINE_END = "\r\n"
--- a/clients/src/main/kotlin/org/ragwortbank/clients/http/ResponseHandler.kt
+++ b/clients/src/main/kotlin/org/ragwortbank/clients/http/ResponseHandler.kt
@@ -1,6 +1,6 @@
 package org.ragwortbank.clients.http
 
-import io.netty.buffer.ByteBufUtil
+import io.netty.buffer.ByteBuf
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.SimpleChannelInboundHandler
@@ -34,6 +34,13 @@
     private var state = ResponseState.EXPECTED
     private var isKeptAlive = true
     private var isInterim = false
+    private val body = ResponseBody(listener)
+
+    /** What follows the response, with which it arrived, comes as bytes. */
+    override fun channelRead(ctx: ChannelHandlerContext, message: Any) {
+        if (message is ByteBuf && state == ResponseState.READ) body.onRest(message)
+        super.channelRead(ctx, message)
+    }
 
     override fun channelRead0(ctx: ChannelHandlerContext, part: HttpObject) {
         val result = part.decoderResult()
@@ -68,15 +75,19 @@
         if (isInterim) return
         if (part is HttpResponse) onHead(ctx, part)
         if (state == ResponseState.EXPECTED && part is HttpContent) {
-            if (part.content().isReadable) listener.onContent(ByteBufUtil.getBytes(part.content()))
+            body.onContent(part.content())?.let { failOnce(ctx.channel(), it) }
+        }
+        if (state == ResponseState.EXPECTED && part is LastHttpContent) {
+            state = ResponseState.READ
+            codec.removeFrom(ctx.pipeline())
         }
-        if (state == ResponseState.EXPECTED && part is LastHttpContent) onLastContent(ctx)
     }
 
     private fun onHead(ctx: ChannelHandlerContext, response: HttpResponse) {
         val headers = response.headers().entries().map { Header(it.key, it.value) }
         val head = HttpHead(response.status().code(), headers.toPersistentList())
         val verdict = evidence.judge(head)
+        body.begin(response)
         isKeptAlive = HttpUtil.isKeepAlive(response) && verdict == AnswerVerdict.OWN
         if (verdict == AnswerVerdict.FOREIGN) {
             failOnce(ctx.channel(), "the response is not one to this call")
@@ -85,13 +96,10 @@
         }
     }
 
-    private fun onLastContent(ctx: ChannelHandlerContext) {
-        state = ResponseState.READ
-        codec.removeFrom(ctx.pipeline())
-    }
-
     private fun complete(ctx: ChannelHandlerContext) {
         if (state != ResponseState.READ) return
+        val defect = body.defect()
+        if (defect != null) return failOnce(ctx.channel(), defect)
         state = ResponseState.REPORTED
         if (!isKeptAlive) ctx.close()
         ctx.pipeline().remove(this)
--- a/node/src/main/kotlin/org/ragwortbank/node/gateway/UpstreamExchange.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/gateway/UpstreamExchange.kt
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpUtil
+import org.ragwortbank.clients.http.AnswerBodyScan
 import org.ragwortbank.core.gateway.AttemptFailure
 import org.ragwortbank.core.gateway.AttemptFailure.ConnectionLost
 import org.ragwortbank.core.gateway.AttemptFailure.InvalidAnswer
--- a/node/src/test/kotlin/org/ragwortbank/node/gateway/SecondAnswerInBodyTest.kt
+++ b/node/src/test/kotlin/org/ragwortbank/node/gateway/SecondAnswerInBodyTest.kt
@@ -37,6 +37,9 @@
     fun `given a whole body, when a second answer follows at once, then the body is passed on`() {
         assertEquals(BODY, bodyReadOf("$HEAD$WITH_LENGTH$BODY$SECOND"))
         assertEquals(BODY, bodyReadOf("$HEAD$IN_CHUNKS$CHUNKS$SECOND"))
+        (quotes + "it ends with HTTP/1.1 200 OK\r\n").forEach {
+            assertEquals(it, bodyReadOf("${HEAD}Content-Length: ${it.length}\r\n\r\n$it$SECOND"), it)
+        }
     }
 
     /** Whether a caller reads a success of which [framing] and [rest] are what the upstream sent. */
