--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewayEffect.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewayEffect.kt
@@ -11,9 +11,12 @@
 import org.ragwortbank.core.serving.Endpoint
 import org.ragwortbank.core.serving.PeerDigest
 import org.ragwortbank.core.serving.RequestNumber
+import org.ragwortbank.core.serving.ServiceName
 import org.ragwortbank.core.serving.UpstreamId
 import org.ragwortbank.core.serving.UpstreamIncarnation
 import org.ragwortbank.core.tick.Timestamp
+import org.ragwortbank.core.versions.ServiceVersions
+import org.ragwortbank.core.versions.StreamRecord
 
 /**
  * One attempt to run a request at an upstream.
@@ -83,6 +86,19 @@
     /** Have the store drop that requests with [trait] are refused. */
     data class DropBlock(val trait: CrashTrait) : GatewayEffect
 
+    /** Have the store keep [versions] of [service], if what it has is of [expectedRevision]; 0 if it must have none. */
+    data class SaveVersions(
+        val service: ServiceName,
+        val versions: ServiceVersions,
+        val expectedRevision: Long,
+    ) : GatewayEffect
+
+    /** Have the store keep [record] for the longest life of a stream, and report when it does. */
+    data class SaveStreamRecord(val record: StreamRecord) : GatewayEffect
+
+    /** Read the changes of the store now instead of after the usual delay. */
+    data object RefreshStore : GatewayEffect
+
     /** Abort an answer that has begun, so that the caller sees that it is incomplete. */
     data class AbortAnswer(val number: RequestNumber, val refusal: Refusal) : GatewayEffect
 
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewayInput.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewayInput.kt
@@ -11,6 +11,7 @@
 import org.ragwortbank.core.serving.StoreChange
 import org.ragwortbank.core.serving.UpstreamIncarnation
 import org.ragwortbank.core.tick.Timestamp
+import org.ragwortbank.core.versions.StreamRecordKey
 import kotlin.time.Duration
 
 /**
@@ -93,6 +94,12 @@
     /** Changes of the store up to its reply to a request made at [requestedAt]. */
     data class StoreChanged(val changes: PersistentList<StoreChange>, val requestedAt: Timestamp) : GatewayInput
 
+    /** The store keeps the record [key] of this gateway. */
+    data class StreamRecordSaved(val key: StreamRecordKey) : GatewayInput
+
+    /** Whether the store keeps the record [key] of this gateway isn't known. */
+    data class StreamRecordFailed(val key: StreamRecordKey) : GatewayInput
+
     /** A placer reported the state of its engine. */
     data class EngineDigestReceived(val digest: EngineDigest) : GatewayInput
 
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/StoreSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/StoreSystem.kt
@@ -82,5 +82,7 @@
             is StoreChange.DomainEvacuated -> step.evacuate(change, now)
             is StoreChange.EvacuationLifted -> step.liftEvacuation(change.domain, now)
             is StoreChange.PeerRemoved -> step.update { it.unlistPeer(change.name) }
+            is StoreChange.VersionsSet, is StoreChange.VersionsRemoved -> step
+            is StoreChange.StreamsRecorded, is StoreChange.StreamRecordRemoved -> step
         }
 }
--- a/core/src/main/kotlin/org/ragwortbank/core/serving/ServingCall.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/serving/ServingCall.kt
@@ -17,6 +17,7 @@
  * @property promptTokens tokens of the prompt; null when the request doesn't say
  * @property sharedPromptParts parts of the prompt in order, without the last, which belongs to this request alone
  * @property fingerprint equal for repeats of a request; null when it isn't known
+ * @property resumption the broken stream that it takes up; null for a request that takes up none
  */
 data class ServingCall(
     val id: String,
@@ -30,6 +31,7 @@
     val promptTokens: Long? = null,
     val sharedPromptParts: PersistentList<PromptPartId> = persistentListOf(),
     val fingerprint: RequestFingerprint? = null,
+    val resumption: StreamResumption? = null,
 ) {
     /** Tokens that the answer may have; 0 when the request doesn't say. */
     val answerTokens: Long
--- a/core/src/main/kotlin/org/ragwortbank/core/serving/StoreChange.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/serving/StoreChange.kt
@@ -2,6 +2,9 @@
 
 import org.ragwortbank.core.crash.CrashTrait
 import org.ragwortbank.core.model.FailureDomain
+import org.ragwortbank.core.versions.ServiceVersions
+import org.ragwortbank.core.versions.StreamRecord
+import org.ragwortbank.core.versions.StreamRecordKey
 
 /** A decoded change in the platform's store. */
 sealed interface StoreChange {
@@ -39,6 +42,18 @@
     /** Upstreams of [domain] may be used again. */
     data class EvacuationLifted(val domain: FailureDomain) : StoreChange
 
+    /** The software versions of [service] for resumable streams were written at [revision]. */
+    data class VersionsSet(val service: ServiceName, val versions: ServiceVersions, val revision: Long) : StoreChange
+
+    /** The store has no software versions of [service]. */
+    data class VersionsRemoved(val service: ServiceName) : StoreChange
+
+    /** Streams that begin at an admitted version were recorded. */
+    data class StreamsRecorded(val record: StreamRecord) : StoreChange
+
+    /** The record [key] was removed. */
+    data class StreamRecordRemoved(val key: StreamRecordKey) : StoreChange
+
     /** Another gateway is no longer listed as a member. */
     data class PeerRemoved(val name: String) : StoreChange
 }
--- a/core/src/main/kotlin/org/ragwortbank/core/serving/UpstreamRegistration.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/serving/UpstreamRegistration.kt
@@ -15,6 +15,7 @@
  * @property startedMillis start of this incarnation in Unix milliseconds; 0 when the entry doesn't say
  * @property residentModels base models that are loaded
  * @property resident versions of the adapters that are loaded
+ * @property version version of its software; null when the entry doesn't say or it can't be read
  * @property coldRemaining how much longer it is cold, as it says; null when the entry doesn't say
  */
 data class UpstreamRegistration(
@@ -28,6 +29,7 @@
     val residentModels: PersistentSet<String>,
     val resident: PersistentMap<AdapterKey, Long>,
     val coldRemaining: Duration? = null,
+    val version: SoftwareVersion? = null,
 ) {
     /** The start of the upstream that registered. */
     val incarnation: UpstreamIncarnation get() = UpstreamIncarnation(id, startedMillis)
