--- a/node/src/main/kotlin/org/ragwortbank/node/port/StoreClient.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/port/StoreClient.kt
@@ -46,7 +46,7 @@
 }
 
 /** Client of the platform's store. Each call's outcome is delivered exactly once, on the event loop's thread. */
-interface StoreClient {
+interface StoreClient : StreamStore {
     /** Reads the whole store. */
     fun readAll(onReply: (StoreReply) -> Unit)
 
--- a/node/src/test/kotlin/org/ragwortbank/node/gateway/MembershipTest.kt
+++ b/node/src/test/kotlin/org/ragwortbank/node/gateway/MembershipTest.kt
@@ -7,6 +7,7 @@
 import org.ragwortbank.node.port.MembershipReply
 import org.ragwortbank.node.port.StoreClient
 import org.ragwortbank.node.port.StoreReply
+import org.ragwortbank.node.port.StreamStore
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.test.AfterTest
 import kotlin.test.Test
@@ -31,7 +32,7 @@
         assertEquals(listOf(1, 0, 1), listOf(store.joinCalls, store.renewCalls, store.leaveCalls).map { it.get() })
     }
 
-    private class CountingStore : StoreClient {
+    private class CountingStore : StoreClient, StreamStore by IdleStreamStore {
         val joinCalls = AtomicInteger()
         val renewCalls = AtomicInteger()
         val leaveCalls = AtomicInteger()
--- a/node/src/test/kotlin/org/ragwortbank/node/gateway/StoreWatcherTest.kt
+++ b/node/src/test/kotlin/org/ragwortbank/node/gateway/StoreWatcherTest.kt
@@ -10,6 +10,7 @@
 import org.ragwortbank.node.port.MembershipReply
 import org.ragwortbank.node.port.StoreClient
 import org.ragwortbank.node.port.StoreReply
+import org.ragwortbank.node.port.StreamStore
 import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.TimeUnit
 import kotlin.test.AfterTest
@@ -44,7 +45,7 @@
     private fun nextInput(): GatewayInput? = inputs.poll(INPUT_SECONDS, TimeUnit.SECONDS)
 
     /** A store whose history since revision 7 is larger than a reply may be; by then it is at revision 9. */
-    private class FloodedStore : StoreClient {
+    private class FloodedStore : StoreClient, StreamStore by IdleStreamStore {
         @Volatile
         var calls = emptyList<String>()
             private set
