Write versions and stream records for the gateway, and read the store at once when asked

A take-up of a stream that this gateway doesn't know waits for a read of the store that was requested after it arrived.

--- a/node/src/main/kotlin/org/ragwortbank/node/gateway/GatewayNode.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/gateway/GatewayNode.kt
@@ -77,6 +77,7 @@
         readDelay = { ticker.tables.settings.storeReadDelay },
         ticker::post,
     )
+    private val streamWriter = StreamStoreWriter(store, clock::now, storeWatcher::refresh, ticker::post)
     private lateinit var membership: Membership
 
     override fun start(): ListenAddresses {
@@ -129,6 +130,8 @@
             is GatewayEffect.SaveBlock -> store.saveBlock(effect.trait, ::onBlockReply)
             is GatewayEffect.DropBlock -> store.dropBlock(effect.trait, ::onBlockReply)
             is GatewayEffect.SetReadLimit, is GatewayEffect.CutAnswer -> pressure.perform(effect)
+            is GatewayEffect.SaveVersions, is GatewayEffect.SaveStreamRecord -> streamWriter.perform(effect)
+            GatewayEffect.RefreshStore -> storeWatcher.refresh()
             is GatewayEffect.Log -> Logs.write(effect.line)
             GatewayEffect.Stopped -> onStopped()
             else -> requests.perform(effect)
--- a/node/src/main/kotlin/org/ragwortbank/node/gateway/StoreWatcher.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/gateway/StoreWatcher.kt
@@ -28,6 +28,7 @@
 ) {
     private var isStoreUnavailable = false
     private var isStopped = false
+    private val refresh = StoreRefresh(loop, now)
 
     /** Reads the whole store and then its changes until [stop]. */
     fun start() = readAll()
@@ -37,6 +38,11 @@
         isStopped = true
     }
 
+    /** Reads the changes since the last read without waiting for one. */
+    fun refresh() {
+        if (!isStopped) refresh.request()
+    }
+
     private fun readAll() {
         val requestedAt = now()
         store.readAll { reply ->
@@ -44,7 +50,7 @@
                 is StoreReply.FullRead -> {
                     recordSuccess()
                     post(GatewayInput.StoreRead(reply.contents, requestedAt))
-                    schedule(readDelay()) { readChanges(reply.revision) }
+                    pause { readChanges(reply.revision) }
                 }
                 is StoreReply.Changes, StoreReply.Compacted, StoreReply.TooLarge -> schedule(readDelay(), ::readAll)
                 is StoreReply.Failed -> retryAfterFailure(reply.cause, ::readAll)
@@ -54,12 +60,15 @@
 
     private fun readChanges(revision: Long) {
         val requestedAt = now()
-        store.readChanges(revision, MAX_CHANGE_WAIT) { reply ->
+        val read = refresh.begin { readChanges(revision) }
+        val maxWait = if (read.isAtOnce) Duration.ZERO else MAX_CHANGE_WAIT
+        store.readChanges(revision, maxWait) { reply ->
+            if (!refresh.end(read)) return@readChanges
             when (reply) {
                 is StoreReply.Changes -> {
                     recordSuccess()
                     post(GatewayInput.StoreChanged(reply.changes, requestedAt))
-                    schedule(readDelay()) { readChanges(reply.revision) }
+                    pause { readChanges(reply.revision) }
                 }
                 is StoreReply.FullRead, StoreReply.Compacted -> {
                     Logs.platform.info("the store no longer has the changes since {}, reading all of it", revision)
@@ -85,6 +94,10 @@
         isStoreUnavailable = false
     }
 
+    private fun pause(read: () -> Unit) {
+        if (!isStopped) refresh.pause(readDelay(), read)
+    }
+
     private fun schedule(delay: Duration, action: () -> Unit) {
         if (!isStopped) loop.schedule(action, delay.inWholeMilliseconds, TimeUnit.MILLISECONDS)
     }
