Bound what is read of an answer that is held before it is relayed

The answer of a stream will be held until the store has the record of where it began. Nothing bounded what the gateway read of it meanwhile: an upstream that sends without end would fill its memory.

Once its head is reported and until it is relayed, reading pauses above 64 KiB of a stream, 1 MiB of another answer, or what the process may hold of all; relay resumes it.

Evidence: AttemptRelayTest: a stream of 40 MB that is held, complete while it is held, and broken off while it is held, also when it isn't read on.

--- a/node/src/main/kotlin/org/ragwortbank/node/gateway/AttemptRelay.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/gateway/AttemptRelay.kt
@@ -16,6 +16,9 @@
  * A non-streamed answer is buffered until it is complete or exceeds [MAX_BUFFERED_BYTES], or the process holds too much
  * of all answers; an event stream until its first event. Until then the request can still be retried at another
  * upstream.
+ *
+ * The answer may be held for longer, until [relay] is called. Then no more of it is read than the same bound, or
+ * [MAX_HELD_STREAM_BYTES] of an event stream.
  */
 internal class AttemptRelay(
     private val attempt: UpstreamAttempt,
@@ -31,6 +34,7 @@
     private var isHeadPosted = false
     private var isRelaying = false
     private var isComplete = false
+    private var isPaused = false
 
     /** What its exchange has read and passed on; null before it got a connection. */
     var trace: ExchangeTrace? = null
@@ -40,6 +44,9 @@
         get() = head?.headers()?.get(HttpHeaderNames.CONTENT_TYPE)
             ?.startsWith("text/event-stream", ignoreCase = true) == true
 
+    private val isFull: Boolean
+        get() = buffered.size > (if (isEventStream) MAX_HELD_STREAM_BYTES else MAX_BUFFERED_BYTES) || budget.isExhausted
+
     /** The HTTP exchange of this attempt. */
     lateinit var exchange: UpstreamExchange
 
@@ -71,7 +78,9 @@
             exchange.setReading(sink.isWritable)
         } else {
             buffered.add(content)
-            if (isEventStream || buffered.size > MAX_BUFFERED_BYTES || budget.isExhausted) postHead()
+            if (isEventStream || isFull) postHead()
+            isPaused = isPaused || (isHeadPosted && isFull)
+            if (isPaused) exchange.setReading(false)
         }
     }
 
@@ -100,6 +109,7 @@
         sink.writeHead(response)
         trace = trace?.copy(passedOn = response.status().code())
         buffered.take()?.let(sink::writeContent)
+        if (isPaused) exchange.setReading(sink.isWritable)
         if (isComplete) completeAnswer()
     }
 
@@ -123,5 +133,6 @@
 
     private companion object {
         const val MAX_BUFFERED_BYTES = 1_048_576
+        const val MAX_HELD_STREAM_BYTES = 65_536
     }
 }
--- a/node/src/test/kotlin/org/ragwortbank/node/gateway/AttemptRelayTest.kt
+++ b/node/src/test/kotlin/org/ragwortbank/node/gateway/AttemptRelayTest.kt
@@ -8,6 +8,7 @@
 import org.ragwortbank.core.gateway.GatewayInput
 import org.ragwortbank.core.result.Refusal
 import org.ragwortbank.core.serving.RequestNumber
+import java.util.concurrent.CompletableFuture
 import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.TimeUnit
 import kotlin.test.AfterTest
@@ -137,6 +138,63 @@
         assertEquals(read?.copy(passedOn = 404), passedOn)
     }
 
+    // Guards against a stream that fills the memory of a gateway while it waits to be passed on.
+    @Test
+    fun `given a stream that is held, then no more than a bound is read before it is relayed, and all of it after`() {
+        val budget = BufferBudget(maxBytes = HELD_BOUND_BYTES)
+        val relay = send(budget)
+        server.accept().use { upstream ->
+            upstream.answer(STREAM_HEAD)
+            val written = CompletableFuture.runAsync { repeat(LONG_STREAM_EVENTS) { upstream.write(longEvent) } }
+            assertIs<GatewayInput.AnswerHeadReceived>(nextInput())
+            Thread.sleep(DELIVERY_MILLIS)
+            assertEquals(false, written.isDone || budget.isExhausted)
+            process.run { relay.relay() }
+            written.get(INPUT_SECONDS, TimeUnit.SECONDS)
+        }
+        assertIs<GatewayInput.AnswerCompleted>(nextInput())
+        assertEquals(longEvent.length * LONG_STREAM_EVENTS, sink.events.drop(1).dropLast(1).sumOf { it.length })
+        assertEquals("complete", sink.events.last())
+    }
+
+    @Test
+    fun `given a stream that is complete while it is held, then it is passed on as a whole when it is relayed`() {
+        val relay = send()
+        server.accept().use { it.answer(STREAM_HEAD + "id: 1\ndata: a\n\nid: 2\ndata: b\n\n") }
+        assertIs<GatewayInput.AnswerHeadReceived>(nextInput())
+        Thread.sleep(DELIVERY_MILLIS)
+        assertEquals(emptyList(), sink.events)
+        process.run { relay.relay() }
+        assertIs<GatewayInput.AnswerCompleted>(nextInput())
+        assertEquals(listOf("head", "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", "complete"), sink.events)
+    }
+
+    @Test
+    fun `given a stream that is broken off while it is held, then it has failed and never gets complete`() {
+        val part = "id: 1\ndata: a\n\nid: 2"
+        val budget = BufferBudget(maxBytes = part.length.toLong())
+        val relay = send(budget)
+        server.accept().use { it.answer(STREAM_HEAD + part) }
+        assertIs<GatewayInput.AnswerHeadReceived>(nextInput())
+        assertIs<GatewayInput.AttemptFailed>(nextInput())
+        budget.add(part.length)
+        assertEquals(false, budget.isExhausted)
+        process.run { relay.relay() }
+        assertEquals(null, inputs.poll(DELIVERY_MILLIS, TimeUnit.MILLISECONDS))
+        assertEquals(false, "complete" in sink.events)
+    }
+
+    @Test
+    fun `given a held stream that is read no further, when it is broken off, then it fails once it is relayed`() {
+        val relay = send(BufferBudget(maxBytes = 1))
+        server.accept().use { it.answer(STREAM_HEAD + "id: 1\ndata: a\n\nid: 2") }
+        assertIs<GatewayInput.AnswerHeadReceived>(nextInput())
+        assertEquals(null, inputs.poll(DELIVERY_MILLIS, TimeUnit.MILLISECONDS))
+        process.run { relay.relay() }
+        assertIs<GatewayInput.AttemptFailed>(nextInput())
+        assertEquals(listOf("head", "id: 1\ndata: a\n\nid: 2"), sink.events)
+    }
+
     private fun send(budget: BufferBudget = BufferBudget()): AttemptRelay {
         val attempt = sockets.attempt(RequestNumber(1))
         val relay = AttemptRelay(attempt, sink, IdDialect::answerFacts, budget, inputs::add)
@@ -188,5 +246,10 @@
         const val STREAM_HEAD = "$STREAM_HEAD_START\r\n\r\n"
         const val INPUT_SECONDS = 5L
         const val DELIVERY_MILLIS = 200L
+
+        /** Far above what a connection and its two ends hold by themselves. */
+        const val LONG_STREAM_EVENTS = 400
+        const val HELD_BOUND_BYTES = 1_000_000L
+        val longEvent = "id: 1\ndata: ${"a".repeat(100_000)}\n\n"
     }
 }
