--- a/standins/src/main/kotlin/org/ragwortbank/standins/prepared/WorkerStandIn.kt
+++ b/standins/src/main/kotlin/org/ragwortbank/standins/prepared/WorkerStandIn.kt
@@ -92,6 +92,9 @@
     private fun respondPlain(request: StandInRequest, responder: Responder) {
         if (behaviour.get().retryAfter != null) return reject(request, responder)
         executedIds.updateAndGet { it.add(request.header(REQUEST_ID).orEmpty()) }
+        behaviour.get().stream?.let { script ->
+            return ScriptedStream(script, responder).begin(request.header("Last-Event-Id"), platformHeaders(request))
+        }
         responder.schedule(RESPONSE_DELAY) {
             responder.send(OK, """{"path":"${request.path}"}""", headers = platformHeaders(request))
         }
--- a/standins/src/main/kotlin/org/ragwortbank/standins/prepared/WorkerState.kt
+++ b/standins/src/main/kotlin/org/ragwortbank/standins/prepared/WorkerState.kt
@@ -45,8 +45,14 @@
         putJsonArray("pending") { loadingAdapters.forEach { add("$model/$it@1") } }
     }.toString()
 
-    /** Encodes the registration of the worker as an instance of [service] at [address] in [zone]. */
-    fun toRegistrationJson(service: String, address: Address, zone: String = "zone-a"): String = buildJsonObject {
+    /** Encodes the registration of the worker, with [version] of its software, as an instance of [service]. */
+    fun toRegistrationJson(
+        service: String,
+        address: Address,
+        zone: String = "zone-a",
+        version: String? = null,
+    ): String = buildJsonObject {
+        if (version != null) put("version", version)
         put("service", service)
         put("address", address.toString())
         put("zone", zone)
