Keep stream records for the longest life of a stream, and name the pacing of store reads

A lease of 120 s of which 30 s are used keeps its last records for 90 s only; core counts a stream without a record as begun at the base version for its longest life, 2 minutes. The lease lasts 150 s. StoreRefresh is the name of what core knows of the reads that it has asked for; the pacing of reads is ReadPacing.

--- a/node/src/main/kotlin/org/ragwortbank/node/gateway/StoreRefresh.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/gateway/ReadPacing.kt
@@ -21,7 +21,7 @@
  * A pause between reads is cut short. A read that waits for a change is replaced, and its reply dropped. A read that
  * doesn't wait goes on, or a slow store would never get to reply to one, and another one follows it.
  */
-internal class StoreRefresh(
+internal class ReadPacing(
     private val loop: EventLoop,
     private val now: () -> Timestamp,
 ) {
--- a/node/src/main/kotlin/org/ragwortbank/node/gateway/StoreWatcher.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/gateway/StoreWatcher.kt
@@ -28,7 +28,7 @@
 ) {
     private var isStoreUnavailable = false
     private var isStopped = false
-    private val refresh = StoreRefresh(loop, now)
+    private val pacing = ReadPacing(loop, now)
 
     /** Reads the whole store and then its changes until [stop]. */
     fun start() = readAll()
@@ -40,7 +40,7 @@
 
     /** Reads the changes since the last read without waiting for one. */
     fun refresh() {
-        if (!isStopped) refresh.request()
+        if (!isStopped) pacing.request()
     }
 
     private fun readAll() {
@@ -60,10 +60,10 @@
 
     private fun readChanges(revision: Long) {
         val requestedAt = now()
-        val read = refresh.begin { readChanges(revision) }
+        val read = pacing.begin { readChanges(revision) }
         val maxWait = if (read.isAtOnce) Duration.ZERO else MAX_CHANGE_WAIT
         store.readChanges(revision, maxWait) { reply ->
-            if (!refresh.end(read)) return@readChanges
+            if (!pacing.end(read)) return@readChanges
             when (reply) {
                 is StoreReply.Changes -> {
                     recordSuccess()
@@ -95,7 +95,7 @@
     }
 
     private fun pause(read: () -> Unit) {
-        if (!isStopped) refresh.pause(readDelay(), read)
+        if (!isStopped) pacing.pause(readDelay(), read)
     }
 
     private fun schedule(delay: Duration, action: () -> Unit) {
--- a/node/src/main/kotlin/org/ragwortbank/node/gateway/StreamStoreWriter.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/gateway/StreamStoreWriter.kt
@@ -126,7 +126,8 @@
     }
 
     private companion object {
-        val LEASE_LIFETIME = 120.seconds
+        /** The longest life of a stream, and the use of the lease. */
+        val LEASE_LIFETIME = 150.seconds
         val LEASE_USE = 30.seconds
     }
 }
--- a/node/src/test/kotlin/org/ragwortbank/node/gateway/StoreRefreshTest.kt
+++ b/node/src/test/kotlin/org/ragwortbank/node/gateway/ReadPacingTest.kt
@@ -9,7 +9,7 @@
 import kotlin.time.Duration.Companion.milliseconds
 
 /** Reads of the store that someone waits for, in virtual time. */
-class StoreRefreshTest {
+class ReadPacingTest {
     private val channel = EmbeddedChannel().apply { freezeTime() }
     private val store = ReadStore()
     private var nowMillis = 0L
--- a/node/src/test/kotlin/org/ragwortbank/node/gateway/StreamStoreWriterTest.kt
+++ b/node/src/test/kotlin/org/ragwortbank/node/gateway/StreamStoreWriterTest.kt
@@ -31,9 +31,9 @@
     fun `given records in quick succession, then they share a lease and each is reported`() {
         save(1)
         save(2)
-        assertEquals(listOf("lease 2m"), store.calls)
+        assertEquals(listOf("lease 2m 30s"), store.calls)
         store.grant(0, lease = 5)
-        assertEquals(listOf("lease 2m", "record 1 under 5", "record 2 under 5"), store.calls)
+        assertEquals(listOf("lease 2m 30s", "record 1 under 5", "record 2 under 5"), store.calls)
         store.replyRecord(1, StreamRecordReply.Saved)
         store.replyRecord(0, StreamRecordReply.Saved)
         assertEquals(listOf<GatewayInput>(saved(2), saved(1)), inputs)
@@ -50,7 +50,7 @@
         save(3)
         store.grant(1, lease = 6)
         val expected =
-            listOf("lease 2m", "record 1 under 5", "record 2 under 5", "lease 2m", "record 3 under 6")
+            listOf("lease 2m 30s", "record 1 under 5", "record 2 under 5", "lease 2m 30s", "record 3 under 6")
         assertEquals(expected, store.calls)
     }
 
@@ -60,7 +60,7 @@
         now += 31.seconds
         store.grant(0, lease = 5)
         save(2)
-        assertEquals(listOf("lease 2m", "record 1 under 5", "lease 2m"), store.calls)
+        assertEquals(listOf("lease 2m 30s", "record 1 under 5", "lease 2m 30s"), store.calls)
     }
 
     @Test
@@ -69,7 +69,7 @@
         store.grant(0, lease = 5)
         store.replyRecord(0, StreamRecordReply.LeaseEnded)
         store.grant(1, lease = 6)
-        assertEquals(listOf("lease 2m", "record 1 under 5", "lease 2m", "record 1 under 6"), store.calls)
+        assertEquals(listOf("lease 2m 30s", "record 1 under 5", "lease 2m 30s", "record 1 under 6"), store.calls)
         store.replyRecord(1, StreamRecordReply.LeaseEnded)
         assertEquals(listOf<GatewayInput>(GatewayInput.StreamRecordFailed(key(1))), inputs)
         assertEquals(4, store.calls.size)
