Keep resumable streams at the software version that began them

Cause: a taken-up stream was routed as a new one. The software version of an upstream took part in no selection, and nothing told a gateway which version had begun a stream that it hadn't passed on itself.

Ruled out: to guess by the list of upstreams (the old ones may just have left), to tell other gateways by digests (a take-up may be faster, and all gateways may restart at once), a record for each stream (its price).

The store keeps the base version of each service and the versions admitted beside it; streams at admitted versions are recorded in batches before their first event is passed on, so that any read of the store requested after a take-up arrived decides it. Requests are bound to versions, upstreams of others are excluded, and what can't be decided in time or has no upstream of its version left is refused as not run (3013, 3014). Where no upstream states a version nothing changes: RecordedDecisionsTest is as it was.

A service counts as settled SETTLE_TIME after it was read as such, and a record counts only if the store's answer comes within RECORD_LEASE.

--- a/core/src/main/kotlin/org/ragwortbank/core/eligibility/Exclusion.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/eligibility/Exclusion.kt
@@ -25,6 +25,12 @@
     /** It is in none of the home regions of the request. */
     OUTSIDE_HOME("is outside the request's home regions", isLasting = true),
 
+    /** It runs another software version than the stream of the request, or states none where others do. */
+    OTHER_VERSION("runs another software version", isLasting = true),
+
+    /** Whether the stream of the request may begin or go on at its software version isn't known yet. */
+    VERSION_UNDECIDED("may not get streams at its software version yet", isLasting = false),
+
     /** It has asked for a time without requests. */
     QUIET("wants no requests now", isLasting = false),
 
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/AttemptOutcomes.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/AttemptOutcomes.kt
@@ -3,6 +3,7 @@
 import org.ragwortbank.core.locality.isPlaceAllowed
 import org.ragwortbank.core.serving.UpstreamId
 import org.ragwortbank.core.tick.Timestamp
+import org.ragwortbank.core.versions.isVersionAllowed
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -28,7 +29,8 @@
 internal fun GatewayTables.hasUntriedUpstream(row: RequestRow, now: Timestamp): Boolean =
     row.triedUpstreams.size < row.route.maxAttempts &&
         upstreamsByService[row.service].orEmpty().any {
-            it !in row.triedUpstreams && upstreams[it]?.isAvailable(now) == true && isPlaceAllowed(row, it)
+            it !in row.triedUpstreams && upstreams[it]?.isAvailable(now) == true && isPlaceAllowed(row, it) &&
+                isVersionAllowed(row, it, now)
         }
 
 /** Queues [row] again after a send that failed before its first byte; its upstream counts as untried. */
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/AttemptSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/AttemptSystem.kt
@@ -82,7 +82,7 @@
                 updated
                     .update { it.recordSuccess(upstream, now - sentAt) }
                     .observe(row, AttemptOutcome.Began(now - sentAt), now)
-                    .relay(row, input, now)
+                    .relayOrHold(row, input, now)
         }
     }
 
@@ -126,18 +126,6 @@
             .retry(possiblyRun, "upstream ${row.upstream} answered ${facts.status}")
     }
 
-    private fun GatewayStep.relay(
-        row: RequestRow,
-        input: GatewayInput.AnswerHeadReceived,
-        now: Timestamp,
-    ): GatewayStep {
-        val upstream = row.upstream ?: return this
-        val answerText = "request ${row.call.id} answered by $upstream with ${input.facts.status}"
-        return log(LogPart.ANSWER, "$answerText; ${row.describeAttempt(input.trace)}")
-            .emit(GatewayEffect.Relay(row.number, row.attemptCount))
-            .update { it.put(row.markMayHaveRun().copy(stage = RequestStage.Relaying(upstream, now))) }
-    }
-
     private fun complete(step: GatewayStep, row: RequestRow, trace: ExchangeTrace?, now: Timestamp): GatewayStep {
         val beganAt = (row.stage as? RequestStage.Relaying)?.beganAt ?: now
         val endText = "request ${row.call.id} passed on from ${row.upstream}; ${row.describeAttempt(trace)}"
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewaySchedule.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewaySchedule.kt
@@ -10,6 +10,9 @@
 import org.ragwortbank.core.selection.defaultUpstreamPolicy
 import org.ragwortbank.core.speed.SpeedSystem
 import org.ragwortbank.core.tick.Schedule
+import org.ragwortbank.core.versions.StreamRecordSystem
+import org.ragwortbank.core.versions.TakeUpSystem
+import org.ragwortbank.core.versions.VersionSystem
 
 /** The systems of a gateway in the order in which they run; [policy] selects the upstreams. */
 fun gatewaySchedule(
@@ -20,6 +23,7 @@
             SuspensionSystem(),
             SettingsSystem(),
             StoreSystem(),
+            VersionSystem(),
             ColdSystem(),
             EvacuationSystem(),
             DigestIntakeSystem(),
@@ -33,7 +37,9 @@
             DomainLossSystem(),
             PaceSystem(),
             SpeedSystem(),
+            TakeUpSystem(),
             RoutingSystem(policy),
+            StreamRecordSystem(),
             DemandSystem(),
             PeerSystem(),
             DrainSystem(),
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewayTables.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewayTables.kt
@@ -28,6 +28,7 @@
 import org.ragwortbank.core.speed.ServiceSpeed
 import org.ragwortbank.core.tick.Step
 import org.ragwortbank.core.tick.Timestamp
+import org.ragwortbank.core.versions.StreamVersions
 import kotlin.time.Duration
 
 /** The tables of a gateway within a tick, with the effects so far. */
@@ -86,6 +87,7 @@
  * @property pacedAt when the pace of upstreams was reviewed last
  * @property held answers of which callers haven't taken a part, by the latest measurement
  * @property speeds speed of the services whose upstreams are uneven, as summed up at [speedsSummedAt]
+ * @property streamVersions software versions at which resumable streams began or may begin
  * @property peerDigestSendTimes when the latest digests to the other gateways were sent, by their numbers
  */
 data class GatewayTables(
@@ -136,6 +138,7 @@
     val isStopped: Boolean = false,
     val speeds: PersistentMap<ServiceName, ServiceSpeed> = persistentMapOf(),
     val speedsSummedAt: Timestamp? = null,
+    val streamVersions: StreamVersions = StreamVersions(),
 ) {
     /** The tables with [row] added or replaced. */
     fun put(row: RequestRow): GatewayTables {
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/RequestCompletion.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/RequestCompletion.kt
@@ -62,4 +62,4 @@
 
 /** Queues [row] again for its next attempt. */
 internal fun GatewayTables.requeue(row: RequestRow): GatewayTables =
-    releaseUpstream(row).put(row.copy(stage = RequestStage.Waiting()))
+    releaseUpstream(row).put(row.copy(stage = RequestStage.Waiting(), heldHead = null))
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/RequestRow.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/RequestRow.kt
@@ -8,6 +8,7 @@
 import org.ragwortbank.core.serving.ServiceName
 import org.ragwortbank.core.serving.ServingCall
 import org.ragwortbank.core.serving.ServingRoute
+import org.ragwortbank.core.serving.SoftwareVersion
 import org.ragwortbank.core.serving.UpstreamId
 import org.ragwortbank.core.tick.Timestamp
 
@@ -35,6 +36,10 @@
  * @property attemptCount number of sends so far
  * @property triedUpstreams upstreams to which it was sent
  * @property possibleExecutors upstreams that may have begun to run it
+ * @property version software version to which its stream is bound; null while it is bound to none
+ * @property sentVersion software version of the upstream of the latest attempt, as it was registered
+ * @property needsRecord whether its answer is held until the store keeps at which version its stream begins
+ * @property heldHead head of the answer that is held
  */
 data class RequestRow(
     val number: RequestNumber,
@@ -50,7 +55,14 @@
     val attemptCount: Int = 0,
     val triedUpstreams: PersistentSet<UpstreamId> = persistentSetOf(),
     val possibleExecutors: PersistentSet<UpstreamId> = persistentSetOf(),
+    val version: SoftwareVersion? = null,
+    val sentVersion: SoftwareVersion? = null,
+    val needsRecord: Boolean = false,
+    val heldHead: GatewayInput.AnswerHeadReceived? = null,
 ) {
+    /** Whether it takes up a stream that has begun before. */
+    val isTakeUp: Boolean get() = call.resumption != null
+
     /** Whether an upstream may have begun to run it. */
     val mayHaveRun: Boolean get() = possibleExecutors.isNotEmpty()
 
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/RoutingSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/RoutingSystem.kt
@@ -16,6 +16,9 @@
 import org.ragwortbank.core.tick.Tick
 import org.ragwortbank.core.tick.TickSystem
 import org.ragwortbank.core.tick.Timestamp
+import org.ragwortbank.core.versions.isVersionGone
+import org.ragwortbank.core.versions.waitForVersion
+import org.ragwortbank.core.versions.withStreamSent
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -59,6 +62,10 @@
         val members = selection.members
         val rows = members.map { it.row }
         return when {
+            row.isTakeUp && row.version != null && step.tables.isVersionGone(row) ->
+                step.fail(row, ResultCode.VERSION_GONE, "no upstream of ${row.service} at ${row.version}", null)
+            members.isNotEmpty() && members.all { ExclusionReason.VERSION_UNDECIDED in it.reasons } ->
+                step.waitForVersion(row, now)
             members.isNotEmpty() && members.all { ExclusionReason.QUIET in it.reasons } ->
                 step.refuseWhileQuiet(row, rows, now)
             members.any { ExclusionReason.MODEL_MISSING !in it.reasons } -> step
@@ -126,6 +133,7 @@
                 }
             }
             .update { policy.recordSent(it, registration.id, sent, now) }
+            .update { it.withStreamSent(sent, registration.version) }
             .update { if (sent.attemptCount == 1) it.addRetryCredit(sent) else it }
     }
 
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/StoreSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/StoreSystem.kt
@@ -10,23 +10,30 @@
 import org.ragwortbank.core.tick.Tick
 import org.ragwortbank.core.tick.TickSystem
 import org.ragwortbank.core.tick.Timestamp
+import org.ragwortbank.core.versions.applyVersionChange
+import org.ragwortbank.core.versions.missingStreamRecords
+import org.ragwortbank.core.versions.updateVersions
+import org.ragwortbank.core.versions.versionsChangedUnseen
 
 /**
- * Applies the contents and changes of the store: configuration, upstreams, adapter versions, other gateways, blocks and
- * evacuations.
+ * Applies the contents and changes of the store: configuration, upstreams, adapter versions, other gateways, blocks,
+ * evacuations, and the software versions of streams.
  */
 class StoreSystem : TickSystem<GatewayTables, GatewayInput, GatewayEffect> {
     override fun run(tick: Tick<GatewayInput>, step: GatewayStep): GatewayStep =
         tick.inputs.fold(step) { current, input ->
             when (input) {
                 is GatewayInput.StoreRead ->
-                    recordConfirmation(applySnapshot(current, input.contents, tick.now), input.requestedAt)
+                    recordRead(applySnapshot(current, input.contents, tick.now), input.requestedAt)
                 is GatewayInput.StoreChanged ->
-                    recordConfirmation(applyAll(current, input.changes, tick.now), input.requestedAt)
+                    recordRead(applyAll(current, input.changes, tick.now), input.requestedAt)
                 else -> current
             }
         }
 
+    private fun recordRead(step: GatewayStep, requestedAt: Timestamp): GatewayStep =
+        recordConfirmation(step.updateVersions { it.afterRead(requestedAt) }, requestedAt)
+
     private fun recordConfirmation(step: GatewayStep, requestedAt: Timestamp): GatewayStep {
         val confirmedAt = step.tables.confirmedAt
         val isKnown = confirmedAt != null && confirmedAt >= requestedAt
@@ -47,10 +54,11 @@
         val liftedBlocks = step.tables.blocks.values
             .filter { it.isStored && it.trait !in blocks }
             .map { StoreChange.BlockLifted(it.trait) }
-        val removals = removedUpstreams + removedPeers + liftedBlocks + step.tables.liftedEvacuations(contents)
+        val removals = removedUpstreams + removedPeers + liftedBlocks +
+            step.tables.liftedEvacuations(contents) + step.tables.missingStreamRecords(contents)
         val hasConfig = contents.any { it is StoreChange.ConfigSet || it is StoreChange.ConfigUnreadable }
         val missing = if (hasConfig) emptyList() else listOf(StoreChange.ConfigUnreadable)
-        val applied = applyAll(step, contents + removals + missing, now)
+        val applied = applyAll(step, step.tables.versionsChangedUnseen(contents) + contents + removals + missing, now)
         return applied.update { it.copy(versions = agedVersions(step.tables, it, now)) }
     }
 
@@ -82,7 +90,7 @@
             is StoreChange.DomainEvacuated -> step.evacuate(change, now)
             is StoreChange.EvacuationLifted -> step.liftEvacuation(change.domain, now)
             is StoreChange.PeerRemoved -> step.update { it.unlistPeer(change.name) }
-            is StoreChange.VersionsSet, is StoreChange.VersionsRemoved -> step
-            is StoreChange.StreamsRecorded, is StoreChange.StreamRecordRemoved -> step
+            is StoreChange.VersionsSet, is StoreChange.VersionsRemoved -> step.applyVersionChange(change, now)
+            is StoreChange.StreamsRecorded, is StoreChange.StreamRecordRemoved -> step.applyVersionChange(change, now)
         }
 }
--- a/core/src/main/kotlin/org/ragwortbank/core/result/ResultCode.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/result/ResultCode.kt
@@ -34,6 +34,8 @@
     KEYS_UNCONFIRMED(number = 3010, status = 503, "The process can't confirm that keys it knows are still given."),
     REQUEST_BLOCKED(number = 3011, status = 503, "Upstreams crashed of requests like this one, so it is not run."),
     NOT_IN_TIME(number = 3012, status = 503, "The request could not begin before its deadline, so it was not started."),
+    VERSION_GONE(number = 3013, status = 503, "No upstream of the software version that began the stream is left."),
+    VERSION_UNDECIDED(number = 3014, status = 503, "The software version for the stream is not known in time."),
     UPSTREAM_FAILED(number = 4001, status = 502, "The upstream failed while it ran the request."),
     OUTCOME_UNKNOWN(number = 4002, status = 502, "Contact was lost after dispatch; the request may have run."),
     ANSWER_BROKEN(number = 4003, status = 502, "The answer ended early or had a gap."),
--- a/core/src/main/kotlin/org/ragwortbank/core/selection/SelectionContext.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/selection/SelectionContext.kt
@@ -14,6 +14,8 @@
 import org.ragwortbank.core.speed.UpstreamSpeeds
 import org.ragwortbank.core.speed.unreadPromptTokens
 import org.ragwortbank.core.tick.Timestamp
+import org.ragwortbank.core.versions.StreamBinding
+import org.ragwortbank.core.versions.bindingOf
 import kotlin.time.Duration
 
 /** A request that looks for an upstream at [now], with the tables of its gateway. */
@@ -57,5 +59,8 @@
     /** Age above which a placer's digest is ignored. */
     val digestLifetime: Duration by lazy(LazyThreadSafetyMode.NONE) { tables.engineDigestLifetime }
 
+    /** Software versions of the upstreams to which the request may be sent. */
+    val binding: StreamBinding by lazy(LazyThreadSafetyMode.NONE) { tables.bindingOf(request, now) }
+
     internal val adapterStates = AdapterStates(tables, request.call.adapterKey, now)
 }
--- a/core/src/main/kotlin/org/ragwortbank/core/selection/UpstreamPolicyBuilder.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/selection/UpstreamPolicyBuilder.kt
@@ -26,6 +26,7 @@
 import org.ragwortbank.core.speed.MomentaryDelay
 import org.ragwortbank.core.speed.PromptReadingObserver
 import org.ragwortbank.core.speed.StallDelay
+import org.ragwortbank.core.versions.OtherVersion
 
 /** Puts an [UpstreamPolicy] together. */
 class UpstreamPolicyBuilder internal constructor() {
@@ -68,6 +69,7 @@
         exclude(NotAccepting())
         exclude(EvacuatedDomain())
         exclude(OutsideHome())
+        exclude(OtherVersion())
         exclude(RepeatedAttempt())
         exclude(QuietTime())
         exclude(BackedOff())
--- a/core/src/main/kotlin/org/ragwortbank/core/serving/ServingRoute.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/serving/ServingRoute.kt
@@ -54,7 +54,10 @@
     val homes: PersistentSet<Region>? = null,
 ) {
     /** Whether a request may be sent again after it may have run. */
-    val isRetryable: Boolean get() = kind == RequestKind.IDEMPOTENT || (kind == RequestKind.STREAM && isResumable)
+    val isRetryable: Boolean get() = kind == RequestKind.IDEMPOTENT || isResumableStream
+
+    /** Whether a broken stream may go on with another request. */
+    val isResumableStream: Boolean get() = kind == RequestKind.STREAM && isResumable
 
     /** The service for a request, selected by weight; [hash] must be uniformly distributed. */
     fun targetFor(hash: Int): ServiceName? {
--- /dev/null
+++ b/core/src/main/kotlin/org/ragwortbank/core/versions/VersionChanges.kt
@@ -0,0 +1,71 @@
+package org.ragwortbank.core.versions
+
+import kotlinx.collections.immutable.toPersistentList
+import org.ragwortbank.core.gateway.GatewayStep
+import org.ragwortbank.core.gateway.GatewayTables
+import org.ragwortbank.core.gateway.log
+import org.ragwortbank.core.log.LogPart
+import org.ragwortbank.core.serving.StoreChange
+import org.ragwortbank.core.tick.Timestamp
+
+/** Applies a change of the versions of a service or of a record of streams; unchanged for any other change. */
+internal fun GatewayStep.applyVersionChange(change: StoreChange, now: Timestamp): GatewayStep =
+    when (change) {
+        is StoreChange.VersionsSet -> setVersions(change, now)
+        is StoreChange.VersionsRemoved -> removeVersions(change)
+        is StoreChange.StreamsRecorded -> updateVersions { it.withRecord(change.record) }
+        is StoreChange.StreamRecordRemoved -> updateVersions { it.withoutRecord(change.key) }
+        else -> this
+    }
+
+private fun GatewayStep.setVersions(change: StoreChange.VersionsSet, now: Timestamp): GatewayStep {
+    val known = tables.streamVersions.services[change.service]
+    if (known?.revision == change.revision) return this
+    val versions = change.versions
+    val text = "software versions of ${change.service}: base ${versions.base}, admitted ${versions.admitted}"
+    return log(LogPart.MEMBERS, "$text, revision ${change.revision}")
+        .updateVersions { all ->
+            all.updateService(change.service) { it.withStored(versions, change.revision, now) }
+        }
+}
+
+private fun GatewayStep.removeVersions(change: StoreChange.VersionsRemoved): GatewayStep {
+    val known = tables.streamVersions.services[change.service]
+    if (known?.stored == null) return this
+    return log(LogPart.MEMBERS, "the store has no software versions of ${change.service} or has changed them unseen")
+        .updateVersions { all -> all.updateService(change.service) { it.withoutStored() } }
+}
+
+/**
+ * Removals of the versions that [contents], a whole read, has at other revisions than those known: what happened
+ * between isn't seen, so that the ones in [contents] count as read for the first time.
+ */
+internal fun GatewayTables.versionsChangedUnseen(contents: List<StoreChange>): List<StoreChange> {
+    val revisions = contents.filterIsInstance<StoreChange.VersionsSet>().associate { it.service to it.revision }
+    return streamVersions.services.entries
+        .filter { (service, row) -> row.stored != null && revisions[service] != row.revision }
+        .map { StoreChange.VersionsRemoved(it.key) }
+}
+
+/** Removals of the records that [contents], a whole read, lacks. */
+internal fun GatewayTables.missingStreamRecords(contents: List<StoreChange>): List<StoreChange> {
+    val present = contents.mapNotNull { (it as? StoreChange.StreamsRecorded)?.record?.key }.toSet()
+    return streamVersions.records.keys.filter { it !in present }.map { StoreChange.StreamRecordRemoved(it) }
+}
+
+/**
+ * The tables after the store came back without what was written in its last seconds: streams that this gateway doesn't
+ * know aren't taken up for a while, and its own records are saved again.
+ */
+internal fun GatewayTables.afterStoreLoss(now: Timestamp): GatewayTables {
+    val outbox = streamVersions.outbox
+    return copy(
+        streamVersions = streamVersions.copy(
+            doubtUntil = now + VersionTimes.DOUBT_TIME,
+            outbox = outbox.copy(lost = outbox.saved.values.map { it.record }.toPersistentList()),
+        ),
+    )
+}
+
+internal fun GatewayStep.updateVersions(change: (StreamVersions) -> StreamVersions): GatewayStep =
+    update { it.copy(streamVersions = change(it.streamVersions)) }
