--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewayInput.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewayInput.kt
@@ -14,6 +14,7 @@
 import org.ragwortbank.core.serving.StorePosition
 import org.ragwortbank.core.serving.UpstreamIncarnation
 import org.ragwortbank.core.tick.Timestamp
+import org.ragwortbank.core.versions.StreamRecordKey
 import kotlin.time.Duration
 
 /**
@@ -113,6 +114,12 @@
         val position: StorePosition = StorePosition.NONE,
     ) : GatewayInput
 
+    /** The store keeps the record [key] of this gateway. */
+    data class StreamRecordSaved(val key: StreamRecordKey) : GatewayInput
+
+    /** Whether the store keeps the record [key] of this gateway isn't known. */
+    data class StreamRecordFailed(val key: StreamRecordKey) : GatewayInput
+
     /** A placer reported the state of its engine. */
     data class EngineDigestReceived(val digest: EngineDigest) : GatewayInput
 
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewaySchedule.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewaySchedule.kt
@@ -11,6 +11,9 @@
 import org.ragwortbank.core.speed.SpeedSystem
 import org.ragwortbank.core.storecopy.StoreCopySystem
 import org.ragwortbank.core.tick.Schedule
+import org.ragwortbank.core.versions.StreamRecordSystem
+import org.ragwortbank.core.versions.TakeUpSystem
+import org.ragwortbank.core.versions.VersionSystem
 
 /** The systems of a gateway in the order in which they run; [policy] selects the upstreams. */
 fun gatewaySchedule(
@@ -22,6 +25,7 @@
             SettingsSystem(),
             StoreSystem(),
             StoreCopySystem(),
+            VersionSystem(),
             ColdSystem(),
             EvacuationSystem(),
             DigestIntakeSystem(),
@@ -35,7 +39,9 @@
             DomainLossSystem(),
             PaceSystem(),
             SpeedSystem(),
+            TakeUpSystem(),
             RoutingSystem(policy),
+            StreamRecordSystem(),
             DemandSystem(),
             PeerSystem(),
             DrainSystem(),
--- a/node/src/main/kotlin/org/ragwortbank/node/gateway/StoreWatcher.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/gateway/StoreWatcher.kt
@@ -33,6 +33,7 @@
 
     /** Number of the latest read; replies to earlier ones, and what was scheduled after them, are ignored. */
     private var readNumber = 0L
+    private val pacing = ReadPacing(loop, now)
 
     /** Reads the whole store and then its changes until [stop]. */
     fun start() = readAll()
@@ -42,6 +43,11 @@
         isStopped = true
     }
 
+    /** Reads the changes since the last read without waiting for one. */
+    fun refresh() {
+        if (!isStopped) pacing.request()
+    }
+
     /** Reads the whole store at once, because it has come back from an older copy. */
     fun onNewEra() {
         if (!isReadingAll && !isStopped) readAll()
@@ -66,7 +72,7 @@
                 recordSuccess()
                 Logs.platform.info("the whole store was read at {}, {} items", reply.position, reply.contents.size)
                 post(GatewayInput.StoreRead(reply.contents, requestedAt, reply.position))
-                schedule(readDelay()) { readChanges(reply.position) }
+                pause { readChanges(reply.position) }
             }
             is StoreReply.Changes, StoreReply.NewEra, StoreReply.Compacted, StoreReply.TooLarge ->
                 schedule(readDelay(), ::readAll)
@@ -76,8 +82,10 @@
     private fun readChanges(after: StorePosition) {
         val requestedAt = now()
         val number = ++readNumber
-        store.readChanges(after, MAX_CHANGE_WAIT) { reply ->
-            if (number == readNumber) onChangesReply(reply, after, requestedAt)
+        val read = pacing.begin(ifLatest { readChanges(after) })
+        val maxWait = if (read.isAtOnce) Duration.ZERO else MAX_CHANGE_WAIT
+        store.readChanges(after, maxWait) { reply ->
+            if (pacing.end(read) && number == readNumber) onChangesReply(reply, after, requestedAt)
         }
     }
 
@@ -86,7 +94,7 @@
             is StoreReply.Changes -> {
                 recordSuccess()
                 post(GatewayInput.StoreChanged(reply.changes, requestedAt, reply.position))
-                schedule(readDelay()) { readChanges(reply.position) }
+                pause { readChanges(reply.position) }
             }
             StoreReply.NewEra -> readAll()
             is StoreReply.FullRead, StoreReply.Compacted -> {
@@ -111,10 +119,18 @@
         isStoreUnavailable = false
     }
 
+    private fun pause(read: () -> Unit) {
+        if (!isStopped) pacing.pause(readDelay(), ifLatest(read))
+    }
+
     private fun schedule(delay: Duration, action: () -> Unit) {
-        if (isStopped) return
+        if (!isStopped) loop.schedule(ifLatest(action), delay.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+    }
+
+    /** Performs [action] unless another read has begun by then. */
+    private fun ifLatest(action: () -> Unit): () -> Unit {
         val number = readNumber
-        loop.schedule({ if (number == readNumber) action() }, delay.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+        return { if (number == readNumber) action() }
     }
 
     private companion object {
--- a/node/src/main/kotlin/org/ragwortbank/node/port/StoreClient.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/port/StoreClient.kt
@@ -50,7 +50,7 @@
 }
 
 /** Client of the platform's store. Each call's outcome is delivered exactly once, on the event loop's thread. */
-interface StoreClient {
+interface StoreClient : StreamStore {
     /** Calls [observer] before the outcome of each call that shows that the store has come back from an older copy. */
     fun observeNewEras(observer: () -> Unit)
 
--- a/node/src/test/kotlin/org/ragwortbank/node/gateway/MembershipTest.kt
+++ b/node/src/test/kotlin/org/ragwortbank/node/gateway/MembershipTest.kt
@@ -8,6 +8,7 @@
 import org.ragwortbank.node.port.MembershipReply
 import org.ragwortbank.node.port.StoreClient
 import org.ragwortbank.node.port.StoreReply
+import org.ragwortbank.node.port.StreamStore
 import java.util.concurrent.ConcurrentLinkedQueue
 import kotlin.test.AfterTest
 import kotlin.test.Test
@@ -79,7 +80,7 @@
     }
 
     /** A store that grants leases from 1 on, and says that each has expired when it is renewed. */
-    private class RecordingStore : StoreClient {
+    private class RecordingStore : StoreClient, StreamStore by IdleStreamStore {
         val calls = ConcurrentLinkedQueue<String>()
         val heldReplies = ConcurrentLinkedQueue<(MembershipReply) -> Unit>()
 
