Hold answers of upstreams that may have started again at another software version

What callers would see: a stream joined from two versions. A request names only the id of its upstream, and one that has started again may have that id at another version while gateways still know its old entry.

Cause: the version of an answer was taken from the entry known when the request was sent.

Change: an answer is given up if its upstream is listed with a later start at another version. While several versions serve, an answer of an upstream that failed here in the last 4 s, or of a gateway that started in the last 4 s, is held until the list was read after its beginning (HeldAnswerSystem; answers that wait for their record take the same way). Settled services are as before.

Left: gateways that saw no failure there, and the first such upstream in a settled service, until its entry is read.

--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/AnswerRelay.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/AnswerRelay.kt
@@ -2,17 +2,20 @@
 
 import org.ragwortbank.core.log.LogPart
 import org.ragwortbank.core.tick.Timestamp
+import org.ragwortbank.core.versions.holdOf
 import org.ragwortbank.core.versions.noteBegun
+import org.ragwortbank.core.versions.updateVersions
 
-/** Passes on the answer of [row] that [head] begins, at once or when the record of its stream is in the store. */
+/** Passes on the answer of [row] that [head] begins, at once or when nothing holds it any more. */
 internal fun GatewayStep.relayOrHold(
     row: RequestRow,
     head: GatewayInput.AnswerHeadReceived,
     now: Timestamp,
 ): GatewayStep {
-    if (!row.needsRecord) return relay(row, head, now)
-    return log(LogPart.ANSWER, "request ${row.call.id} answered by ${row.upstream}, held until its record is saved")
-        .update { it.put(row.copy(heldHead = head)) }
+    val hold = tables.holdOf(row, now) ?: return relay(row, head, now)
+    return log(LogPart.ANSWER, "request ${row.call.id} answered by ${row.upstream}, held: ${hold.label}")
+        .update { it.put(row.copy(heldHead = HeldHead(head, now))) }
+        .updateVersions { it.copy(held = it.held.add(row.number)) }
 }
 
 /** Passes on the answer of [row] that [head] begins. */
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewaySchedule.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewaySchedule.kt
@@ -10,6 +10,7 @@
 import org.ragwortbank.core.selection.defaultUpstreamPolicy
 import org.ragwortbank.core.speed.SpeedSystem
 import org.ragwortbank.core.tick.Schedule
+import org.ragwortbank.core.versions.HeldAnswerSystem
 import org.ragwortbank.core.versions.StreamRecordSystem
 import org.ragwortbank.core.versions.TakeUpSystem
 import org.ragwortbank.core.versions.VersionSystem
@@ -40,6 +41,7 @@
             TakeUpSystem(),
             RoutingSystem(policy),
             StreamRecordSystem(),
+            HeldAnswerSystem(),
             DemandSystem(),
             PeerSystem(),
             DrainSystem(),
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/RequestRow.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/RequestRow.kt
@@ -10,6 +10,7 @@
 import org.ragwortbank.core.serving.ServingRoute
 import org.ragwortbank.core.serving.SoftwareVersion
 import org.ragwortbank.core.serving.UpstreamId
+import org.ragwortbank.core.serving.UpstreamRegistration
 import org.ragwortbank.core.tick.Timestamp
 
 /** Progress of a request. */
@@ -28,6 +29,12 @@
     data class Relaying(val upstream: UpstreamId, val beganAt: Timestamp) : RequestStage
 }
 
+/** The head of an answer that arrived at [receivedAt] and isn't passed on yet. */
+data class HeldHead(
+    val head: GatewayInput.AnswerHeadReceived,
+    val receivedAt: Timestamp,
+)
+
 /**
  * A request from its admission to the end of its answer.
  *
@@ -37,8 +44,8 @@
  * @property triedUpstreams upstreams to which it was sent
  * @property possibleExecutors upstreams that may have begun to run it
  * @property version software version to which its stream is bound; null while it is bound to none
- * @property sentVersion software version of the upstream of the latest attempt, as it was registered
- * @property needsRecord whether its answer is held until the store keeps at which version its stream begins
+ * @property sentTo registration of the upstream to which a resumable stream was last sent; null if it states no version
+ * @property needsRecord whether the store has yet to keep at which version its stream begins
  * @property heldHead head of the answer that is held
  */
 data class RequestRow(
@@ -56,9 +63,9 @@
     val triedUpstreams: PersistentSet<UpstreamId> = persistentSetOf(),
     val possibleExecutors: PersistentSet<UpstreamId> = persistentSetOf(),
     val version: SoftwareVersion? = null,
-    val sentVersion: SoftwareVersion? = null,
+    val sentTo: UpstreamRegistration? = null,
     val needsRecord: Boolean = false,
-    val heldHead: GatewayInput.AnswerHeadReceived? = null,
+    val heldHead: HeldHead? = null,
 ) {
     /** Whether it takes up a stream that has begun before. */
     val isTakeUp: Boolean get() = call.resumption != null
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/RoutingSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/RoutingSystem.kt
@@ -133,7 +133,7 @@
                 }
             }
             .update { policy.recordSent(it, registration.id, sent, now) }
-            .update { it.withStreamSent(sent, registration.version) }
+            .update { it.withStreamSent(sent, registration) }
             .update { if (sent.attemptCount == 1) it.addRetryCredit(sent) else it }
     }
 
--- a/core/src/main/kotlin/org/ragwortbank/core/versions/StreamRecordSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/versions/StreamRecordSystem.kt
@@ -7,7 +7,6 @@
 import org.ragwortbank.core.gateway.GatewayTables
 import org.ragwortbank.core.gateway.RequestRow
 import org.ragwortbank.core.gateway.fail
-import org.ragwortbank.core.gateway.relay
 import org.ragwortbank.core.result.ResultCode
 import org.ragwortbank.core.tick.Tick
 import org.ragwortbank.core.tick.TickSystem
@@ -50,16 +49,7 @@
         if (!counts) return postpone(step, open, now)
         val kept = step.updateOutbox { it.withSaved(open.record, now) }
         return open.requests.mapNotNull { kept.tables.requests[it] }
-            .filter { it.needsRecord }
-            .fold(kept) { current, row -> current.release(row, now) }
-    }
-
-    private fun GatewayStep.release(row: RequestRow, now: Timestamp): GatewayStep {
-        val recorded = row.copy(needsRecord = false)
-        return when (val head = row.heldHead) {
-            null -> update { it.put(recorded) }
-            else -> relay(recorded, head, now)
-        }
+            .fold(kept) { current, row -> current.update { it.put(row.copy(needsRecord = false)) } }
     }
 
     private fun postpone(step: GatewayStep, open: RecordSave, now: Timestamp): GatewayStep {
--- a/core/src/main/kotlin/org/ragwortbank/core/versions/StreamSend.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/versions/StreamSend.kt
@@ -8,18 +8,20 @@
 import org.ragwortbank.core.serving.SoftwareVersion
 import org.ragwortbank.core.serving.StreamId
 import org.ragwortbank.core.serving.UpstreamId
+import org.ragwortbank.core.serving.UpstreamRegistration
 import org.ragwortbank.core.tick.Timestamp
 import kotlin.time.Duration.Companion.milliseconds
 
 private val RETRY_AFTER = 500.milliseconds
 
 /**
- * The tables after [row] was sent to an upstream of [version]: a stream that begins at an admitted version stays there
- * from now on, because its record may be written.
+ * The tables after [row] was sent to the upstream of [registration]: a stream that begins at an admitted version stays
+ * there from now on, because its record may be written.
  */
-internal fun GatewayTables.withStreamSent(row: RequestRow, version: SoftwareVersion?): GatewayTables {
+internal fun GatewayTables.withStreamSent(row: RequestRow, registration: UpstreamRegistration): GatewayTables {
+    val version = registration.version
     if (version == null || !row.route.isResumableStream) return this
-    val sent = row.copy(sentVersion = version)
+    val sent = row.copy(sentTo = registration)
     val isAdmitted = streamVersions.services[row.service]?.stored?.admitted?.contains(version) ?: false
     val begins = row.version == null && isAdmitted
     return if (begins) put(sent).withUnrecorded(sent, version) else put(sent)
@@ -34,7 +36,7 @@
 
 /** The tables after the answer of [row] began to be passed on: its stream stays at the version that it was sent to. */
 internal fun GatewayTables.noteBegun(row: RequestRow, now: Timestamp): GatewayTables {
-    val version = row.sentVersion
+    val version = row.sentTo?.version
     if (row.isTakeUp || version == null) return this
     val known = BegunStream(row.service, version, now)
     return copy(streamVersions = streamVersions.withBegun(StreamId(row.call.id), known))
--- a/core/src/main/kotlin/org/ragwortbank/core/versions/StreamVersions.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/versions/StreamVersions.kt
@@ -1,8 +1,11 @@
 package org.ragwortbank.core.versions
 
 import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.PersistentSet
 import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.persistentSetOf
 import kotlinx.collections.immutable.toPersistentMap
+import org.ragwortbank.core.serving.RequestNumber
 import org.ragwortbank.core.serving.ServiceName
 import org.ragwortbank.core.serving.SoftwareVersion
 import org.ragwortbank.core.serving.StreamId
@@ -15,6 +18,7 @@
  * @property records streams that began at admitted versions, as the store has them
  * @property recordOf the record of each of these streams
  * @property begun streams that began here or were taken up here
+ * @property held requests whose answers have begun and aren't passed on yet
  * @property doubtUntil until when streams that this gateway doesn't know may have lost their records; null if none may
  */
 data class StreamVersions(
@@ -25,6 +29,7 @@
     val begun: PersistentMap<StreamId, BegunStream> = persistentMapOf(),
     val refresh: StoreRefresh = StoreRefresh(),
     val outbox: RecordOutbox = RecordOutbox(),
+    val held: PersistentSet<RequestNumber> = persistentSetOf(),
     val doubtUntil: Timestamp? = null,
     val sweptAt: Timestamp? = null,
 ) {
--- a/core/src/main/kotlin/org/ragwortbank/core/versions/VersionTimes.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/versions/VersionTimes.kt
@@ -33,6 +33,9 @@
     /** Time after which a request whose version isn't decided is refused; callers leave after 2 s without an event. */
     val MAX_UNDECIDED = 1_200.milliseconds
 
+    /** Time after a failed request within which an upstream may run again at another version than is listed. */
+    val RESTART_DOUBT = 4.seconds
+
     /** Time for which a store that came back older may lack records of streams that go on. */
     val DOUBT_TIME = 60.seconds
 }
--- a/core/src/test/kotlin/org/ragwortbank/core/versions/StreamVersionFleetTest.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/versions/StreamVersionFleetTest.kt
@@ -96,6 +96,25 @@
             StreamFleetPlan(versions = listOf("old", "old", null, "new", "new", null), faults = kills)
         }
 
+    // Guards against an upstream that has started again under its id at another version than is listed.
+    @Test
+    fun `given upstreams that start again under their ids at another version, then hardly any stream is joined`() {
+        val fleets = (FIRST_SEED until FIRST_SEED + SEEDS).map { seed ->
+            val random = Random(seed)
+            val restarts = (0..11).map {
+                val downTime = 500.milliseconds + 25.milliseconds * random.nextInt(60)
+                val version = if (it / 3 % 2 == 0) "new" else "old"
+                val restart = Restart(it % 3, downTime, version, keepsId = true, isListed = random.nextBoolean())
+                6.seconds + 2.seconds * it + 25.milliseconds * random.nextInt(60) to restart
+            }
+            val kills = (0..5).map { 8.seconds + 4.seconds * it to Kill(setOf(random.nextInt(GATEWAYS)), 1.seconds) }
+            StreamVersionFleet(random, StreamFleetPlan(faults = restarts + kills)).apply { run(40.seconds) }
+        }
+        val joined = fleets.map { it.joined.size }
+        println("joined $joined, take-ups ${fleets.sumOf { it.takeUps.first }}")
+        assertTrue(joined.all { it <= MAX_JOINED }, "joined $joined")
+    }
+
     @Test
     fun `given one version, when gateways are killed, then streams go on`() =
         play { random ->
@@ -135,6 +154,9 @@
         const val MIN_TAKE_UPS = 12
         const val MIN_SHARE_BEGUN = 0.8
 
+        /** More break the rule that streams stay at the version that began them. */
+        const val MAX_JOINED = 2
+
         /** `-Dversions.seeds=50` plays more of them. */
         val SEEDS = Integer.getInteger("versions.seeds", 3)
         val FIRST_SEED = Integer.getInteger("versions.seed", 1)
