--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewaySchedule.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewaySchedule.kt
@@ -11,6 +11,7 @@
 import org.ragwortbank.core.speed.SpeedSystem
 import org.ragwortbank.core.storecopy.StoreCopySystem
 import org.ragwortbank.core.tick.Schedule
+import org.ragwortbank.core.versions.HeldAnswerSystem
 import org.ragwortbank.core.versions.StreamRecordSystem
 import org.ragwortbank.core.versions.TakeUpSystem
 import org.ragwortbank.core.versions.VersionSystem
@@ -42,6 +43,7 @@
             TakeUpSystem(),
             RoutingSystem(policy),
             StreamRecordSystem(),
+            HeldAnswerSystem(),
             DemandSystem(),
             PeerSystem(),
             DrainSystem(),
--- a/core/src/test/kotlin/org/ragwortbank/core/versions/TakeUpSystemTest.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/versions/TakeUpSystemTest.kt
@@ -202,4 +202,18 @@
 
         assertEquals(listOf("engine-1"), fixture.sentTo())
     }
+
+    // Guards against a stream that goes on at the base version because an older copy of the store lacks its record.
+    @Test
+    fun `given a store back from an older copy, then recorded streams go on and unknown ones are refused`() {
+        val fixture = VersionFixture()
+        val engines = arrayOf(fixture.engine("engine-1", OLD), fixture.engine("engine-2", NEW))
+        fixture.readWhole(*engines, fixture.versions(OLD, NEW), fixture.record(NEW, "stream"), era = 1)
+        fixture.readWhole(*engines, fixture.versions(OLD), era = 2)
+
+        fixture.takeUp("stream")
+        assertEquals(listOf("engine-2"), fixture.sentTo())
+        fixture.takeUp("unknown")
+        assertEquals(listOf(ResultCode.VERSION_UNDECIDED), fixture.gateway.refusals().map { it.code })
+    }
 }
--- a/core/src/test/kotlin/org/ragwortbank/core/versions/VersionFixture.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/versions/VersionFixture.kt
@@ -11,6 +11,7 @@
 import org.ragwortbank.core.serving.RequestNumber
 import org.ragwortbank.core.serving.SoftwareVersion
 import org.ragwortbank.core.serving.StoreChange
+import org.ragwortbank.core.serving.StorePosition
 import org.ragwortbank.core.serving.StreamId
 import org.ragwortbank.core.serving.StreamResumption
 import kotlin.time.Duration
@@ -52,12 +53,13 @@
     fun read(vararg changes: StoreChange, ago: Duration = Duration.ZERO) =
         gateway.tick(GatewayInput.StoreChanged(changes.toList().toPersistentList(), gateway.now - ago))
 
-    /** Applies [changes] as all that the store has beside its configuration. */
-    fun readWhole(vararg changes: StoreChange) =
+    /** Applies [changes] as all that the store has, in its [era], beside its configuration. */
+    fun readWhole(vararg changes: StoreChange, era: Long = 0) =
         gateway.tick(
             GatewayInput.StoreRead(
                 (listOf(StoreChange.ConfigSet(gateway.config())) + changes).toPersistentList(),
                 gateway.now,
+                StorePosition(era, revision = 1),
             ),
         )
 
