Follow the store by one count of reads, and drop leases of stream records in a new era

What could happen: after a drill a record of streams was written under a lease that the older copy has granted to another process, and ended with it. By reading; StreamStoreWriterTest has the case.

StoreAvailability logs the loss of the store.

--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/StoreSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/StoreSystem.kt
@@ -64,8 +64,6 @@
         applyAll(step.moveTo(input.position), input.changes, now)
             .update { it.notePresent(input.changes).noteWritten(input.changes) }
 
-    private fun GatewayStep.moveTo(position: StorePosition): GatewayStep = update { it.copy(storePosition = position) }
-
     private fun recordRead(step: GatewayStep, requestedAt: Timestamp): GatewayStep =
         recordConfirmation(step.updateVersions { it.afterRead(requestedAt) }, requestedAt)
 
@@ -130,3 +128,5 @@
             is StoreChange.StreamsRecorded, is StoreChange.StreamRecordRemoved -> step.applyVersionChange(change, now)
         }
 }
+
+private fun GatewayStep.moveTo(position: StorePosition): GatewayStep = update { it.copy(storePosition = position) }
--- a/node/src/main/kotlin/org/ragwortbank/node/gateway/GatewayNode.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/gateway/GatewayNode.kt
@@ -89,6 +89,7 @@
             store.observeNewEras {
                 storeWatcher.onNewEra()
                 membership.onNewEra()
+                streamWriter.onNewEra()
             }
             storeWatcher.start()
         }
--- a/node/src/main/kotlin/org/ragwortbank/node/gateway/ReadPacing.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/gateway/ReadPacing.kt
@@ -8,15 +8,15 @@
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
- * One read of the store's changes.
+ * One read of the store.
  *
  * @property isAtOnce whether it doesn't wait for a change
  */
-internal class ChangeRead(val number: Long, val isAtOnce: Boolean)
+internal class PacedRead(val number: Long, val isAtOnce: Boolean)
 
 /**
- * Cuts the waits of a reader short that follows the store's changes, where someone needs a read that begins now; used
- * on the event loop's thread only.
+ * Paces a reader that follows the store, one read after another, and cuts its waits short where someone needs a read
+ * that begins now; used on the event loop's thread only.
  *
  * A pause between reads is cut short. A read that waits for a change is replaced, and its reply dropped. A read that
  * doesn't wait goes on, or a slow store would never get to reply to one, and another one follows it.
@@ -37,16 +37,27 @@
         if (wait > Duration.ZERO) schedule(wait) else perform()
     }
 
+    /** Counts a read of everything that begins now, in place of any other read, pause or retry. */
+    fun beginAll(): PacedRead {
+        when (val current = stage) {
+            is Stage.Pausing -> current.timer.cancel(false)
+            is Stage.Retrying -> current.timer.cancel(false)
+            is Stage.Waiting, Stage.Busy -> Unit
+        }
+        stage = Stage.Busy
+        return PacedRead(++lastNumber, isAtOnce = false)
+    }
+
     /** Counts a read of changes that begins now and that [repeat] would begin once more. */
-    fun begin(repeat: () -> Unit): ChangeRead {
-        val read = ChangeRead(++lastNumber, isAtOnce = isWanted)
+    fun begin(repeat: () -> Unit): PacedRead {
+        val read = PacedRead(++lastNumber, isAtOnce = isWanted)
         stage = if (isWanted) Stage.Busy else Stage.Waiting(repeat)
         isWanted = false
         return read
     }
 
     /** Whether the reply to [read] counts, as no other read has replaced it. */
-    fun end(read: ChangeRead): Boolean {
+    fun end(read: PacedRead): Boolean {
         val isLatest = read.number == lastNumber
         if (isLatest) stage = Stage.Busy
         return isLatest
@@ -54,14 +65,17 @@
 
     /** Calls [read] after [delay], or at once if that is asked for before. */
     fun pause(delay: Duration, read: () -> Unit) {
-        if (isWanted) {
-            loop.execute(read)
-        } else {
-            val timer = loop.schedule({ leave(read) }, delay.inWholeMilliseconds, TimeUnit.MILLISECONDS)
-            stage = Stage.Pausing(timer, read)
-        }
+        stage = Stage.Pausing(leaveAfter(if (isWanted) Duration.ZERO else delay, read), read)
+    }
+
+    /** Calls [read] after [delay], because the store doesn't answer. */
+    fun retry(delay: Duration, read: () -> Unit) {
+        stage = Stage.Retrying(leaveAfter(delay, read))
     }
 
+    private fun leaveAfter(delay: Duration, read: () -> Unit): Future<*> =
+        loop.schedule({ leave(read) }, delay.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+
     private fun schedule(wait: Duration) {
         if (isScheduled) return
         isScheduled = true
@@ -78,7 +92,7 @@
         when (val current = stage) {
             is Stage.Pausing -> if (current.timer.cancel(false)) leave(current.read)
             is Stage.Waiting -> current.repeat()
-            Stage.Busy -> Unit
+            is Stage.Retrying, Stage.Busy -> Unit
         }
     }
 
@@ -89,9 +103,12 @@
 
     /** What the reader does. */
     private sealed interface Stage {
-        /** It reads and isn't to be disturbed, or waits for the store to answer again. */
+        /** It reads and isn't to be disturbed. */
         data object Busy : Stage
 
+        /** It waits until [timer] ends for the store to answer again. */
+        class Retrying(val timer: Future<*>) : Stage
+
         /** It calls [read] when [timer] ends. */
         class Pausing(val timer: Future<*>, val read: () -> Unit) : Stage
 
--- a/node/src/main/kotlin/org/ragwortbank/node/gateway/StoreWatcher.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/gateway/StoreWatcher.kt
@@ -7,7 +7,6 @@
 import org.ragwortbank.node.log.Logs
 import org.ragwortbank.node.port.StoreClient
 import org.ragwortbank.node.port.StoreReply
-import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -27,14 +26,11 @@
     private val readDelay: () -> Duration,
     private val post: (GatewayInput) -> Unit,
 ) {
-    private var isStoreUnavailable = false
+    private val availability = StoreAvailability()
+    private val pacing = ReadPacing(loop, now)
     private var isStopped = false
     private var isReadingAll = false
 
-    /** Number of the latest read; replies to earlier ones, and what was scheduled after them, are ignored. */
-    private var readNumber = 0L
-    private val pacing = ReadPacing(loop, now)
-
     /** Reads the whole store and then its changes until [stop]. */
     fun start() = readAll()
 
@@ -50,16 +46,17 @@
 
     /** Reads the whole store at once, because it has come back from an older copy. */
     fun onNewEra() {
-        if (!isReadingAll && !isStopped) readAll()
+        if (!isReadingAll) readAll()
     }
 
     /** A read that is under way notices a new era by itself. */
     private fun readAll() {
+        if (isStopped) return
         val requestedAt = now()
-        val number = ++readNumber
+        val read = pacing.beginAll()
         isReadingAll = true
         store.readAll { reply ->
-            if (number == readNumber) {
+            if (pacing.end(read)) {
                 isReadingAll = false
                 onFullReadReply(reply, requestedAt)
             }
@@ -69,32 +66,32 @@
     private fun onFullReadReply(reply: StoreReply, requestedAt: Timestamp) =
         when (reply) {
             is StoreReply.FullRead -> {
-                recordSuccess()
+                availability.onAnswer()
                 Logs.platform.info("the whole store was read at {}, {} items", reply.position, reply.contents.size)
                 post(GatewayInput.StoreRead(reply.contents, requestedAt, reply.position))
-                pause { readChanges(reply.position) }
+                pacing.pause(readDelay()) { readChanges(reply.position) }
             }
             is StoreReply.Changes, StoreReply.NewEra, StoreReply.Compacted, StoreReply.TooLarge ->
-                schedule(readDelay(), ::readAll)
+                pacing.pause(readDelay(), ::readAll)
             is StoreReply.Failed -> retryAfterFailure(reply.cause, ::readAll)
         }
 
     private fun readChanges(after: StorePosition) {
+        if (isStopped) return
         val requestedAt = now()
-        val number = ++readNumber
-        val read = pacing.begin(ifLatest { readChanges(after) })
+        val read = pacing.begin { readChanges(after) }
         val maxWait = if (read.isAtOnce) Duration.ZERO else MAX_CHANGE_WAIT
         store.readChanges(after, maxWait) { reply ->
-            if (pacing.end(read) && number == readNumber) onChangesReply(reply, after, requestedAt)
+            if (pacing.end(read)) onChangesReply(reply, after, requestedAt)
         }
     }
 
     private fun onChangesReply(reply: StoreReply, after: StorePosition, requestedAt: Timestamp) =
         when (reply) {
             is StoreReply.Changes -> {
-                recordSuccess()
+                availability.onAnswer()
                 post(GatewayInput.StoreChanged(reply.changes, requestedAt, reply.position))
-                pause { readChanges(reply.position) }
+                pacing.pause(readDelay()) { readChanges(reply.position) }
             }
             StoreReply.NewEra -> readAll()
             is StoreReply.FullRead, StoreReply.Compacted -> {
@@ -109,28 +106,8 @@
         }
 
     private fun retryAfterFailure(cause: String, retry: () -> Unit) {
-        if (!isStoreUnavailable) Logs.platform.warn("the store does not answer: {}", cause)
-        isStoreUnavailable = true
-        schedule(RETRY_DELAY, retry)
-    }
-
-    private fun recordSuccess() {
-        if (isStoreUnavailable) Logs.platform.info("the store answers again")
-        isStoreUnavailable = false
-    }
-
-    private fun pause(read: () -> Unit) {
-        if (!isStopped) pacing.pause(readDelay(), ifLatest(read))
-    }
-
-    private fun schedule(delay: Duration, action: () -> Unit) {
-        if (!isStopped) loop.schedule(ifLatest(action), delay.inWholeMilliseconds, TimeUnit.MILLISECONDS)
-    }
-
-    /** Performs [action] unless another read has begun by then. */
-    private fun ifLatest(action: () -> Unit): () -> Unit {
-        val number = readNumber
-        return { if (number == readNumber) action() }
+        availability.onFailure(cause)
+        pacing.retry(RETRY_DELAY, retry)
     }
 
     private companion object {
--- a/node/src/main/kotlin/org/ragwortbank/node/gateway/StreamStoreWriter.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/gateway/StreamStoreWriter.kt
@@ -31,6 +31,13 @@
     private var isLeaseRequested = false
     private var awaitingLease: PersistentList<RecordWrite> = persistentListOf()
     private var isFailing = false
+    private var eraCount = 0
+
+    /** The store has come back from an older copy, which may have granted the lease to another process since. */
+    fun onNewEra() {
+        eraCount++
+        lease = null
+    }
 
     /** Performs an effect that writes; ignores effects of other kinds. */
     fun perform(effect: GatewayEffect) {
@@ -86,7 +93,7 @@
             awaitingLease = persistentListOf()
             when (reply) {
                 is LeaseReply.Granted -> {
-                    val granted = HeldLease(reply.lease, requestedAt)
+                    val granted = HeldLease(reply.lease, requestedAt, eraCount)
                     lease = granted
                     writes.forEach { send(it, granted) }
                 }
@@ -97,7 +104,7 @@
 
     private fun send(write: RecordWrite, used: HeldLease) =
         store.saveStreamRecord(write.record, used.lease) { reply ->
-            when (reply) {
+            when (val outcome = if (used.eraCount == eraCount) reply else StreamRecordReply.LeaseEnded) {
                 StreamRecordReply.Saved -> {
                     if (isFailing) Logs.platform.info("records of streams are stored again")
                     isFailing = false
@@ -107,7 +114,7 @@
                     if (lease == used) lease = null
                     if (write.mayRepeat) save(write.copy(mayRepeat = false)) else fail(write, "its lease has ended")
                 }
-                is StreamRecordReply.Failed -> fail(write, reply.cause)
+                is StreamRecordReply.Failed -> fail(write, outcome.cause)
             }
         }
 
@@ -117,8 +124,12 @@
         post(GatewayInput.StreamRecordFailed(write.record.key))
     }
 
-    /** A lease that was asked for at [requestedAt], so that it doesn't end before that and its lifetime. */
-    private data class HeldLease(val lease: Long, val requestedAt: Timestamp)
+    /**
+     * A lease that was asked for at [requestedAt], so that it doesn't end before that and its lifetime.
+     *
+     * @property eraCount number of new eras of the store before it was granted
+     */
+    private data class HeldLease(val lease: Long, val requestedAt: Timestamp, val eraCount: Int)
 
     /** A write of [record]; [mayRepeat] if it is to be made once more under a new lease when its own has ended. */
     private data class RecordWrite(val record: StreamRecord, val mayRepeat: Boolean) {
--- a/node/src/test/kotlin/org/ragwortbank/node/gateway/StreamStoreWriterTest.kt
+++ b/node/src/test/kotlin/org/ragwortbank/node/gateway/StreamStoreWriterTest.kt
@@ -75,6 +75,20 @@
         assertEquals(4, store.calls.size)
     }
 
+    // Guards against a record under a lease that an older copy of the store has granted to another process.
+    @Test
+    fun `given a store in a new era, then a record is written again and the next one too, under a new lease`() {
+        save(1)
+        store.grant(0, lease = 5)
+        writer.onNewEra()
+        store.replyRecord(0, StreamRecordReply.Saved)
+        save(2)
+        assertEquals(emptyList(), inputs)
+        store.grant(1, lease = 6)
+        val inNewEra = listOf("lease 2m 30s", "record 1 under 6", "record 2 under 6")
+        assertEquals(inNewEra, store.calls.drop(2))
+    }
+
     @Test
     fun `given no lease or no answer, then the record has failed, and the next one is tried afresh`() {
         save(1)
