Test by processes of a route added while a gateway reads the store

Ruled out without a new era: the first watch begins at the first page's revision, and the route is served within 2 s in each of six cases (on the arrival of the second and third call for a page, and 0, 100 and 300 ms after the last page was due, and while a gateway starts). The store's pages come 150 ms late. The stand-in store records the paths of its calls.

--- a/standins/src/main/kotlin/org/ragwortbank/standins/prepared/StoreStandIn.kt
+++ b/standins/src/main/kotlin/org/ragwortbank/standins/prepared/StoreStandIn.kt
@@ -1,6 +1,8 @@
 package org.ragwortbank.standins.prepared
 
 import io.netty.channel.EventLoopGroup
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.persistentListOf
 import org.ragwortbank.clients.http.Address
 import org.ragwortbank.standins.http.Responder
 import org.ragwortbank.standins.http.StandInRequest
@@ -16,11 +18,15 @@
     private val isUnavailable = AtomicReference(false)
     private val answerDelay = AtomicReference(Duration.ZERO)
     private val address = AtomicReference<Address?>(null)
+    private val receivedPaths = AtomicReference<PersistentList<String>>(persistentListOf())
     private val server = StandInServer(group, ::respond)
 
     /** The current content, from which [restart] may continue later. */
     val snapshot: StoreSnapshot get() = state.snapshot
 
+    /** Paths with queries of the calls, in the order in which they arrived. */
+    val callPaths: PersistentList<String> get() = receivedPaths.get()
+
     /** Listens on [port], or on a free one if it is zero, and returns the address. */
     fun start(port: Int = 0): Address = server.start(port).also(address::set)
 
@@ -60,6 +66,7 @@
     fun setUnavailable(unavailable: Boolean) = isUnavailable.set(unavailable)
 
     private fun respond(request: StandInRequest, responder: Responder) {
+        receivedPaths.updateAndGet { it.add(request.path) }
         val delay = answerDelay.get()
         when {
             isUnavailable.get() -> responder.closeConnection()
--- a/standins/src/test/kotlin/org/ragwortbank/standins/drill/DrillCaller.kt
+++ b/standins/src/test/kotlin/org/ragwortbank/standins/drill/DrillCaller.kt
@@ -23,7 +23,10 @@
     }
 
     /** Sends the request with the number [number] on a route that all versions have. */
-    fun callFirstRoute(number: Int): DrillRequest? = call(number, DrillOperator.STABLE, DrillOperator.STABLE_KEY)
+    fun callFirstRoute(number: Int): DrillRequest? = callRoute(number, DrillOperator.STABLE)
+
+    /** Sends the request with the number [number] on the route with [prefix]. */
+    fun callRoute(number: Int, prefix: String): DrillRequest? = call(number, prefix, DrillOperator.STABLE_KEY)
 
     private fun call(number: Int, prefix: String, key: String): DrillRequest? {
         val target = gateway.incarnation ?: return null
