The test of a start without the store sends its requests side by side

A gateway that knows no configuration holds a request until its deadline before it answers 503, so that 40 in a row took 136 s for the three tests. All answers are checked as before.

--- a/standins/src/test/kotlin/org/ragwortbank/standins/drill/StartWithoutStoreTest.kt
+++ b/standins/src/test/kotlin/org/ragwortbank/standins/drill/StartWithoutStoreTest.kt
@@ -5,6 +5,7 @@
 import org.ragwortbank.standins.fleet.Polling
 import org.ragwortbank.standins.fleet.testLauncher
 import org.ragwortbank.standins.prepared.StoreStandIn
+import java.util.concurrent.Executors
 import kotlin.random.Random
 import kotlin.test.AfterTest
 import kotlin.test.Test
@@ -18,6 +19,7 @@
 class StartWithoutStoreTest {
     private val launcher = testLauncher("ragwortbank-without-store")
     private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
+    private val threads = Executors.newCachedThreadPool()
     private val store = StoreStandIn(group)
     private val storeAddress = store.start()
     private val workers = DrillWorkers(group)
@@ -34,6 +36,7 @@
     @AfterTest
     fun `stop the processes`() {
         gateways.forEach { it.end(isKilled = true) }
+        threads.shutdown()
         group.shutdownGracefully()
     }
 
@@ -74,13 +77,14 @@
         assertEquals(List(CALLS) { 200 }, statuses(1, CALLS))
     }
 
-    /** Statuses of [count] requests that all versions allow. */
+    /** Statuses of [count] requests that all versions allow, sent one after another without waiting for answers. */
     private fun statuses(machine: Int, count: Int): List<Int?> {
         val caller = DrillCaller("stable", machine, gateways[machine], Random(1), start::elapsedNow)
-        return (1..count).map {
+        val calls = (1..count).map { number ->
             Thread.sleep(PAUSE_MILLIS)
-            caller.callFirstRoute(it)?.status
+            threads.submit<Int?> { caller.callFirstRoute(number)?.status }
         }
+        return calls.map { it.get() }
     }
 
     private companion object {
