Let gateways take over the writing of software versions one after the other

Cause: when the chosen gateway didn't write what a service needs for 5 s, all others did at once; with hundreds of gateways that is a burst of conditional writes of which one succeeds. No caller saw it; found on reading. Change: each next gateway by rendezvous hashing waits 2 s longer than the one before it.

--- a/core/src/main/kotlin/org/ragwortbank/core/versions/VersionSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/versions/VersionSystem.kt
@@ -13,6 +13,7 @@
 import org.ragwortbank.core.tick.Tick
 import org.ragwortbank.core.tick.TickSystem
 import org.ragwortbank.core.tick.Timestamp
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -54,17 +55,18 @@
                 all.updateService(service) { row.copy(savedAt = now) }.copy(refresh = all.refresh.asked(now))
             }
 
-    /** One of the listed gateways writes; the others do when nothing comes of it. */
+    /** One of the listed gateways writes; the next ones do when nothing comes of it. */
     private fun GatewayTables.isWriter(service: ServiceName, row: VersionRow, now: Timestamp): Boolean {
         val isSaving = row.savedAt?.let { now - it < SAVE_INTERVAL } ?: false
-        val isOverdue = row.neededSince?.let { now - it >= KEEPER_TIME } ?: false
-        return !isSaving && (isOverdue || isKeeperOf(service))
+        val needed = row.neededSince?.let { now - it } ?: Duration.ZERO
+        return !isSaving && needed >= KEEPER_TIME * gatewaysBefore(service)
     }
 
-    private fun GatewayTables.isKeeperOf(service: ServiceName): Boolean {
+    /** Number of the listed gateways that write the versions of [service] earlier than this one. */
+    private fun GatewayTables.gatewaysBefore(service: ServiceName): Int {
         val hash = RendezvousHash.hashOf(service.value)
-        val names = peers.values.filter { it.isListed }.map { it.name } + identity.name
-        return names.maxByOrNull { RendezvousHash.score(hash, RendezvousHash.hashOf(it)) } == identity.name
+        val own = RendezvousHash.score(hash, RendezvousHash.hashOf(identity.name))
+        return peers.values.count { it.isListed && RendezvousHash.score(hash, RendezvousHash.hashOf(it.name)) > own }
     }
 
     private fun GatewayTables.isListFresh(now: Timestamp): Boolean =
@@ -87,7 +89,7 @@
         val SWEEP_INTERVAL = 100.milliseconds
         val SAVE_INTERVAL = 2.seconds
 
-        /** Time for which only one gateway asks the store. */
-        val KEEPER_TIME = 5.seconds
+        /** Time after which the next gateway asks the store too. */
+        val KEEPER_TIME = 2.seconds
     }
 }
