Expect of a success only what its upstream can be held to

Cause: one trait, seen once, was enough to refuse the next success. That a connection is closed counted as the same trait as how long it may idle, and an answer without a body counted as lacking its type.

Change: an answer says what it needn't hold (the idle time of a connection that is closed, the type of no body), and that neither counts nor is missed.

--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewayInput.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewayInput.kt
@@ -24,6 +24,7 @@
  * @property load load that the upstream reported with the answer; null if it reported none
  * @property notice what the upstream says of itself; null if it says nothing
  * @property traits what it holds beside what belongs to its request
+ * @property needlessTraits what it needn't hold, by what else it holds
  */
 data class AnswerFacts(
     val status: Int,
@@ -31,6 +32,7 @@
     val load: ReportedLoad?,
     val notice: UpstreamNotice? = null,
     val traits: PersistentSet<AnswerTrait> = persistentSetOf(),
+    val needlessTraits: PersistentSet<AnswerTrait> = persistentSetOf(),
 ) {
     /** Whether the request was run and ended well. */
     val isSuccess: Boolean get() = status in SUCCESSES
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/IrregularAnswer.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/IrregularAnswer.kt
@@ -6,9 +6,10 @@
     input: GatewayInput.AnswerHeadReceived,
 ): GatewayInput.AttemptFailed? {
     val habits = row.upstream?.let { upstreams[it] }?.answerHabits
-    val traits = input.facts.traits
-    if (habits == null || !input.facts.isSuccess || !habits.isIrregular(traits)) return null
-    val detail = "a success without ${(habits.expected - traits).joinToString()}, which others from there have"
+    val facts = input.facts
+    if (habits == null || !facts.isSuccess || !habits.isIrregular(facts.traits, facts.needlessTraits)) return null
+    val lacked = habits.expected - facts.traits - facts.needlessTraits
+    val detail = "a success without ${lacked.joinToString()}, which others from there have"
     val cause = AttemptFailure.IrregularAnswer(detail)
     return GatewayInput.AttemptFailed(input.number, input.attempt, cause, input.trace)
 }
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/UpstreamRow.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/UpstreamRow.kt
@@ -197,7 +197,7 @@
 
     /** This row with an answer that held [facts]. */
     fun withAnswer(facts: AnswerFacts): UpstreamRow =
-        if (facts.isSuccess) copy(answerHabits = answerHabits.after(facts.traits)) else this
+        if (facts.isSuccess) copy(answerHabits = answerHabits.after(facts.traits, facts.needlessTraits)) else this
 
     private fun PersistentMap<AdapterKey, Int>.adjust(
         adapter: AdapterKey?,
