Refuse no take-ups after a drill of a service that has had one version all along

What callers could get: 3014, not run, for 60 s after the store came back from an older copy, wherever a broken stream was taken up at a gateway that hadn't begun it (LOST), also where only one software version ever served.

Cause: a store that has lost seconds was taken to have lost records of every service. Change: no doubt where the service was settled by the last read before and is in the copy, and the two reads are within STREAM_LEASE: what was admitted between them can't have begun a stream by then.

--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/StoreSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/StoreSystem.kt
@@ -25,6 +25,7 @@
 import org.ragwortbank.core.versions.afterStoreLoss
 import org.ragwortbank.core.versions.applyVersionChange
 import org.ragwortbank.core.versions.missingStreamRecords
+import org.ragwortbank.core.versions.settledAcross
 import org.ragwortbank.core.versions.updateVersions
 import org.ragwortbank.core.versions.versionsChangedUnseen
 
@@ -56,7 +57,7 @@
             .dropLifted(input.contents, now)
             .enterCopy(contents, input.position, now)
             .moveTo(input.position)
-            .update { it.afterStoreLoss(now) }
+            .update { it.afterStoreLoss(now, it.settledAcross(input)) }
         return applySnapshot(entered, contents, now).markGone(gone)
     }
 
--- a/core/src/main/kotlin/org/ragwortbank/core/versions/StreamVersions.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/versions/StreamVersions.kt
@@ -20,6 +20,7 @@
  * @property begun streams that began here or were taken up here
  * @property held requests whose answers have begun and aren't passed on yet
  * @property doubtUntil until when streams that this gateway doesn't know may have lost their records; null if none may
+ * @property undoubted services of which none has, whatever [doubtUntil] says
  */
 data class StreamVersions(
     val storeReadAt: Timestamp? = null,
@@ -31,6 +32,7 @@
     val outbox: RecordOutbox = RecordOutbox(),
     val held: PersistentSet<RequestNumber> = persistentSetOf(),
     val doubtUntil: Timestamp? = null,
+    val undoubted: PersistentSet<ServiceName> = persistentSetOf(),
     val sweptAt: Timestamp? = null,
 ) {
     /** After the answer to a read of the store that was requested at [requestedAt] was applied. */
--- a/core/src/main/kotlin/org/ragwortbank/core/versions/TakeUp.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/versions/TakeUp.kt
@@ -2,6 +2,7 @@
 
 import org.ragwortbank.core.gateway.GatewayTables
 import org.ragwortbank.core.gateway.RequestRow
+import org.ragwortbank.core.serving.ServiceName
 import org.ragwortbank.core.serving.SoftwareVersion
 import org.ragwortbank.core.tick.Timestamp
 
@@ -30,7 +31,7 @@
     return when {
         begun != null -> TakeUp.Known(begun, "own memory")
         recorded != null -> TakeUp.Known(recorded, "its record")
-        isInDoubt(now) -> TakeUp.Unknown("the store may have lost its record", mayReturn = true)
+        isInDoubt(request.service, now) -> TakeUp.Unknown("the store may have lost its record", mayReturn = true)
         versions == null -> TakeUp.NeedsVersions
         !isReadSince(request) && !isSettledFor(request) -> TakeUp.NeedsRead
         stream == null && hasRecords(request) ->
@@ -39,7 +40,8 @@
     }
 }
 
-private fun GatewayTables.isInDoubt(now: Timestamp): Boolean = streamVersions.doubtUntil?.let { now < it } ?: false
+private fun GatewayTables.isInDoubt(service: ServiceName, now: Timestamp): Boolean =
+    service !in streamVersions.undoubted && streamVersions.doubtUntil?.let { now < it } ?: false
 
 /** Whether the store was read after [request] arrived: all that a caller has seen is recorded by then. */
 private fun GatewayTables.isReadSince(request: RequestRow): Boolean =
--- a/core/src/main/kotlin/org/ragwortbank/core/versions/VersionChanges.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/versions/VersionChanges.kt
@@ -1,11 +1,16 @@
 package org.ragwortbank.core.versions
 
+import kotlinx.collections.immutable.PersistentSet
+import kotlinx.collections.immutable.persistentSetOf
 import kotlinx.collections.immutable.toPersistentList
 import kotlinx.collections.immutable.toPersistentMap
+import kotlinx.collections.immutable.toPersistentSet
+import org.ragwortbank.core.gateway.GatewayInput
 import org.ragwortbank.core.gateway.GatewayStep
 import org.ragwortbank.core.gateway.GatewayTables
 import org.ragwortbank.core.gateway.log
 import org.ragwortbank.core.log.LogPart
+import org.ragwortbank.core.serving.ServiceName
 import org.ragwortbank.core.serving.StoreChange
 import org.ragwortbank.core.tick.Timestamp
 
@@ -58,17 +63,39 @@
  * The tables after the store came back without what was written in its last seconds: streams that this gateway doesn't
  * know aren't taken up for a while, and its own records are saved again. Recorded streams stay known, also by records
  * that the store has lost; the versions of services count as read for the first time, since revisions tell nothing.
+ *
+ * @param certain services of which no stream has lost its record
  */
-internal fun GatewayTables.afterStoreLoss(now: Timestamp): GatewayTables {
+internal fun GatewayTables.afterStoreLoss(
+    now: Timestamp,
+    certain: PersistentSet<ServiceName> = persistentSetOf(),
+): GatewayTables {
     val outbox = streamVersions.outbox
     return copy(
         streamVersions = streamVersions.withRecordedKnown(now).copy(
             services = streamVersions.services.mapValues { it.value.withoutStored() }.toPersistentMap(),
             doubtUntil = now + VersionTimes.DOUBT_TIME,
+            undoubted = certain,
             outbox = outbox.copy(lost = outbox.saved.values.map { it.record }.toPersistentList()),
         ),
     )
 }
 
+/**
+ * Services that were settled before and are in [copy], the first read of a store that came back older. What may have
+ * been admitted between the two reads can't have begun streams before the second one.
+ */
+internal fun GatewayTables.settledAcross(copy: GatewayInput.StoreRead): PersistentSet<ServiceName> {
+    val readAt = streamVersions.storeReadAt?.takeIf { copy.requestedAt - it <= VersionTimes.STREAM_LEASE }
+    if (readAt == null) return persistentSetOf()
+    return copy.contents.filterIsInstance<StoreChange.VersionsSet>()
+        .filter { it.versions.isSettled && streamVersions.services[it.service]?.stored == it.versions }
+        .map { it.service }
+        .filter { service ->
+            streamVersions.services[service]?.settledAt?.let { readAt - it >= VersionTimes.SETTLE_TIME } ?: false
+        }
+        .toPersistentSet()
+}
+
 internal fun GatewayStep.updateVersions(change: (StreamVersions) -> StreamVersions): GatewayStep =
     update { it.copy(streamVersions = change(it.streamVersions)) }
