Give up answers that the store holds back for too long

What callers could get: nothing until their deadline, where the store fell silent while an answer waited for its record or for a read of the list.

StreamRecordSystemTest: the head of the answer now comes after the suspension, since an answer that was held over 3.1 s is given up; that a late reply doesn't count is checked as before.

--- a/core/src/main/kotlin/org/ragwortbank/core/versions/HeldAnswerSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/versions/HeldAnswerSystem.kt
@@ -32,12 +32,16 @@
     private fun review(step: GatewayStep, row: RequestRow, held: HeldHead, now: Timestamp): GatewayStep =
         when (step.tables.holdOf(row, held.receivedAt)) {
             null -> step.relay(row, held.head, now)
-            AnswerHold.OTHER_VERSION -> giveUp(step, row)
-            AnswerHold.RECORD, AnswerHold.DOUBT -> step
+            AnswerHold.OTHER_VERSION -> giveUp(step, row, "not ${row.sentTo?.version} any more")
+            AnswerHold.RECORD, AnswerHold.DOUBT -> {
+                val isTooLong = now - held.receivedAt > VersionTimes.MAX_UNDECIDED
+                if (isTooLong) giveUp(step, row, "which the store hasn't told in time") else step
+            }
         }
 
-    private fun giveUp(step: GatewayStep, row: RequestRow): GatewayStep {
-        val detail = "upstream ${row.upstream} has started again at another version than ${row.sentTo?.version}"
+    /** A caller leaves a stream whose first event takes longer; it can begin another one sooner. */
+    private fun giveUp(step: GatewayStep, row: RequestRow, reason: String): GatewayStep {
+        val detail = "the version of upstream ${row.upstream} that the stream begins at, $reason"
         return step
             .emit(GatewayEffect.CancelAttempt(row.number, row.attemptCount, CancelCause.FAILED))
             .fail(row.markMayHaveRun(), ResultCode.OUTCOME_UNKNOWN, detail, null)
--- a/core/src/test/kotlin/org/ragwortbank/core/versions/StreamRecordSystemTest.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/versions/StreamRecordSystemTest.kt
@@ -128,9 +128,9 @@
         fixture.begin()
         val attempt = fixture.gateway.sentAttempts().single()
         val record = fixture.savedRecords().single()
-        fixture.gateway.tick(fixture.head(attempt))
 
         fixture.gateway.suspendFor(3_100.milliseconds, GatewayInput.StreamRecordSaved(record.key))
+        fixture.gateway.tick(fixture.head(attempt))
         val late = fixture.relays()
         fixture.read()
         fixture.gateway.advance(200.milliseconds)
