Drop a record of streams for which nobody waits

What callers could get: no answer at any admitted version, behind one record that the store never took and whose callers had left.

--- a/core/src/main/kotlin/org/ragwortbank/core/versions/StreamRecordSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/versions/StreamRecordSystem.kt
@@ -57,10 +57,10 @@
         return step.updateOutbox { it.copy(open = postponed) }
     }
 
-    /** Fails what waits for a record of a version that isn't admitted any more. */
+    /** Fails what waits for a record of a version that isn't admitted any more, and drops a record for nobody. */
     private fun giveUp(step: GatewayStep): GatewayStep {
         val outbox = step.tables.streamVersions.outbox
-        val open = outbox.open?.takeIf { it.requests.isNotEmpty() && step.tables.isGivenUp(it.record.begunAt) }
+        val open = outbox.open?.takeIf { it.requests.isNotEmpty() && step.tables.isNeedless(it) }
         val gathered = outbox.unrecorded.filterValues { step.tables.isGivenUp(it) }.keys
         if (open == null && gathered.isEmpty()) return step
         val numbers = gathered + open?.requests.orEmpty()
@@ -87,3 +87,7 @@
     val versions = streamVersions.services[stream.service]?.stored ?: return false
     return versions.base != stream.version && stream.version !in versions.admitted
 }
+
+/** Whether nothing waits for [save], so that the next record can be asked for; a late write of it does no harm. */
+private fun GatewayTables.isNeedless(save: RecordSave): Boolean =
+    isGivenUp(save.record.begunAt) || save.requests.none { requests[it]?.needsRecord == true }
