Remove what an older copy lacks only by a read that is late enough

What callers could get: 503 for lack of upstreams, where the store was silent after the first read of its copy: the 2 s passed without a read of what was written again. StoreCopyUpstreamsTest reads the store after the 2 s that it waits for.

--- a/core/src/main/kotlin/org/ragwortbank/core/storecopy/StoreCopySystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/storecopy/StoreCopySystem.kt
@@ -15,11 +15,15 @@
 class StoreCopySystem : TickSystem<GatewayTables, GatewayInput, GatewayEffect> {
     override fun run(tick: Tick<GatewayInput>, step: GatewayStep): GatewayStep {
         val copy = step.tables.storeCopy ?: return step
-        val age = tick.now - copy.readAt
-        val removed = if (age >= REWRITE_TIME) removeMissing(step, copy, tick.now) else step
-        return if (age >= EXPIRY_TIME) removed.update(::forget) else removed
+        val isComplete = step.tables.isReadAfter(copy.readAt + REWRITE_TIME)
+        val removed = if (isComplete) removeMissing(step, copy, tick.now) else step
+        return if (tick.now - copy.readAt >= EXPIRY_TIME) removed.update(::forget) else removed
     }
 
+    /** What was written meanwhile is known only by a read that was requested after it. */
+    private fun GatewayTables.isReadAfter(time: Timestamp): Boolean =
+        streamVersions.storeReadAt?.let { it >= time } ?: false
+
     private fun removeMissing(step: GatewayStep, copy: StoreCopyRow, now: Timestamp): GatewayStep {
         val withoutUpstreams = copy.missingUpstreams.fold(step) { current, id -> current.removeUpstream(id, now) }
         return copy.missingPeers
--- a/core/src/test/kotlin/org/ragwortbank/core/storecopy/StoreCopyUpstreamsTest.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/storecopy/StoreCopyUpstreamsTest.kt
@@ -10,6 +10,7 @@
 import org.ragwortbank.core.serving.UpstreamId
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -32,7 +33,7 @@
         gateway.confirmConfiguration()
         assertEquals(setOf(first, second), targets())
         register(second)
-        gateway.advance(200.milliseconds)
+        readAfter(200.milliseconds)
         assertEquals(setOf(second), targets())
         assertEquals(false, first in gateway.tables.upstreams)
     }
@@ -43,7 +44,7 @@
         gateway.advance(1.seconds)
         readEra(2, without(setOf(first)))
         assertEquals(setOf(first, second), targets())
-        gateway.advance(1.seconds)
+        readAfter(1.seconds)
         assertEquals(setOf(second), targets())
     }
 
@@ -104,7 +105,7 @@
         gateway.applyChanges(registered(first, startedMillis = 7))
         readEra(2, before)
         assertEquals(7, gateway.tables.upstreams.getValue(first).registration.startedMillis)
-        gateway.advance(2.seconds)
+        readAfter(2.seconds)
         assertEquals(setOf(second), targets())
         gateway.applyChanges(registered(first, startedMillis = 7))
         assertEquals(setOf(first, second), targets())
@@ -119,7 +120,7 @@
         gateway.advance(1_900.milliseconds)
         assertEquals(3, gateway.tables.gatewayCount)
         gateway.applyChanges(peers.last())
-        gateway.advance(200.milliseconds)
+        readAfter(200.milliseconds)
         assertEquals(2, gateway.tables.gatewayCount)
     }
 
@@ -131,10 +132,16 @@
         gateway.advance(1_500.milliseconds)
         gateway.confirmConfiguration()
         assertEquals(setOf(first, second), targets())
-        gateway.advance(600.milliseconds)
+        readAfter(600.milliseconds)
         assertEquals(false, first in gateway.tables.upstreams || second in gateway.tables.upstreams)
     }
 
+    /** Advances the time by [time] and reads that nothing has changed. */
+    private fun readAfter(time: Duration) {
+        gateway.advance(time)
+        gateway.confirmConfiguration()
+    }
+
     private fun readEra(era: Long, contents: List<StoreChange>) {
         val read = contents.fold(gateway.storeContents().clear()) { list, change -> list.add(change) }
         gateway.tick(GatewayInput.StoreRead(read, gateway.now, StorePosition(era, revision = 50)))
