Let a configuration lapse that no gateway names any more

What callers could get: 503 for all keys until a restart, after one digest with a version that operators never wrote.

--- a/core/src/main/kotlin/org/ragwortbank/core/storecopy/ConfigChecks.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/storecopy/ConfigChecks.kt
@@ -5,11 +5,19 @@
 import org.ragwortbank.core.gateway.log
 import org.ragwortbank.core.log.LogPart
 import org.ragwortbank.core.tick.Timestamp
+import kotlin.time.Duration.Companion.seconds
+
+/** Time after which a version counts no more that no gateway names again; several digests of a large fleet fit in. */
+private val NAMED_LIFETIME = 30.seconds
 
 /** Notes that another gateway has [version] of the configuration. */
 internal fun GatewayTables.noteNamedConfig(version: Long, now: Timestamp): GatewayTables {
-    val isLater = version > (namedConfig?.version ?: 0)
-    return if (isLater) copy(namedConfig = NamedConfig(version, now)) else this
+    val known = namedConfig?.takeIf { now - it.lastNamedAt <= NAMED_LIFETIME }
+    return when {
+        version > (known?.version ?: 0) -> copy(namedConfig = NamedConfig(version, now))
+        known != null && version == known.version -> copy(namedConfig = known.copy(lastNamedAt = now))
+        else -> this
+    }
 }
 
 /**
@@ -18,7 +26,9 @@
  * here isn't the newest, and what the store has confirmed doesn't count.
  */
 internal fun GatewayStep.checkConfig(requestedAt: Timestamp): GatewayStep {
-    val isOutdated = tables.lacksNamedConfig && (tables.isConfigOutdated || tables.isNamedBefore(requestedAt))
+    val isNamed = tables.namedConfig?.let { requestedAt - it.lastNamedAt <= NAMED_LIFETIME } ?: false
+    val isDoubted = tables.isConfigOutdated || tables.isNamedBefore(requestedAt)
+    val isOutdated = isNamed && tables.lacksNamedConfig && isDoubted
     if (isOutdated == tables.isConfigOutdated) return this
     val described = if (isOutdated) "is outdated: another gateway has" else "is in force, no longer outdated by"
     return log(LogPart.CONFIG, "configuration ${tables.config?.version} $described ${tables.namedConfig?.version}")
--- a/core/src/main/kotlin/org/ragwortbank/core/storecopy/NamedConfig.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/storecopy/NamedConfig.kt
@@ -2,8 +2,9 @@
 
 import org.ragwortbank.core.tick.Timestamp
 
-/** The newest [version] of the configuration that another gateway has named, at [namedAt] first. */
+/** The newest [version] of the configuration that others have named, at [namedAt] first and [lastNamedAt] last. */
 data class NamedConfig(
     val version: Long,
     val namedAt: Timestamp,
+    val lastNamedAt: Timestamp = namedAt,
 )
