--- a/clients/src/main/kotlin/org/ragwortbank/clients/http/ResponseBody.kt
+++ b/clients/src/main/kotlin/org/ragwortbank/clients/http/ResponseBody.kt
@@ -37,12 +37,15 @@
         val type = response.headers()[HttpHeaderNames.CONTENT_TYPE].orEmpty()
         if (structuredTypes.none { type.startsWith(it, ignoreCase = true) }) return null
         val hasFraming = HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response)
-        return AnswerBodyScan(endsWithConnection = !hasFraming) { field.containsMatchIn(it) }
+        return AnswerBodyScan(endsWithConnection = !hasFraming) { line ->
+            field.containsMatchIn(line) && line.substringBefore(':') !in eventFields
+        }
     }
 
     private companion object {
         /** Room for the first fields of a head. */
         const val MAX_REST_LENGTH = 1_024
+        val eventFields = setOf("data", "event", "id", "retry")
         val structuredTypes = listOf("application/json", "text/event-stream")
         val field = Regex("^[!#$%&'*+.^_`|~0-9A-Za-z-]+:")
     }
--- a/clients/src/test/kotlin/org/ragwortbank/clients/http/QuotingStreamReview53Test.kt
+++ b/clients/src/test/kotlin/org/ragwortbank/clients/http/QuotingStreamTest.kt
@@ -9,8 +9,8 @@
 import kotlin.test.assertIs
 import kotlin.time.Duration.Companion.seconds
 
-/** Review of issue 53: sound events that quote the first line of an answer. */
-class QuotingStreamReview53Test {
+/** Sound events that quote the first line of an answer. */
+class QuotingStreamTest {
     private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
     private val client = HttpClient(group, 2.seconds)
 
