--- a/review/lab-3/Lab.java
+++ b/review/lab-3/Lab.java
@@ -127,6 +127,7 @@
         void awaitReady() throws IOException {
             for (int i = 0; i < 200; i++) {
                 try (Wire wire = new Wire(new Socket(host, ready))) {
+                    wire.socket.setSoTimeout(1000);
                     wire.write("GET /ready HTTP/1.1\r\nHost: " + host + "\r\n\r\n");
                     if (wire.readHead().status() == 200) return;
                 } catch (IOException | RuntimeException notYet) {
--- a/review/lab-3/Store.java
+++ b/review/lab-3/Store.java
@@ -24,6 +24,11 @@
     private final Map<Long, long[]> leases = new HashMap<>();
     private long revision = 100;
     private long lastLease = 5000;
+    private long oldestKnown = 0;
+    private volatile int era = 1;
+
+    /** What the store had at some time. */
+    record Copy(TreeMap<String, Item> items, Map<Long, Long> leases, long revision, long lastLease) {}
     final Listener listener;
 
     Store(String host) throws IOException {
@@ -51,6 +56,33 @@
         return new ArrayList<>(items.keySet().stream().filter(it -> it.startsWith(prefix)).toList());
     }
 
+    /** A copy of what the store has now, with the time for which each lease was granted. */
+    synchronized Copy copy() {
+        Map<Long, Long> times = new HashMap<>();
+        leases.forEach((lease, held) -> times.put(lease, held[0]));
+        return new Copy(new TreeMap<>(items), times, revision, lastLease);
+    }
+
+    /** Goes away like a process that ends. */
+    void goAway() {
+        listener.crash();
+    }
+
+    /** Comes back from [copy] in a new era: revisions go back, and watches from later ones get 410. */
+    synchronized void comeBack(Copy copy) throws IOException {
+        items.clear();
+        items.putAll(copy.items);
+        leases.clear();
+        long now = System.nanoTime();
+        copy.leases.forEach((lease, ttl) -> leases.put(lease, new long[] {ttl, now + ttl * 1_000_000}));
+        history.clear();
+        revision = copy.revision;
+        lastLease = copy.lastLease;
+        oldestKnown = revision;
+        era++;
+        listener.start();
+    }
+
     private void write(String key, String value, long lease, long at) {
         Item before = items.get(key);
         Item item = new Item(key, value, at, before == null ? at : before.created, lease);
@@ -90,7 +122,7 @@
         String path = head.target().split("\\?")[0];
         Map<String, String> query = query(head.target());
         if (path.equals("/-/kv-range")) send(wire, 200, range(query));
-        else if (path.equals("/-/kv-watch")) send(wire, 200, watch(query));
+        else if (path.equals("/-/kv-watch")) watch(wire, query);
         else if (path.equals("/-/kv-txn")) transact(wire, Json.object(body));
         else if (path.equals("/-/kv-lease")) send(wire, 200, grant((Long) Json.object(body).get("ttl_ms")));
         else if (path.startsWith("/-/kv-keep/")) keep(wire, Long.parseLong(path.substring(11)));
@@ -106,11 +138,18 @@
         return "{\"items\":[" + list + "],\"has_more\":" + hasMore + ",\"at\":" + revision + "}";
     }
 
-    private synchronized String watch(Map<String, String> query) throws InterruptedException {
+    private void watch(Wire wire, Map<String, String> query) throws Exception {
+        String events = events(query);
+        if (events == null) send(wire, 410, "{}"); else send(wire, 200, events);
+    }
+
+    /** The answer to a watch; null where the store doesn't have the revision after which it is asked for. */
+    private synchronized String events(Map<String, String> query) throws InterruptedException {
         long after = Long.parseLong(query.get("after"));
         long until = System.nanoTime() + Long.parseLong(query.get("wait_ms")) * 1_000_000;
         String prefix = query.getOrDefault("prefix", "");
         while (true) {
+            if (after < oldestKnown || after > revision) return null;
             List<String> events = history.stream()
                 .filter(it -> it.revision > after && it.key.startsWith(prefix)).map(Event::json).toList();
             long left = (until - System.nanoTime()) / 1_000_000;
@@ -165,9 +204,10 @@
         send(wire, 200, "{}");
     }
 
-    private static void send(Wire wire, int status, String body) throws IOException {
+    private void send(Wire wire, int status, String body) throws IOException {
         byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
-        wire.write("HTTP/1.1 " + status + " X\r\nContent-Type: application/json\r\nContent-Length: " + bytes.length
+        wire.write("HTTP/1.1 " + status + " X\r\nStore-Era: " + era
+            + "\r\nContent-Type: application/json\r\nContent-Length: " + bytes.length
             + "\r\n\r\n" + new String(bytes, StandardCharsets.ISO_8859_1));
     }
 
