--- a/review/lab-3/DrillAndKill.java
+++ b/review/lab-3/DrillAndKill.java
@@ -18,8 +18,9 @@
     private static final long STREAM_GAP_MS = 150;
     private static final long COPY_AGE_MS = 3000;
     private static final long AWAY_MS = 1000;
-    private static final int TRIES = 8;
-    private static final long TRY_GAP_MS = 400;
+    private static final int TRIES = 3;
+    private static final long FIRST_TRY_MS = 2200;
+    private static final long TRY_GAP_MS = 600;
     private static final int ALLOWED = 2;
 
     private static final AtomicInteger lastId = new AtomicInteger();
@@ -104,7 +105,7 @@
         takenUp.incrementAndGet();
         String version = events.toString().contains("v2 piece") ? "v2" : "v1";
         for (int i = 1; i <= TRIES; i++) {
-            Lab.sleep(TRY_GAP_MS);
+            Lab.sleep(i == 1 ? FIRST_TRY_MS : TRY_GAP_MS);
             Lab.Gateway next = gateways.get((number / 2 + i) % 2);
             StringBuilder more = new StringBuilder();
             String attempt = "57e1" + String.format("%06x", lastId.incrementAndGet());
