--- a/review/lab-3/Lab.java
+++ b/review/lab-3/Lab.java
@@ -22,8 +22,8 @@
     private static PrintWriter record;
     private static Path folder;
 
-    static void open(String caseFolder) throws IOException {
-        record = new PrintWriter(Files.newBufferedWriter(Path.of(caseFolder, "record.txt")), true);
+    static void open(String recordFile) throws IOException {
+        record = new PrintWriter(Files.newBufferedWriter(Path.of(recordFile)), true);
         folder = Files.createTempDirectory("review-");
         Runtime.getRuntime().addShutdownHook(new Thread(Lab::endProcesses));
         note("disruption: " + TROUBLE);
--- a/review/lab-3/Worker.java
+++ b/review/lab-3/Worker.java
@@ -21,6 +21,7 @@
     private volatile String version;
     private volatile long born = System.currentTimeMillis();
     private volatile boolean isUp = true;
+    private final AtomicInteger running = new AtomicInteger();
 
     Worker(Store store, String host, String service, String version, String models, int slots, Answer answer)
         throws IOException {
@@ -76,7 +77,7 @@
     /** The fields that each of its answers has. */
     String fields(Wire.Head request) {
         return "X-Request-Id: " + request.field("X-Request-Id") + "\r\nX-Server-Signature: " + id + "\r\n"
-            + "X-Server-Load: 0,0," + slots + "\r\nKeep-Alive: timeout=5\r\n";
+            + "X-Server-Load: " + running.get() + ",0," + slots + "\r\nKeep-Alive: timeout=5\r\n";
     }
 
     private void serve(Wire wire) throws Exception {
@@ -86,7 +87,12 @@
             if (expected != null && !expected.equals(id)) {
                 wire.write("HTTP/1.1 421 Misdirected Request\r\n" + fields(head) + "Content-Length: 0\r\n\r\n");
             } else {
-                answer.write(this, wire, head, body);
+                running.incrementAndGet();
+                try {
+                    answer.write(this, wire, head, body);
+                } finally {
+                    running.decrementAndGet();
+                }
             }
         }
     }
