--- a/review/lab-3/DeepPart.java
+++ b/review/lab-3/DeepPart.java
@@ -24,17 +24,17 @@
         Lab.open(args[0]);
         Store store = new Store("127.3.0.1");
         store.put("op/config", CONFIG);
+        int digestPort = Lab.freePort("127.3.2.1");
         for (int i = 1; i <= 6; i++) {
-            String models = ",\"stage\":\"combined\",\"models\":[{\"name\":\"base\",\"version\":1,\"adapters\":[]}]";
-            new Worker(store, "127.3.1." + i, "chat-models", "v1", models, 64, DeepPart::answer);
+            Worker worker = new Worker(store, "127.3.1." + i, "chat-models", "v1", "base", 64, DeepPart::answer);
+            Lab.startPlacer("side-" + i, "127.3.1." + i, digestPort, worker.listener.address());
         }
-        int digestPort = Lab.freePort("127.3.2.1");
         List<Lab.Gateway> gateways = new ArrayList<>();
         for (int i = 1; i <= 2; i++) {
             gateways.add(new Lab.Gateway("edge-" + i, "127.3.2." + i, store.listener.address(), digestPort));
         }
         for (Lab.Gateway gateway : gateways) gateway.awaitReady();
-        Lab.sleep(1500);
+        Lab.sleep(3000);
         long from = Lab.millis();
         for (int i = 0; Lab.millis() - from < RUN_MS; i++) {
             Lab.Gateway gateway = gateways.get(i % 2);
--- a/review/lab-3/DrillAndKill.java
+++ b/review/lab-3/DrillAndKill.java
@@ -36,7 +36,7 @@
         store.put("op/config", CONFIG);
         for (int i = 1; i <= OLD_WORKERS + NEW_WORKERS; i++) {
             String version = i <= OLD_WORKERS ? "v1" : "v2";
-            new Worker(store, "127.3.1." + i, "chat", version, "", 64, DrillAndKill::answer);
+            new Worker(store, "127.3.1." + i, "chat", version, null, 64, DrillAndKill::answer);
         }
         int digestPort = Lab.freePort("127.3.2.1");
         List<Lab.Gateway> gateways = new ArrayList<>();
--- a/review/lab-3/Lab.java
+++ b/review/lab-3/Lab.java
@@ -143,6 +143,23 @@
         }
     }
 
+    /** Starts the placer on the machine [host], beside the worker at [app]. */
+    static void startPlacer(String name, String host, int digestPort, String app) throws IOException {
+        Path settings = folder.resolve(name + ".toml");
+        Map<String, Object> values = Map.of(
+            "node_name", name, "ip", host, "app", app, "internal_ports", List.of(digestPort, freePort(host)));
+        Files.writeString(settings, fill(Files.readString(Path.of("deploy/placer.toml")), values, null, null));
+        String command = commandOf("placer").replace("/etc/ragwortbank/settings.toml", settings.toString());
+        Process process = new ProcessBuilder(command.split(" "))
+            .redirectErrorStream(true)
+            .redirectOutput(ProcessBuilder.Redirect.appendTo(folder.resolve(name + ".log").toFile()))
+            .start();
+        synchronized (processes) {
+            processes.add(process);
+        }
+        note(name + " started, process " + process.pid());
+    }
+
     static final Map<String, Object> BOUNDS = Map.ofEntries(
         Map.entry("revoke_ms", 5000), Map.entry("version_ms", 5000), Map.entry("grace_s", 8),
         Map.entry("config_apply_ms", 2000), Map.entry("drain_ms", 2000), Map.entry("retry_budget_ratio", 0.2),
