Doubt records of streams by the store alone, also in a process that starts after a drill

Cause: absence of a record counted as "began at the base", and only a process that had lived through the drill doubted that (doubtUntil, in its own memory). A process whose first answer comes after the drill sees no change of era.

Change: the item of a service's versions names the newest era of the store that lacks no record of a stream that may go on (complete_era). It never names a later era than the one it was written in, so any process knows of the doubt by its first read: the era of the answer is another one. No call more, since the item is written once for each service anyway. A stream without a record is refused as not run while its service is in doubt. The doubt ends when a gateway has read the era for as long as unrecorded streams of before may last (BASE_LEASE + STREAM_LIFETIME), and at once if it saw that the service was settled across the drill; it then writes the item. Items of an earlier release name no era.

DOUBT_TIME grows from 60 s to 180 s: streams live for 120 s, and one that began unrecorded within BASE_LEASE after the drill counts too. StreamRecordSystemTest now checks refusals over 160 s where it compared the 60 s; the fixtures that name an era say which one their item vouches for.

--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/StoreSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/StoreSystem.kt
@@ -47,7 +47,8 @@
         if (step.tables.isOfNewEra(input.position)) {
             readCopy(step, input, now)
         } else {
-            applySnapshot(step.moveTo(input.position), input.contents, now).update { it.notePresent(input.contents) }
+            applySnapshot(step.moveTo(input.position, now), input.contents, now)
+                .update { it.notePresent(input.contents) }
         }
 
     private fun readCopy(step: GatewayStep, input: GatewayInput.StoreRead, now: Timestamp): GatewayStep {
@@ -56,13 +57,13 @@
         val entered = step
             .dropLifted(input.contents, now)
             .enterCopy(contents, input.position, now)
-            .moveTo(input.position)
+            .moveTo(input.position, now)
             .update { it.afterStoreLoss(now, it.settledAcross(input)) }
         return applySnapshot(entered, contents, now).markGone(gone)
     }
 
     private fun change(step: GatewayStep, input: GatewayInput.StoreChanged, now: Timestamp): GatewayStep =
-        applyAll(step.moveTo(input.position), input.changes, now)
+        applyAll(step.moveTo(input.position, now), input.changes, now)
             .update { it.notePresent(input.changes).noteWritten(input.changes) }
 
     private fun recordRead(step: GatewayStep, requestedAt: Timestamp): GatewayStep =
@@ -130,4 +131,5 @@
         }
 }
 
-private fun GatewayStep.moveTo(position: StorePosition): GatewayStep = update { it.copy(storePosition = position) }
+private fun GatewayStep.moveTo(position: StorePosition, now: Timestamp): GatewayStep =
+    update { it.copy(storePosition = position, streamVersions = it.streamVersions.inEra(position.era, now)) }
--- a/core/src/main/kotlin/org/ragwortbank/core/versions/StreamVersions.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/versions/StreamVersions.kt
@@ -19,8 +19,8 @@
  * @property recordOf the record of each of these streams
  * @property begun streams that began here or were taken up here
  * @property held requests whose answers have begun and aren't passed on yet
- * @property doubtUntil until when streams that this gateway doesn't know may have lost their records; null if none may
- * @property undoubted services of which none has, whatever [doubtUntil] says
+ * @property era the store's era that is read; null before the first answer
+ * @property undoubted services none of whose records that matter was lost with the era before, as this gateway has seen
  */
 data class StreamVersions(
     val storeReadAt: Timestamp? = null,
@@ -31,10 +31,14 @@
     val refresh: StoreRefresh = StoreRefresh(),
     val outbox: RecordOutbox = RecordOutbox(),
     val held: PersistentSet<RequestNumber> = persistentSetOf(),
-    val doubtUntil: Timestamp? = null,
+    val era: StoreEra? = null,
     val undoubted: PersistentSet<ServiceName> = persistentSetOf(),
     val sweptAt: Timestamp? = null,
 ) {
+    /** After an answer of the store of era [number] was applied at [now]. */
+    fun inEra(number: Long, now: Timestamp): StreamVersions =
+        copy(era = era?.withAnswer(number, now) ?: StoreEra(number, now))
+
     /** After the answer to a read of the store that was requested at [requestedAt] was applied. */
     fun afterRead(requestedAt: Timestamp): StreamVersions =
         copy(
--- a/core/src/main/kotlin/org/ragwortbank/core/versions/TakeUp.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/versions/TakeUp.kt
@@ -2,9 +2,7 @@
 
 import org.ragwortbank.core.gateway.GatewayTables
 import org.ragwortbank.core.gateway.RequestRow
-import org.ragwortbank.core.serving.ServiceName
 import org.ragwortbank.core.serving.SoftwareVersion
-import org.ragwortbank.core.tick.Timestamp
 
 /** What is known of the version at which a stream goes on that a request takes up. */
 internal sealed interface TakeUp {
@@ -22,7 +20,7 @@
 }
 
 /** Decides at which version the stream goes on that [request] takes up. */
-internal fun GatewayTables.takeUpOf(request: RequestRow, now: Timestamp): TakeUp {
+internal fun GatewayTables.takeUpOf(request: RequestRow): TakeUp {
     val all = streamVersions
     val stream = request.call.resumption?.stream
     val begun = stream?.let { all.begunVersion(request.service, it) }
@@ -31,18 +29,16 @@
     return when {
         begun != null -> TakeUp.Known(begun, "own memory")
         recorded != null -> TakeUp.Known(recorded, "its record")
-        isInDoubt(request.service, now) -> TakeUp.Unknown("the store may have lost its record", mayReturn = true)
         versions == null -> TakeUp.NeedsVersions
         !isReadSince(request) && !isSettledFor(request) -> TakeUp.NeedsRead
+        areRecordsInDoubt(request.service) ->
+            TakeUp.Unknown("the store may have lost its record", mayReturn = stream != null)
         stream == null && hasRecords(request) ->
             TakeUp.Unknown("it doesn't name the stream, and several versions serve", mayReturn = false)
         else -> TakeUp.Known(versions.base, "base")
     }
 }
 
-private fun GatewayTables.isInDoubt(service: ServiceName, now: Timestamp): Boolean =
-    service !in streamVersions.undoubted && streamVersions.doubtUntil?.let { now < it } ?: false
-
 /** Whether the store was read after [request] arrived: all that a caller has seen is recorded by then. */
 private fun GatewayTables.isReadSince(request: RequestRow): Boolean =
     streamVersions.storeReadAt?.let { it >= request.arrivedAt } ?: false
@@ -54,7 +50,7 @@
 private fun GatewayTables.isSettledFor(request: RequestRow): Boolean {
     val readAt = streamVersions.storeReadAt
     val settledAt = streamVersions.services[request.service]?.settledAt
-    if (readAt == null || settledAt == null) return false
+    if (readAt == null || settledAt == null || areRecordsInDoubt(request.service)) return false
     return request.arrivedAt - readAt <= VersionTimes.STREAM_LEASE && readAt - settledAt >= VersionTimes.SETTLE_TIME
 }
 
--- a/core/src/main/kotlin/org/ragwortbank/core/versions/TakeUpSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/versions/TakeUpSystem.kt
@@ -28,7 +28,7 @@
     }
 
     private fun decide(step: GatewayStep, row: RequestRow, now: Timestamp): GatewayStep =
-        when (val takeUp = step.tables.takeUpOf(row, now)) {
+        when (val takeUp = step.tables.takeUpOf(row)) {
             is TakeUp.Known -> bind(step, row, takeUp, now)
             is TakeUp.Unknown ->
                 step.refuse(row, takeUp.reason, isWorthwhile = takeUp.mayReturn)
@@ -66,7 +66,7 @@
         val refresh = tables.streamVersions.refresh
         val left = tables.waiting.mapNotNull { tables.requests[it] }
             .filter { it.route.isResumableStream && it.version == null && tables.hasVersions(it.service) }
-        val needsRead = left.any { it.isTakeUp && tables.takeUpOf(it, now) == TakeUp.NeedsRead }
+        val needsRead = left.any { it.isTakeUp && tables.takeUpOf(it) == TakeUp.NeedsRead }
         val needsVersions = left.any { tables.streamVersions.services[it.service]?.stored == null }
         val isDue = refresh.isRepeatDue(now) || (needsRead && refresh.unansweredSince == null)
         if (!isDue || !(needsRead || needsVersions)) return step
--- a/core/src/main/kotlin/org/ragwortbank/core/versions/VersionChanges.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/versions/VersionChanges.kt
@@ -28,8 +28,7 @@
     val known = tables.streamVersions.services[change.service]
     if (known?.revision == change.revision) return this
     val versions = change.versions
-    val text = "software versions of ${change.service}: base ${versions.base}, admitted ${versions.admitted}"
-    return log(LogPart.MEMBERS, "$text, revision ${change.revision}")
+    return log(LogPart.MEMBERS, "software versions of ${change.service}: $versions, revision ${change.revision}")
         .updateVersions { all ->
             all.updateService(change.service) { it.withStored(versions, change.revision, now) }
         }
@@ -60,9 +59,9 @@
 }
 
 /**
- * The tables after the store came back without what was written in its last seconds: streams that this gateway doesn't
- * know aren't taken up for a while, and its own records are saved again. Recorded streams stay known, also by records
- * that the store has lost; the versions of services count as read for the first time, since revisions tell nothing.
+ * The tables at [now], when the store came back without what was written in its last seconds: the records of this
+ * gateway are saved again. Recorded streams stay known, also by records that the store has lost; the versions of
+ * services count as read for the first time, since revisions tell nothing.
  *
  * @param certain services of which no stream has lost its record
  */
@@ -74,7 +73,6 @@
     return copy(
         streamVersions = streamVersions.withRecordedKnown(now).copy(
             services = streamVersions.services.mapValues { it.value.withoutStored() }.toPersistentMap(),
-            doubtUntil = now + VersionTimes.DOUBT_TIME,
             undoubted = certain,
             outbox = outbox.copy(lost = outbox.saved.values.map { it.record }.toPersistentList()),
         ),
--- a/core/src/main/kotlin/org/ragwortbank/core/versions/VersionPlan.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/versions/VersionPlan.kt
@@ -12,26 +12,31 @@
  * those without records are over, another version takes its place.
  *
  * @property listed number of listed upstreams of each version
+ * @property completeEra the store's era if it lacks no record of a stream that may go on; null if that isn't known
  */
 internal class VersionPlan(
     private val row: VersionRow,
     private val listed: Map<SoftwareVersion, Int>,
+    private val completeEra: Long?,
     private val now: Timestamp,
 ) {
     /** The versions to write; null if those in the store may stay. */
     fun next(): ServiceVersions? {
-        val current = row.stored ?: return first()
-        return (withOtherBase(current) ?: withOtherAdmitted(current)).takeIf { it != current }
+        val current = row.stored ?: return first()?.let(::withCompleteEra)
+        return withCompleteEra(withOtherBase(current) ?: withOtherAdmitted(current)).takeIf { it != current }
     }
 
     /** What the store had before, or the version of most upstreams. */
     private fun first(): ServiceVersions? = row.latest ?: mostListed(listed.keys)?.let { ServiceVersions(it) }
 
+    private fun withCompleteEra(versions: ServiceVersions): ServiceVersions =
+        versions.copy(completeEra = completeEra ?: versions.completeEra)
+
     private fun withOtherBase(current: ServiceVersions): ServiceVersions? {
         val leavesSince = row.admittedAt[current.base]?.takeIf { isUnlisted(current.base) }
         val isLeft = leavesSince?.let { now - it >= VersionTimes.BASE_LEAVE_TIME } ?: false
         val successor = mostListed(current.admitted - current.base).takeIf { isLeft } ?: return null
-        return ServiceVersions(successor, current.admitted.remove(successor))
+        return current.copy(base = successor, admitted = current.admitted.remove(successor))
     }
 
     private fun withOtherAdmitted(current: ServiceVersions): ServiceVersions {
--- a/core/src/main/kotlin/org/ragwortbank/core/versions/VersionSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/versions/VersionSystem.kt
@@ -35,7 +35,8 @@
     private fun review(step: GatewayStep, service: ServiceName, now: Timestamp): GatewayStep {
         val listed = step.tables.listedVersions(service)
         val row = (step.tables.streamVersions.services[service] ?: VersionRow()).withListed(listed.keys, now)
-        val next = VersionPlan(row, listed, now).next().takeIf { step.tables.isListFresh(now) }
+        val plan = VersionPlan(row, listed, step.tables.completeEraOf(service, now), now)
+        val next = plan.next().takeIf { step.tables.isListFresh(now) }
         val noted = row.copy(neededSince = next?.let { row.neededSince ?: now })
         val updated = step.updateVersions { all -> all.updateService(service) { noted } }
         val isDue = next != null && updated.tables.isWriter(service, noted, now)
@@ -48,7 +49,7 @@
         next: ServiceVersions,
         now: Timestamp,
     ): GatewayStep =
-        log(LogPart.MEMBERS, "asks the store for versions of $service: base ${next.base}, admitted ${next.admitted}")
+        log(LogPart.MEMBERS, "asks the store for versions of $service: $next")
             .emit(GatewayEffect.SaveVersions(service, next, row.revision))
             .emit(GatewayEffect.RefreshStore)
             .updateVersions { all ->
--- a/core/src/main/kotlin/org/ragwortbank/core/versions/VersionTimes.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/versions/VersionTimes.kt
@@ -36,6 +36,6 @@
     /** Time after a failed request within which an upstream may run again at another version than is listed. */
     val RESTART_DOUBT = 4.seconds
 
-    /** Time for which a store that came back older may lack records of streams that go on. */
-    val DOUBT_TIME = 60.seconds
+    /** After the store came back older, this passes before all streams are over whose record it may lack. */
+    val DOUBT_TIME = BASE_LEASE + STREAM_LIFETIME
 }
--- a/core/src/test/kotlin/org/ragwortbank/core/versions/StreamFleetPlan.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/versions/StreamFleetPlan.kt
@@ -27,6 +27,12 @@
         val isListed: Boolean = false,
     ) : StreamFleetFault
 
+    /**
+     * The store goes away for [awayTime] and comes back from a copy that is [copyAge] old, in which upstreams register
+     * again soon.
+     */
+    data class Drill(val copyAge: Duration, val awayTime: Duration) : StreamFleetFault
+
     /** An upstream ends for good; [isListed] tells whether it stays on the list for a while. */
     data class End(val number: Int, val isListed: Boolean = false) : StreamFleetFault
 }
--- a/core/src/test/kotlin/org/ragwortbank/core/versions/StreamRecordSystemTest.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/versions/StreamRecordSystemTest.kt
@@ -196,12 +196,19 @@
         fixture.begin()
         val record = fixture.savedRecords().single()
         fixture.gateway.tick(GatewayInput.StreamRecordSaved(record.key))
+        val copy = arrayOf(fixture.engine("engine-1", NEW), fixture.versions(OLD, NEW, completeEra = 1))
+        fixture.readWhole(*copy, era = 1)
         fixture.gateway.advance(1.seconds)
 
-        val lost = fixture.gateway.tables.afterStoreLoss(fixture.gateway.now)
-        val outbox = lost.streamVersions.outbox
+        fixture.readWhole(*copy, era = 2)
+        val savedAgain = fixture.savedRecords()
+        val refusals = listOf(0.seconds, 60.seconds, 100.seconds).flatMap {
+            fixture.advanceReading(it)
+            fixture.takeUp("unknown")
+            fixture.gateway.refusals().map { refusal -> refusal.code }
+        }
 
-        assertEquals(listOf(record), outbox.lost)
-        assertEquals(fixture.gateway.now + 60.seconds, lost.streamVersions.doubtUntil)
+        assertEquals(listOf(record), savedAgain)
+        assertEquals(List(3) { ResultCode.VERSION_UNDECIDED }, refusals)
     }
 }
--- a/core/src/test/kotlin/org/ragwortbank/core/versions/StreamVersionFleet.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/versions/StreamVersionFleet.kt
@@ -16,6 +16,7 @@
 import org.ragwortbank.core.serving.RequestNumber
 import org.ragwortbank.core.serving.SoftwareVersion
 import org.ragwortbank.core.serving.StoreChange
+import org.ragwortbank.core.serving.StorePosition
 import org.ragwortbank.core.serving.StreamId
 import org.ragwortbank.core.serving.StreamResumption
 import org.ragwortbank.core.serving.UpstreamId
@@ -34,6 +35,8 @@
     private var elapsed = Duration.ZERO
     private var lastRequest = 0L
     private var store = VersionStore()
+    private var copies = emptyList<Pair<Duration, VersionStore>>()
+    private var storeAwayUntil: Duration? = null
     private var events = emptyList<Pair<Duration, () -> Unit>>()
     private var gateways = (0 until plan.gateways).map { FleetGateway(it, 1, newTables(it, 1)) }
     private var upstreams = plan.versions.mapIndexed { number, version -> FleetUpstream(number, 1, 1, version) }
@@ -70,6 +73,7 @@
             val (due, later) = events.partition { it.first <= elapsed }
             events = later
             due.forEach { it.second() }
+            copies = copies + (elapsed to store)
             if (elapsed < time - LAST_CALLS && random.nextDouble() < plan.callsPerSecond * STEP_SECONDS) begin()
             streams.values.filter { !it.isOver(elapsed) }.forEach(::advance)
             advanceRuns()
@@ -282,9 +286,12 @@
     private fun refuse(number: RequestNumber, refusal: Refusal) =
         lose(number, elapsed + (refusal.retryAfter ?: MIN_RETURN_TIME) + STEP * random.nextInt(MAX_DELAY_STEPS))
 
-    /** A write that the store doesn't answer may be carried out, at once, seconds later, or never. */
+    /**
+     * A write that the store doesn't answer may be carried out, at once, seconds later, or never; a record not in
+     * another era, which doesn't have its lease.
+     */
     private fun write(gateway: FleetGateway, effect: GatewayEffect) {
-        val isBad = gateway.cutUntil != null || random.nextDouble() < plan.badWriteShare
+        val isBad = isStoreCutFrom(gateway) || random.nextDouble() < plan.badWriteShare
         val answer = { isSaved: Boolean -> answerWrite(gateway, effect, isSaved) }
         when (if (isBad) random.nextInt(BAD_KINDS) else -1) {
             -1 -> soon {
@@ -297,12 +304,17 @@
                 at(elapsed + CALL_TIMEOUT) { answer(false) }
             }
             else -> {
+                val era = store.era
                 at(elapsed + CALL_TIMEOUT) { answer(false) }
-                at(elapsed + CALL_TIMEOUT * (1 + random.nextInt(LATE_TIMES))) { store = store.after(effect) }
+                at(elapsed + CALL_TIMEOUT * (1 + random.nextInt(LATE_TIMES))) {
+                    if (store.era == era || effect is GatewayEffect.SaveVersions) store = store.after(effect)
+                }
             }
         }
     }
 
+    private fun isStoreCutFrom(gateway: FleetGateway) = storeAwayUntil != null || gateway.cutUntil != null
+
     private fun answerWrite(gateway: FleetGateway, effect: GatewayEffect, isSaved: Boolean) {
         val key = (effect as? GatewayEffect.SaveStreamRecord)?.record?.key ?: return
         if (gateways[gateway.number].incarnation != gateway.incarnation) return
@@ -314,24 +326,24 @@
     private fun readIfDue(gateway: FleetGateway) {
         if (gateway.isReading || elapsed < gateway.readAt) return
         val requestedAt = now()
-        val isCut = gateway.cutUntil != null
+        val isCut = isStoreCutFrom(gateway)
         set(gateway.copy(isReading = true, readAt = elapsed + READ_INTERVAL))
         if (isCut) return at(elapsed + CALL_TIMEOUT) { endRead(gateway.incarnation, gateway.number, null) }
         soon {
-            val after = gateway.revision
+            val after = gateway.position?.takeIf { it.era == store.era }?.revision
             val isWhole = after == null || random.nextInt(WHOLE_READ_ODDS) == 0
+            val position = store.position
             val input = when {
-                isWhole -> GatewayInput.StoreRead(whole().toPersistentList(), requestedAt)
-                else -> GatewayInput.StoreChanged(store.changesAfter(after).toPersistentList(), requestedAt)
+                isWhole -> GatewayInput.StoreRead(whole().toPersistentList(), requestedAt, position)
+                else -> GatewayInput.StoreChanged(store.changesAfter(after).toPersistentList(), requestedAt, position)
             }
-            val revision = store.revision
-            soon { endRead(gateway.incarnation, gateway.number, input to revision) }
+            soon { endRead(gateway.incarnation, gateway.number, input to position) }
         }
     }
 
-    private fun endRead(incarnation: Int, number: Int, answer: Pair<GatewayInput, Long>?) {
+    private fun endRead(incarnation: Int, number: Int, answer: Pair<GatewayInput, StorePosition>?) {
         val gateway = gateways[number].takeIf { it.incarnation == incarnation } ?: return
-        set(gateway.copy(isReading = false, revision = answer?.second ?: gateway.revision))
+        set(gateway.copy(isReading = false, position = answer?.second ?: gateway.position))
         answer?.let { post(number, it.first) }
     }
 
@@ -365,7 +377,30 @@
                 at(elapsed + fault.downTime) { restart(fault) }
             }
             is StreamFleetFault.End -> end(fault.number, Duration.INFINITE, fault.isListed)
+            is StreamFleetFault.Drill -> drill(fault)
+        }
+
+    private fun drill(fault: StreamFleetFault.Drill) {
+        val copy = copies.last { it.first <= elapsed - fault.copyAge }.second
+        storeAwayUntil = elapsed + fault.awayTime
+        at(elapsed + fault.awayTime) {
+            storeAwayUntil = null
+            store = store.backFrom(copy)
+            upstreams.indices.forEach { number ->
+                at(elapsed + STEP * random.nextInt(MAX_REWRITE_STEPS)) { registerLive(number) }
+            }
+            at(elapsed + EXPIRY_TIME) { removeGone() }
         }
+    }
+
+    private fun registerLive(number: Int) {
+        if (upstreams[number].downUntil == null) register(upstreams[number])
+    }
+
+    private fun removeGone() {
+        val live = upstreams.filter { it.downUntil == null }.map { it.id }
+        store = store.upstreams.keys.filter { it !in live }.fold(store) { current, id -> current.removed(id) }
+    }
 
     private fun kill(number: Int, downTime: Duration) {
         val killed = gateways[number]
@@ -396,7 +431,7 @@
         val frozenUntil: Duration? = null,
         val readAt: Duration = Duration.ZERO,
         val isReading: Boolean = false,
-        val revision: Long? = null,
+        val position: StorePosition? = null,
     )
 
     private data class FleetUpstream(
@@ -440,6 +475,8 @@
         val MIN_RETURN_TIME = 100.milliseconds
         val LAST_CALLS = 6.seconds
         val LISTED_TIME = 1_200.milliseconds
+        const val MAX_REWRITE_STEPS = 48
+        val EXPIRY_TIME = 3.seconds
         val READ_INTERVAL = 750.milliseconds
         val CALL_TIMEOUT = 1.seconds
         const val BAD_KINDS = 3
--- a/core/src/test/kotlin/org/ragwortbank/core/versions/StreamVersionFleetTest.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/versions/StreamVersionFleetTest.kt
@@ -77,7 +77,7 @@
         val fleet = StreamVersionFleet(Random(1), plan)
         fleet.run(480.seconds)
         assertEquals(emptyList(), fleet.joined)
-        assertEquals(ServiceVersions(SoftwareVersion("new")), fleet.storedVersions)
+        assertEquals(ServiceVersions(SoftwareVersion("new"), completeEra = 1), fleet.storedVersions)
         assertTrue(fleet.takeUps.second >= fleet.shareBegun, "take-ups ${fleet.takeUps}, begun ${fleet.shareBegun}")
     }
 
--- a/core/src/test/kotlin/org/ragwortbank/core/versions/StreamsThatGoOnTest.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/versions/StreamsThatGoOnTest.kt
@@ -24,9 +24,9 @@
     fun `given one version for long, when the store comes back older, then streams that began elsewhere go on`() {
         val fixture = VersionFixture(OLD, OLD)
         val engines = arrayOf(fixture.engine("engine-1", OLD), fixture.engine("engine-2", OLD))
-        fixture.readWhole(fixture.versions(OLD), *engines, era = 1)
+        fixture.readWhole(fixture.versions(OLD, completeEra = 1), *engines, era = 1)
         repeat(40) { fixture.follow(era = 1) }
-        fixture.readWhole(fixture.versions(OLD), *engines, era = 2)
+        fixture.readWhole(fixture.versions(OLD, completeEra = 1), *engines, era = 2)
         repeat(20) { fixture.follow(era = 2) }
 
         fixture.takeUp("stream-of-another-gateway")
@@ -133,11 +133,11 @@
     fun `given records that the store has lost, when streams begin all the time, then they are saved again`() {
         val fixture = VersionFixture(NEW, NEW)
         val engines = arrayOf(fixture.engine("engine-1", NEW), fixture.engine("engine-2", NEW))
-        fixture.readWhole(fixture.versions(OLD, NEW), *engines, era = 1)
+        fixture.readWhole(fixture.versions(OLD, NEW, completeEra = 1), *engines, era = 1)
         repeat(8) { fixture.follow(era = 1) }
         val lost = fixture.streamAndSave(era = 1).single()
         repeat(10) { fixture.streamAndSave(era = 1) }
-        fixture.readWhole(fixture.versions(OLD, NEW), *engines, era = 2)
+        fixture.readWhole(fixture.versions(OLD, NEW, completeEra = 1), *engines, era = 2)
         val isLost = lost in fixture.gateway.tables.streamVersions.outbox.lost
         val saved = fixture.savedRecords() + (1..400).flatMap { fixture.streamAndSave(era = 2) }
 
--- a/core/src/test/kotlin/org/ragwortbank/core/versions/TakeUpSystemTest.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/versions/TakeUpSystemTest.kt
@@ -208,8 +208,9 @@
     fun `given a store back from an older copy, then recorded streams go on and unknown ones are refused`() {
         val fixture = VersionFixture()
         val engines = arrayOf(fixture.engine("engine-1", OLD), fixture.engine("engine-2", NEW))
-        fixture.readWhole(*engines, fixture.versions(OLD, NEW), fixture.record(NEW, "stream"), era = 1)
-        fixture.readWhole(*engines, fixture.versions(OLD), era = 2)
+        val admitting = fixture.versions(OLD, NEW, completeEra = 1)
+        fixture.readWhole(*engines, admitting, fixture.record(NEW, "stream"), era = 1)
+        fixture.readWhole(*engines, fixture.versions(OLD, completeEra = 1), era = 2)
 
         fixture.takeUp("stream")
         assertEquals(listOf("engine-2"), fixture.sentTo())
--- a/core/src/test/kotlin/org/ragwortbank/core/versions/VersionFixture.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/versions/VersionFixture.kt
@@ -33,8 +33,12 @@
                 .copy(version = version?.let(::SoftwareVersion)),
         )
 
-    fun versions(base: String, vararg admitted: String, revision: Long = 1) =
-        StoreChange.VersionsSet(GatewayFixture.ENGINES, versionsOf(base, *admitted), revision)
+    fun versions(base: String, vararg admitted: String, revision: Long = 1, completeEra: Long = 0) =
+        StoreChange.VersionsSet(
+            GatewayFixture.ENGINES,
+            versionsOf(base, *admitted).copy(completeEra = completeEra),
+            revision,
+        )
 
     fun versionsOf(base: String, vararg admitted: String) =
         ServiceVersions(SoftwareVersion(base), admitted.map(::SoftwareVersion).toPersistentSet())
--- a/core/src/test/kotlin/org/ragwortbank/core/versions/VersionStore.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/versions/VersionStore.kt
@@ -3,10 +3,12 @@
 import org.ragwortbank.core.gateway.GatewayEffect
 import org.ragwortbank.core.serving.ServiceName
 import org.ragwortbank.core.serving.StoreChange
+import org.ragwortbank.core.serving.StorePosition
 import org.ragwortbank.core.serving.UpstreamId
 
 /** A linearizable store with the history of its changes. */
 internal data class VersionStore(
+    val era: Long = 1,
     val revision: Long = 1,
     val history: List<Pair<Long, StoreChange>> = emptyList(),
     val versions: Map<ServiceName, StoreChange.VersionsSet> = emptyMap(),
@@ -17,6 +19,12 @@
     val contents: List<StoreChange>
         get() = records.values.map { StoreChange.StreamsRecorded(it) } + versions.values + upstreams.values
 
+    /** How far a read of it goes. */
+    val position: StorePosition get() = StorePosition(era, revision)
+
+    /** What it comes back with in its next era from [copy], which it was earlier. */
+    fun backFrom(copy: VersionStore): VersionStore = copy.copy(era = era + 1)
+
     /** Changes after [revision]. */
     fun changesAfter(revision: Long): List<StoreChange> = history.filter { it.first > revision }.map { it.second }
 
