Record streams at the base version too while the store may lack records

Cause: a stream at the base version left no record, so that in doubt nothing told one that began after the drill from one whose record was lost.

Change: while a service is in doubt, a stream that begins at the base is recorded as well. Nothing waits for that record and the request isn't bound by it; without it the take-up is refused and nothing is joined. A gateway that lives through the drill records the streams that it knows from before. All records for which no request waits go into the write of one for which a request does, where there is one; a write of their own is made only in doubt or for lost records.

--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewayEffect.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewayEffect.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.PersistentSet
+import kotlinx.collections.immutable.persistentListOf
 import org.ragwortbank.core.crash.CrashTrait
 import org.ragwortbank.core.log.LogLine
 import org.ragwortbank.core.model.AccountId
@@ -93,8 +94,11 @@
         val expectedRevision: Long,
     ) : GatewayEffect
 
-    /** Have the store keep [record] for the longest life of a stream, and report when it does. */
-    data class SaveStreamRecord(val record: StreamRecord) : GatewayEffect
+    /** Have the store keep [record] and those [beside] it for the longest life of a stream, and report when it does. */
+    data class SaveStreamRecord(
+        val record: StreamRecord,
+        val beside: PersistentList<StreamRecord> = persistentListOf(),
+    ) : GatewayEffect
 
     /** Read the changes of the store now instead of after the usual delay. */
     data object RefreshStore : GatewayEffect
--- a/core/src/main/kotlin/org/ragwortbank/core/versions/StreamRecordSaves.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/versions/StreamRecordSaves.kt
@@ -14,7 +14,8 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-private const val MAX_STREAMS = 256
+/** Streams that one record holds. */
+internal const val MAX_STREAMS = 256
 private val SAVE_INTERVAL_PER_GATEWAY = 20.milliseconds
 private val SAVE_INTERVALS = 100.milliseconds..1.seconds
 
@@ -37,8 +38,9 @@
 private fun GatewayStep.ask(save: RecordSave, now: Timestamp): GatewayStep {
     val record = save.record
     val text = "asks the store for a record of ${record.streams.size} streams of ${record.service}"
-    return log(LogPart.ROUTING, "$text at ${record.version}, number ${record.key.number}")
-        .emit(GatewayEffect.SaveStreamRecord(record))
+    val besides = "${save.beside.sumOf { it.streams.size }} streams beside it"
+    return log(LogPart.ROUTING, "$text at ${record.version}, number ${record.key.number}, $besides")
+        .emit(GatewayEffect.SaveStreamRecord(record, save.beside))
         .updateOutbox { it.withAsked(save, now) }
 }
 
@@ -48,10 +50,16 @@
     val first = due.values.firstOrNull { tables.mayRecord(it, now) }
     return when {
         first != null -> gathered(tables, first, due.filterValues { it == first }.keys, now)
-        else -> outbox.lost.firstOrNull()?.let { RecordSave(it, persistentSetOf(), now) }
+        outbox.lost.isNotEmpty() || tables.hasUrgentUnawaited() -> unawaitedSave(tables, now)
+        else -> null
     }
 }
 
+private fun unawaitedSave(tables: GatewayTables, now: Timestamp): RecordSave? {
+    val records = tables.unawaitedRecords(tables.streamVersions.outbox.lastNumber)
+    return records.firstOrNull()?.let { RecordSave(it, persistentSetOf(), now, records.removeAt(0)) }
+}
+
 private fun gathered(
     tables: GatewayTables,
     begun: UnrecordedStream,
@@ -62,7 +70,8 @@
     val streams = requests.mapNotNull { tables.requests[it] }.map { StreamId(it.call.id) }.toPersistentSet()
     val number = tables.streamVersions.outbox.lastNumber + 1
     val key = StreamRecordKey(tables.identity.name, tables.identity.incarnation, number)
-    return RecordSave(StreamRecord(key, begun.service, begun.version, streams), requests, now)
+    val record = StreamRecord(key, begun.service, begun.version, streams)
+    return RecordSave(record, requests, now, tables.unawaitedRecords(number))
 }
 
 /** All gateways together stay within a rate of writes. */
--- a/core/src/main/kotlin/org/ragwortbank/core/versions/StreamRecordSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/versions/StreamRecordSystem.kt
@@ -20,7 +20,7 @@
 class StreamRecordSystem : TickSystem<GatewayTables, GatewayInput, GatewayEffect> {
     override fun run(tick: Tick<GatewayInput>, step: GatewayStep): GatewayStep {
         val outbox = step.tables.streamVersions.outbox
-        if (outbox.open == null && outbox.unrecorded.isEmpty() && outbox.lost.isEmpty()) return step
+        if (outbox.isEmpty) return step
         val answered = tick.inputs.fold(step) { current, input ->
             when (input) {
                 is GatewayInput.StreamRecordSaved -> current.onOpen(input.key) { confirm(current, it, tick.now) }
@@ -47,7 +47,7 @@
         val isInTime = now - open.askedAt <= VersionTimes.RECORD_LEASE
         val counts = isInTime || open.requests.isEmpty() || step.tables.isBase(open.record)
         if (!counts) return postpone(step, open, now)
-        val kept = step.updateOutbox { it.withSaved(open.record, now) }
+        val kept = step.updateOutbox { it.withSaved(open, now) }
         return open.requests.mapNotNull { kept.tables.requests[it] }
             .fold(kept) { current, row -> current.update { it.put(row.copy(needsRecord = false)) } }
     }
--- a/core/src/main/kotlin/org/ragwortbank/core/versions/StreamSend.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/versions/StreamSend.kt
@@ -38,8 +38,12 @@
 internal fun GatewayTables.noteBegun(row: RequestRow, now: Timestamp): GatewayTables {
     val version = row.sentTo?.version
     if (row.isTakeUp || version == null) return this
-    val known = BegunStream(row.service, version, now)
-    return copy(streamVersions = streamVersions.withBegun(StreamId(row.call.id), known))
+    val stream = StreamId(row.call.id)
+    val known = streamVersions.withBegun(stream, BegunStream(row.service, version, now))
+    val begunAt = UnrecordedStream(row.service, version)
+    val isRecorded = row.version != null
+    val outbox = known.outbox.withUnawaited(stream, begunAt, limit = if (isRecorded) 0 else maxUnawaited(row.service))
+    return copy(streamVersions = known.copy(outbox = outbox))
 }
 
 /** Whether [upstream] runs a version to which [row] may be sent at [now]. */
--- a/core/src/main/kotlin/org/ragwortbank/core/versions/TakeUp.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/versions/TakeUp.kt
@@ -33,7 +33,7 @@
         !isReadSince(request) && !isSettledFor(request) -> TakeUp.NeedsRead
         areRecordsInDoubt(request.service) ->
             TakeUp.Unknown("the store may have lost its record", mayReturn = stream != null)
-        stream == null && hasRecords(request) ->
+        stream == null && hasOtherRecords(request, versions) ->
             TakeUp.Unknown("it doesn't name the stream, and several versions serve", mayReturn = false)
         else -> TakeUp.Known(versions.base, "base")
     }
@@ -54,5 +54,5 @@
     return request.arrivedAt - readAt <= VersionTimes.STREAM_LEASE && readAt - settledAt >= VersionTimes.SETTLE_TIME
 }
 
-private fun GatewayTables.hasRecords(request: RequestRow): Boolean =
-    streamVersions.records.values.any { it.service == request.service }
+private fun GatewayTables.hasOtherRecords(request: RequestRow, versions: ServiceVersions): Boolean =
+    streamVersions.records.values.any { it.service == request.service && it.version != versions.base }
--- a/core/src/main/kotlin/org/ragwortbank/core/versions/VersionChanges.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/versions/VersionChanges.kt
@@ -60,8 +60,9 @@
 
 /**
  * The tables at [now], when the store came back without what was written in its last seconds: the records of this
- * gateway are saved again. Recorded streams stay known, also by records that the store has lost; the versions of
- * services count as read for the first time, since revisions tell nothing.
+ * gateway are saved again, and streams that it knows and that had none are recorded. Recorded streams stay known, also
+ * by records that the store has lost; the versions of services count as read for the first time, since revisions tell
+ * nothing.
  *
  * @param certain services of which no stream has lost its record
  */
@@ -70,11 +71,15 @@
     certain: PersistentSet<ServiceName> = persistentSetOf(),
 ): GatewayTables {
     val outbox = streamVersions.outbox
+    val unrecorded = streamVersions.begunWithoutRecord()
     return copy(
         streamVersions = streamVersions.withRecordedKnown(now).copy(
             services = streamVersions.services.mapValues { it.value.withoutStored() }.toPersistentMap(),
             undoubted = certain,
-            outbox = outbox.copy(lost = outbox.saved.values.map { it.record }.toPersistentList()),
+            outbox = outbox.copy(
+                lost = outbox.saved.values.map { it.record }.toPersistentList(),
+                unawaited = outbox.unawaited.putAll(unrecorded),
+            ),
         ),
     )
 }
--- a/core/src/main/kotlin/org/ragwortbank/core/versions/VersionSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/versions/VersionSystem.kt
@@ -30,6 +30,7 @@
             .filterValues { it.hasResumableStreams }.keys
             .filter { step.tables.hasVersions(it) }
             .fold(step) { current, service -> review(current, service, now) }
+            .update { it.withoutNeedlessUnawaited() }
             .updateVersions { it.withoutExpired(now).copy(sweptAt = now) }
 
     private fun review(step: GatewayStep, service: ServiceName, now: Timestamp): GatewayStep {
--- a/core/src/test/kotlin/org/ragwortbank/core/versions/StoreDrillFleetTest.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/versions/StoreDrillFleetTest.kt
@@ -43,7 +43,25 @@
             StreamFleetPlan(faults = newerHalf() + (12.seconds to drill) + (12.seconds to kill))
         }
 
-    private fun play(time: Duration = 36.seconds, plan: (Random) -> StreamFleetPlan) =
+    // Guards against streams that are refused for minutes after a drill, though they began after it.
+    @Test
+    fun `given a store that came back older, when streams that began since are taken up elsewhere, then they go on`() =
+        play(minShare = GOES_ON) { random ->
+            val drill = DRILL_AT to Drill(copyAge(random), awayTime = 1.seconds)
+            StreamFleetPlan(faults = newerHalf() + drill + killsAfter(DRILL_AT + 6.seconds, random))
+        }
+
+    @Test
+    fun `given one version and a store that came back older, when gateways are killed since, then streams go on`() =
+        play(minShare = GOES_ON) { random ->
+            val drill = DRILL_AT to Drill(copyAge(random), awayTime = 1.seconds)
+            StreamFleetPlan(faults = listOf(drill) + killsAfter(DRILL_AT + 3.seconds, random))
+        }
+
+    private fun killsAfter(from: Duration, random: Random) =
+        (0..5).map { from + 2.seconds * it to Kill(setOf(random.nextInt(GATEWAYS)), 500.milliseconds) }
+
+    private fun play(time: Duration = 36.seconds, minShare: Double = 0.0, plan: (Random) -> StreamFleetPlan) =
         (FIRST_SEED until FIRST_SEED + SEEDS).forEach { seed ->
             val random = Random(seed)
             val fleet = StreamVersionFleet(random, plan(random))
@@ -52,6 +70,7 @@
             println("seed $seed: ${fleet.joined.size} of ${fleet.streams.size} joined, $share of $count go on")
             assertEquals(emptyList(), fleet.joined, "seed $seed: ${fleet.joined.size} of ${fleet.streams.size} joined")
             assertTrue(count >= MIN_TAKE_UPS, "seed $seed: $count take-ups")
+            assertTrue(share >= minShare * fleet.shareBegun, "seed $seed: $share go on, ${fleet.shareBegun} begin")
         }
 
     private fun copyAge(random: Random) = 2.seconds + 25.milliseconds * random.nextInt(80)
@@ -63,6 +82,9 @@
     private companion object {
         const val GATEWAYS = 4
         const val MIN_TAKE_UPS = 12
+
+        /** Share of the streams taken up that go on, of the share of new streams that begin. */
+        const val GOES_ON = 0.9
         val DRILL_AT = 16.seconds
 
         /** `-Dversions.seeds=50` plays more of them. */
--- a/core/src/test/kotlin/org/ragwortbank/core/versions/StoreDrillTest.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/versions/StoreDrillTest.kt
@@ -1,13 +1,19 @@
 package org.ragwortbank.core.versions
 
+import org.ragwortbank.core.gateway.GatewayEffect
 import org.ragwortbank.core.gateway.GatewayFixture
+import org.ragwortbank.core.gateway.GatewayInput
 import org.ragwortbank.core.result.ResultCode
 import org.ragwortbank.core.serving.SoftwareVersion
 import org.ragwortbank.core.serving.StoreChange
+import org.ragwortbank.core.serving.StreamId
 import org.ragwortbank.core.versions.VersionFixture.Companion.NEW
 import org.ragwortbank.core.versions.VersionFixture.Companion.OLD
+import org.ragwortbank.core.versions.VersionFixture.Companion.OPENING
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.seconds
 
@@ -117,6 +123,68 @@
         assertEquals(listOf(fixture.versionsOf(OLD, NEW).copy(completeEra = 1)), saved)
     }
 
+    // Guards against streams that are refused though they began after the drill: nothing tells them from those before.
+    @Test
+    fun `given a copy in doubt, when a stream begins at the base, then it is passed on at once and recorded`() {
+        val fixture = VersionFixture(OLD, OLD)
+        fixture.readWhole(*engines, fixture.versions(OLD, NEW, completeEra = 1), era = 2)
+        fixture.read(fixture.engine("engine-2", OLD))
+        val number = fixture.begin()
+        fixture.gateway.tick(fixture.head(fixture.gateway.sentAttempts().single()))
+        val relayed = fixture.relays()
+        val record = fixture.savedRecords().single()
+
+        assertEquals(listOf(number), relayed)
+        assertEquals(SoftwareVersion(OLD) to setOf(StreamId("request-1")), record.version to record.streams)
+    }
+
+    // Guards against streams that a gateway knows from before the drill, and that no other one takes up.
+    @Test
+    fun `given a stream that began at the base before the drill, when the store comes back, then it is recorded`() {
+        val fixture = VersionFixture(OLD, OLD)
+        val copy = arrayOf(engines.first(), fixture.versions(OLD, NEW, completeEra = 1))
+        fixture.readWhole(*copy, era = 1)
+        fixture.begin()
+        fixture.gateway.tick(fixture.head(fixture.gateway.sentAttempts().single()))
+        fixture.readWhole(*copy, era = 2)
+
+        assertEquals(listOf(setOf(StreamId("request-1"))), fixture.savedRecords().map { it.streams })
+    }
+
+    // Guards against a drill together with the end of all gateways, of whose streams at the base nobody knows then.
+    @Test
+    fun `given two versions, when a record is saved, then streams that began at the base stand beside it`() {
+        fixture.readWhole(*engines, fixture.versions(OLD, NEW))
+        repeat(4) { beginAndPass(fixture) }
+        fixture.advanceReading(OPENING)
+        val saved = (1..8).flatMap { beginAndPass(fixture) }
+
+        assertEquals(setOf(OLD, NEW), saved.map { it.version.value }.toSet())
+        assertTrue(fixture.gateway.effects.none { it is GatewayEffect.Refuse })
+    }
+
+    @Test
+    fun `given a settled service, then no stream is recorded`() {
+        val fixture = VersionFixture(OLD, OLD)
+        fixture.readWhole(*engines.take(1).toTypedArray(), fixture.versions(OLD))
+
+        assertEquals(emptyList(), (1..20).flatMap { beginAndPass(fixture) })
+    }
+
+    private fun beginAndPass(fixture: VersionFixture): List<StreamRecord> {
+        fixture.begin()
+        val attempt = fixture.gateway.sentAttempts().single()
+        val atSend = fixture.savedRecords()
+        fixture.gateway.tick(fixture.head(attempt), *saved(atSend))
+        val atHead = fixture.savedRecords()
+        fixture.gateway.advance(200.milliseconds, *saved(atHead))
+        fixture.read()
+        return atSend + atHead + fixture.savedRecords()
+    }
+
+    private fun saved(records: List<StreamRecord>) =
+        records.map { GatewayInput.StreamRecordSaved(it.key) }.toTypedArray()
+
     private fun takeUp(stream: String): List<ResultCode> {
         fixture.takeUp(stream)
         return fixture.gateway.refusals().map { it.code }
--- a/core/src/test/kotlin/org/ragwortbank/core/versions/VersionFixture.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/versions/VersionFixture.kt
@@ -91,7 +91,7 @@
     fun refreshes(): Int = gateway.effects.count { it is GatewayEffect.RefreshStore }
 
     fun savedRecords(): List<StreamRecord> =
-        gateway.effects.filterIsInstance<GatewayEffect.SaveStreamRecord>().map { it.record }
+        gateway.effects.filterIsInstance<GatewayEffect.SaveStreamRecord>().flatMap { listOf(it.record) + it.beside }
 
     fun savedVersions(): List<GatewayEffect.SaveVersions> =
         gateway.effects.filterIsInstance<GatewayEffect.SaveVersions>()
--- a/core/src/test/kotlin/org/ragwortbank/core/versions/VersionStore.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/versions/VersionStore.kt
@@ -32,8 +32,7 @@
     fun after(effect: GatewayEffect): VersionStore =
         when (effect) {
             is GatewayEffect.SaveStreamRecord ->
-                copy(records = records + (effect.record.key to effect.record))
-                    .changed(StoreChange.StreamsRecorded(effect.record))
+                (listOf(effect.record) + effect.beside).fold(this) { store, record -> store.withRecord(record) }
             is GatewayEffect.SaveVersions -> afterVersions(effect)
             else -> this
         }
@@ -46,6 +45,9 @@
     fun removed(id: UpstreamId): VersionStore =
         if (id !in upstreams) this else copy(upstreams = upstreams - id).changed(StoreChange.UpstreamRemoved(id))
 
+    private fun withRecord(record: StreamRecord): VersionStore =
+        copy(records = records + (record.key to record)).changed(StoreChange.StreamsRecorded(record))
+
     private fun afterVersions(effect: GatewayEffect.SaveVersions): VersionStore {
         val present = versions[effect.service]?.revision ?: 0
         if (present != effect.expectedRevision) return this
--- a/node/src/main/kotlin/org/ragwortbank/node/gateway/StreamStoreWriter.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/gateway/StreamStoreWriter.kt
@@ -43,7 +43,8 @@
     fun perform(effect: GatewayEffect) {
         when (effect) {
             is GatewayEffect.SaveVersions -> saveVersions(effect)
-            is GatewayEffect.SaveStreamRecord -> save(RecordWrite(effect.record, mayRepeat = true))
+            is GatewayEffect.SaveStreamRecord ->
+                save(RecordWrite(effect.record, effect.beside, mayRepeat = true))
             else -> Unit
         }
     }
@@ -103,7 +104,7 @@
     }
 
     private fun send(write: RecordWrite, used: HeldLease) =
-        store.saveStreamRecord(write.record, used.lease) { reply ->
+        store.saveStreamRecords(write.records, used.lease) { reply ->
             when (val outcome = if (used.eraCount == eraCount) reply else StreamRecordReply.LeaseEnded) {
                 StreamRecordReply.Saved -> {
                     if (isFailing) Logs.platform.info("records of streams are stored again")
@@ -131,9 +132,18 @@
      */
     private data class HeldLease(val lease: Long, val requestedAt: Timestamp, val eraCount: Int)
 
-    /** A write of [record]; [mayRepeat] if it is to be made once more under a new lease when its own has ended. */
-    private data class RecordWrite(val record: StreamRecord, val mayRepeat: Boolean) {
-        val streamCount: Int get() = record.streams.size
+    /**
+     * A write of [record] and of those [beside] it.
+     *
+     * @property mayRepeat whether it is to be made once more under a new lease when its own has ended
+     */
+    private data class RecordWrite(
+        val record: StreamRecord,
+        val beside: List<StreamRecord>,
+        val mayRepeat: Boolean,
+    ) {
+        val records: List<StreamRecord> get() = listOf(record) + beside
+        val streamCount: Int get() = records.sumOf { it.streams.size }
     }
 
     private companion object {
--- a/node/src/main/kotlin/org/ragwortbank/node/port/StreamStore.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/port/StreamStore.kt
@@ -54,6 +54,6 @@
     /** Requests a lease that ends after [lifetime]. */
     fun grantLease(lifetime: Duration, onReply: (LeaseReply) -> Unit)
 
-    /** Keeps [record] until [lease] ends. */
-    fun saveStreamRecord(record: StreamRecord, lease: Long, onReply: (StreamRecordReply) -> Unit)
+    /** Keeps all [records], or none of them, until [lease] ends. */
+    fun saveStreamRecords(records: List<StreamRecord>, lease: Long, onReply: (StreamRecordReply) -> Unit)
 }
--- a/node/src/test/kotlin/org/ragwortbank/node/gateway/IdleStreamStore.kt
+++ b/node/src/test/kotlin/org/ragwortbank/node/gateway/IdleStreamStore.kt
@@ -20,5 +20,6 @@
 
     override fun grantLease(lifetime: Duration, onReply: (LeaseReply) -> Unit) = Unit
 
-    override fun saveStreamRecord(record: StreamRecord, lease: Long, onReply: (StreamRecordReply) -> Unit) = Unit
+    override fun saveStreamRecords(records: List<StreamRecord>, lease: Long, onReply: (StreamRecordReply) -> Unit) =
+        Unit
 }
--- a/node/src/test/kotlin/org/ragwortbank/node/gateway/RecordLeaseInNewEraTest.kt
+++ b/node/src/test/kotlin/org/ragwortbank/node/gateway/RecordLeaseInNewEraTest.kt
@@ -79,9 +79,9 @@
             onReply(LeaseReply.Granted(lastLease))
         }
 
-        override fun saveStreamRecord(record: StreamRecord, lease: Long, onReply: (StreamRecordReply) -> Unit) {
+        override fun saveStreamRecords(records: List<StreamRecord>, lease: Long, onReply: (StreamRecordReply) -> Unit) {
             val isKnown = lease in leases
-            if (isKnown) records = records.put(record.key.number, lease)
+            if (isKnown) this.records = this.records.putAll(records.associate { it.key.number to lease })
             onReply(if (isKnown) StreamRecordReply.Saved else StreamRecordReply.LeaseEnded)
         }
 
--- a/node/src/test/kotlin/org/ragwortbank/node/gateway/StreamStoreWriterTest.kt
+++ b/node/src/test/kotlin/org/ragwortbank/node/gateway/StreamStoreWriterTest.kt
@@ -152,9 +152,9 @@
             leases = leases + onReply
         }
 
-        override fun saveStreamRecord(record: StreamRecord, lease: Long, onReply: (StreamRecordReply) -> Unit) {
-            calls = calls + "record ${record.key.number} under $lease"
-            records = records + onReply
+        override fun saveStreamRecords(records: List<StreamRecord>, lease: Long, onReply: (StreamRecordReply) -> Unit) {
+            calls = calls + "record ${records.joinToString(" and ") { "${it.key.number}" }} under $lease"
+            this.records = this.records + onReply
         }
     }
 }
