Look for the cause of crashes among all parts of a prompt

Cause: the adapter kept the first 16 parts of a prompt. Nothing else uses the list: the bound is a remnant. Ruled out: the digests between gateways (both gateways saw three crashes of their own within seconds) and the search for causes, which refuses the same part where it is the sixth. But both had the next bounds on this way: a report of a crash holds 80 traits, a crash 512, and the breadth of parts fell to that of a single request behind the 100th.

Change: parts are read from the header at each use, all but the last, so that a request costs nothing for its parts until a worker has crashed or a part is refused, whatever its head holds. A crash has room for all parts of a head, the table for five such crashes. Reports of a crash begin where the digest before ended, so that all parts get through where they are more than fit; cleared traits that are suspects go first. An answer that goes on clears its traits once for each change of the suspects, in place of every 50 ms.

--- a/core/src/main/kotlin/org/ragwortbank/core/crash/CauseSearch.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/crash/CauseSearch.kt
@@ -30,7 +30,10 @@
     fun find(): Cause? =
         open
             .flatMap { it.possibleCauses }
-            .distinct()
+            .groupingBy { it }
+            .eachCount()
+            .filterValues { it >= REPLACEMENT_CRASHES }
+            .keys
             .mapNotNull(::causeOf)
             .minWithOrNull(compareBy({ it.replaced.isEmpty() }, { it.breadth }, { it.requestCount }))
 
--- a/core/src/main/kotlin/org/ragwortbank/core/crash/CrashRow.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/crash/CrashRow.kt
@@ -66,7 +66,8 @@
             }
         }
 
-    private companion object {
-        const val MAX_TRAITS = 512
+    companion object {
+        /** Parts that the head of one request can hold. */
+        const val MAX_TRAITS = 8_192
     }
 }
--- a/core/src/main/kotlin/org/ragwortbank/core/crash/CrashTable.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/crash/CrashTable.kt
@@ -15,8 +15,13 @@
  *
  * Each crash has one cause: those that a found cause explains count against no other trait. They stay as evidence for a
  * broader one, which would explain later crashes too.
+ *
+ * @property suspectsVersion rises with each change of the suspects of a crash
  */
-data class CrashTable(val rows: PersistentMap<UpstreamIncarnation, CrashRow> = persistentMapOf()) {
+data class CrashTable(
+    val rows: PersistentMap<UpstreamIncarnation, CrashRow> = persistentMapOf(),
+    val suspectsVersion: Long = 0,
+) {
     /** Whether any crash may still turn out to have another cause than is known. */
     val hasEvidence: Boolean get() = rows.values.any { !it.isDismissed }
 
@@ -29,8 +34,9 @@
     ): CrashTable {
         val existing = rows[crash]
         val row = existing?.copy(at = minOf(existing.at, at)) ?: CrashRow(crash, place, at)
-        val bounded = if (existing == null && rows.size >= MAX_ROWS) withoutOldest() else rows
-        return CrashTable(bounded.put(crash, change(row)))
+        val changed = change(row)
+        val bounded = rows.remove(crash).withoutOldest(changed.suspects.size)
+        return CrashTable(bounded.put(crash, changed), suspectsVersion + 1)
     }
 
     /** This table after a request with [traits] was answered, up to [until] at least without a crash. */
@@ -38,13 +44,13 @@
         rows.values
             .filter { row -> row.at <= until && traits.any(row::mayBeCausedBy) }
             .fold(this) { table, row ->
-                CrashTable(table.rows.put(row.crash, row.copy(cleared = row.cleared.addAll(traits))))
+                table.copy(rows = table.rows.put(row.crash, row.copy(cleared = row.cleared.addAll(traits))))
             }
 
     /** This table after [crash] turned out to be none, because the upstream has answered at [now]. */
     fun dismissIfAlive(crash: UpstreamIncarnation, now: Timestamp): CrashTable {
         val row = rows[crash]?.takeIf { it.isOpen && now - it.at in SIGN_OF_LIFE } ?: return this
-        return CrashTable(rows.put(crash, row.copy(isDismissed = true)))
+        return copy(rows = rows.put(crash, row.copy(isDismissed = true)))
     }
 
     /**
@@ -55,7 +61,7 @@
         val replaced = replacedBy(trait)
         val explained = rows.values.filter { it.mayBeCausedBy(trait) && (it.isOpen || it.explanation in replaced) }
         if (explained.isEmpty()) return this
-        return CrashTable(explained.fold(rows) { kept, row -> kept.put(row.crash, row.copy(explanation = trait)) })
+        return copy(rows = explained.fold(rows) { kept, row -> kept.put(row.crash, row.copy(explanation = trait)) })
     }
 
     /** Traits that were taken for causes and all of whose crashes the broader [trait] explains as well. */
@@ -71,11 +77,15 @@
     /** This table without the crashes that are too long ago. */
     fun withoutExpired(now: Timestamp): CrashTable {
         val expired = rows.values.filter { now - it.at > ROW_LIFETIME }
-        return if (expired.isEmpty()) this else CrashTable(expired.fold(rows) { kept, row -> kept.remove(row.crash) })
+        if (expired.isEmpty()) return this
+        return copy(rows = expired.fold(rows) { kept, row -> kept.remove(row.crash) })
     }
 
+    /** Whether a request with [trait] was lost in any crash, whether or not the trait was cleared since. */
+    fun isSuspected(trait: CrashTrait): Boolean = rows.values.any { trait in it.suspects }
+
     /** Whether several crashes may have been caused by one of [traits]. */
-    fun isSuspect(traits: Collection<CrashTrait>): Boolean =
+    fun isSuspect(traits: Sequence<CrashTrait>): Boolean =
         traits.any { trait -> rows.values.count { it.mayBeCausedBy(trait) } >= SUSPECT_CRASHES }
 
     /**
@@ -89,11 +99,20 @@
         return CauseSearch(settled, this, hostCounts).find()
     }
 
-    private fun withoutOldest(): PersistentMap<UpstreamIncarnation, CrashRow> =
-        rows.values.minByOrNull { it.at }?.let { rows.remove(it.crash) } ?: rows
+    /** Rows beside which one with [suspects] fits. */
+    private fun PersistentMap<UpstreamIncarnation, CrashRow>.withoutOldest(
+        suspects: Int,
+    ): PersistentMap<UpstreamIncarnation, CrashRow> {
+        val isFull = size >= MAX_ROWS || values.sumOf { it.suspects.size } + suspects > MAX_SUSPECTS
+        val oldest = values.minByOrNull { it.at }?.takeIf { isFull } ?: return this
+        return remove(oldest.crash).withoutOldest(suspects)
+    }
 
     private companion object {
         const val MAX_ROWS = 32
+
+        /** Suspects of all crashes together: enough crashes to show any cause, with all that each may have. */
+        const val MAX_SUSPECTS = 5 * CrashRow.MAX_TRAITS
         val ROW_LIFETIME = 10.minutes
         const val SUSPECT_CRASHES = 2
 
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/AttemptOutcomes.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/AttemptOutcomes.kt
@@ -39,6 +39,8 @@
     return releaseUpstream(row).put(row.copy(stage = RequestStage.Waiting(), triedUpstreams = tried))
 }
 
+private const val MAX_LOGGED_PARTS = 16
+
 /** How far a lost request was, and what it may have in common with others that were lost at the same upstream. */
 internal fun RequestRow.describeLoss(now: Timestamp): String {
     val progress = when (val current = stage) {
@@ -46,7 +48,8 @@
         is RequestStage.Sent -> "no answer ${(now - current.sentAt).inWholeMilliseconds} ms after it was sent"
         is RequestStage.Waiting -> "waiting"
     }
-    return "$progress, prompt parts ${call.sharedPromptParts}, fingerprint ${call.fingerprint}, " +
+    val parts = call.sharedPromptParts.ids().take(MAX_LOGGED_PARTS).toList()
+    return "$progress, first prompt parts $parts, fingerprint ${call.fingerprint}, " +
         "adapter ${call.adapterKey}, account $account"
 }
 
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/CrashGossip.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/CrashGossip.kt
@@ -39,27 +39,33 @@
         .sortedByDescending { it.at }
         .take(MAX_REPORTS)
         .map { row ->
-            CrashReport(row.crash, row.place, now - row.at, row.suspectsToReport())
+            CrashReport(row.crash, row.place, now - row.at, row.suspectsToReport(peerDigestNumber))
         }
         .toPersistentList()
 
-/** The suspects of this gateway, those first that different requests share. */
-private fun CrashRow.suspectsToReport(): PersistentMap<CrashTrait, SuspectRequests> =
-    ownSuspects.entries
+/**
+ * The suspects of this gateway in the digest after [digestNumber], those first that different requests share. Where
+ * they are more than fit, each digest begins where the one before it ended.
+ */
+private fun CrashRow.suspectsToReport(digestNumber: Long): PersistentMap<CrashTrait, SuspectRequests> {
+    val suspects = ownSuspects.entries
         .filter { (trait, _) -> mayBeCausedBy(trait) }
         .sortedBy { (trait, _) -> trait is CrashTrait.Repeat }
+    val skipped = if (suspects.size > MAX_REPORTED_TRAITS) digestNumber * MAX_REPORTED_TRAITS % suspects.size else 0
+    return (suspects.drop(skipped.toInt()) + suspects)
         .take(MAX_REPORTED_TRAITS)
         .associate { it.key to it.value }
         .toPersistentMap()
+}
 
 /** Of [GatewayTables.clearedTraits], those that the other gateways may not know yet. */
 internal fun GatewayTables.recentlyClearedTraits(now: Timestamp): PersistentMap<CrashTrait, Timestamp> =
     clearedTraits.filterValues { now - it <= gossipTime }.toPersistentMap()
 
-/** Traits that answers at this gateway have lately cleared of crashes, with the time since then. */
+/** Traits that answers at this gateway have lately cleared of crashes, suspects first, with the time since then. */
 internal fun GatewayTables.clearedTraitAges(now: Timestamp): PersistentMap<CrashTrait, Duration> =
     recentlyClearedTraits(now).entries
-        .sortedByDescending { it.value }
+        .sortedWith(compareBy({ !crashes.isSuspected(it.key) }, { now - it.value }))
         .take(MAX_CLEARED_TRAITS)
         .associate { it.key to now - it.value }
         .toPersistentMap()
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/CrashSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/CrashSystem.kt
@@ -71,9 +71,12 @@
     private fun GatewayStep.sweep(now: Timestamp): GatewayStep {
         val isDue = tables.crashesSweptAt?.let { now - it >= SWEEP_INTERVAL } ?: true
         if (!isDue) return this
+        val version = tables.crashes.suspectsVersion
         return tables.requests.values
-            .filter { it.isProven(now) }
-            .fold(this) { step, row -> step.clearTraits(row, now) }
+            .filter { it.clearedVersion != version && it.isProven(now) }
+            .fold(this) { step, row ->
+                step.clearTraits(row, now).update { it.put(row.copy(clearedVersion = version)) }
+            }
             .update { it.explainByBlocks() }
             .update { it.copy(crashesSweptAt = now, crashes = it.crashes.withoutExpired(now)) }
     }
@@ -125,6 +128,8 @@
 /** An answer that has gone on for this long shows that its request doesn't crash the upstream. */
 private val PROOF_TIME = 250.milliseconds
 
+private const val MAX_LOGGED_TRAITS = 20
+
 /** Margin for a digest's way to this gateway. */
 private val SETTLE_MARGIN = 100.milliseconds
 
@@ -147,13 +152,14 @@
 private fun GatewayStep.clearTraits(row: RequestRow, now: Timestamp): GatewayStep {
     val beganAt = (row.stage as? RequestStage.Relaying)?.beganAt
     if (beganAt == null || !tables.crashes.hasEvidence) return this
-    val traits = crashTraits(row)
+    val traits = crashTraits(row).toSet()
     val cleared = tables.withClearedTraits(traits, minOf(now, beganAt + PROOF_TIME), now)
     return if (cleared === tables) this else update { cleared }.log(LogPart.CRASHES, describeClearing(row, traits))
 }
 
 private fun describeClearing(row: RequestRow, traits: Set<CrashTrait>): String =
-    "requests with $traits are cleared of crashes: ${row.call.id} was answered"
+    "requests with ${traits.take(MAX_LOGGED_TRAITS)}, ${traits.size} in all, are cleared of crashes: " +
+        "${row.call.id} was answered"
 
 private fun GatewayTables.withClearedTraits(
     traits: Set<CrashTrait>,
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/CrashTraits.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/CrashTraits.kt
@@ -7,8 +7,11 @@
 import org.ragwortbank.core.crash.CrashTrait
 import org.ragwortbank.core.crash.SuspectRequests
 
-/** Breadth of the first part of a prompt; of traits that explain crashes equally well, the narrowest is the cause. */
-private const val FIRST_PART_BREADTH = 100
+/**
+ * Breadth of the first part of a prompt, more than the parts that a head holds; of traits that explain crashes equally
+ * well, the narrowest is the cause.
+ */
+private const val FIRST_PART_BREADTH = 16_384
 
 /**
  * The traits of a request that others may have too; a later part of a prompt is narrower than earlier ones.
@@ -17,13 +20,14 @@
  * none is answered until it is loaded elsewhere, whatever these upstreams crash of.
  */
 private fun sharedTraitBreadths(row: RequestRow): Map<CrashTrait, Int> =
-    row.call.sharedPromptParts
-        .mapIndexed { index, id -> CrashTrait.PromptPart(id) to FIRST_PART_BREADTH - index }
+    row.call.sharedPromptParts.ids()
+        .mapIndexed { index, id -> CrashTrait.PromptPart(id) to (FIRST_PART_BREADTH - index).coerceAtLeast(1) }
         .toMap()
 
 /** The traits of [row] by which it may be like other requests of which upstreams crash. */
-internal fun crashTraits(row: RequestRow): Set<CrashTrait> =
-    sharedTraitBreadths(row).keys + listOfNotNull(row.call.fingerprint?.let { CrashTrait.Repeat(it) })
+internal fun crashTraits(row: RequestRow): Sequence<CrashTrait> =
+    row.call.sharedPromptParts.ids().map { CrashTrait.PromptPart(it) } +
+        listOfNotNull(row.call.fingerprint?.let { CrashTrait.Repeat(it) })
 
 /** [row] as a suspect of a crash; empty when it can't be told from other requests. */
 internal fun suspicions(row: RequestRow): PersistentMap<CrashTrait, SuspectRequests> {
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/RequestRow.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/RequestRow.kt
@@ -46,6 +46,7 @@
  * @property version software version to which its stream is bound; null while it is bound to none
  * @property sentTo registration of the upstream to which a resumable stream was last sent; null if it states no version
  * @property needsRecord whether the store has yet to keep at which version its stream begins
+ * @property clearedVersion version of the suspects of crashes of which its answer has cleared its traits; null before
  * @property heldHead head of the answer that is held
  */
 data class RequestRow(
@@ -65,6 +66,7 @@
     val version: SoftwareVersion? = null,
     val sentTo: UpstreamRegistration? = null,
     val needsRecord: Boolean = false,
+    val clearedVersion: Long? = null,
     val heldHead: HeldHead? = null,
 ) {
     /** Whether it takes up a stream that has begun before. */
--- a/core/src/main/kotlin/org/ragwortbank/core/serving/ServingCall.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/serving/ServingCall.kt
@@ -1,7 +1,5 @@
 package org.ragwortbank.core.serving
 
-import kotlinx.collections.immutable.PersistentList
-import kotlinx.collections.immutable.persistentListOf
 import org.ragwortbank.core.model.KeyHash
 import kotlin.time.Duration
 
@@ -15,7 +13,7 @@
  * @property adapter adapter of [model]; null for the base model itself
  * @property tokens sum of prompt tokens and the maximum of output tokens; null when the request doesn't say
  * @property promptTokens tokens of the prompt; null when the request doesn't say
- * @property sharedPromptParts parts of the prompt in order, without the last, which belongs to this request alone
+ * @property sharedPromptParts parts of the prompt without the last, which belongs to this request alone
  * @property fingerprint equal for repeats of a request; null when it isn't known
  * @property resumption the broken stream that it takes up; null for a request that takes up none
  */
@@ -29,7 +27,7 @@
     val adapter: String? = null,
     val tokens: Long? = null,
     val promptTokens: Long? = null,
-    val sharedPromptParts: PersistentList<PromptPartId> = persistentListOf(),
+    val sharedPromptParts: PromptParts = PromptParts.NONE,
     val fingerprint: RequestFingerprint? = null,
     val resumption: StreamResumption? = null,
 ) {
--- a/core/src/test/kotlin/org/ragwortbank/core/crash/CrashTableTest.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/crash/CrashTableTest.kt
@@ -70,6 +70,19 @@
         assertTrue(table.withoutExpired(later + 3_600.seconds).rows.isEmpty())
     }
 
+    // Guards against crashes that take all memory since each request that was lost has as many parts as a head holds.
+    @Test
+    fun `given crashes with thousands of suspects each, then the table keeps as many as five of them may have`() {
+        val table = (0 until 12).fold(CrashTable()) { current, number ->
+            current.update(crash(number), place(number), start + 100.milliseconds * number) { row ->
+                val parts = (0 until 9_000).map { part("$number-$it") to 1 }
+                row.withSuspects(suspects(number, *parts.toTypedArray()), isOwn = true, later)
+            }
+        }
+        assertEquals((7..11).map { crash(it) }, table.rows.keys.toList())
+        assertTrue(table.rows.values.sumOf { it.suspects.size } <= 5 * 8_192)
+    }
+
     private fun tableOf(
         vararg millis: Int,
         suspects: (Int) -> PersistentMap<CrashTrait, SuspectRequests>,
@@ -95,6 +108,8 @@
 
     private fun causeOf(table: CrashTable): Cause? = table.cause(later, 250.milliseconds, mapOf(service to 8))
 
+    private fun part(name: String): CrashTrait = CrashTrait.PromptPart(PromptPartId(name))
+
     private fun crash(number: Int) = UpstreamIncarnation(UpstreamId("engine-$number"), startedMillis = 1)
 
     private fun place(number: Int) = CrashPlace(service, "10.0.0.$number")
--- a/core/src/test/kotlin/org/ragwortbank/core/gateway/CrashFleet.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/gateway/CrashFleet.kt
@@ -7,6 +7,7 @@
 import org.ragwortbank.core.serving.Endpoint
 import org.ragwortbank.core.serving.PeerDigest
 import org.ragwortbank.core.serving.PromptPartId
+import org.ragwortbank.core.serving.PromptParts
 import org.ragwortbank.core.serving.RequestFingerprint
 import org.ragwortbank.core.serving.RequestNumber
 import org.ragwortbank.core.serving.ServingCall
@@ -45,6 +46,8 @@
  * @property restarts times at which a gateway, by its number, restarts with empty tables
  * @property copies times at which the store comes back from an older copy, which has no blocks
  * @property keepsBlocks whether the store keeps what gateways ask it to
+ * @property partsBefore number of parts before all others of a prompt
+ * @property sharesPartsBefore whether all requests share these
  * @property answeredShare share of the deadly requests that an engine answers as if they were sound
  */
 internal data class CrashPlan(
@@ -60,6 +63,8 @@
     val restarts: List<Pair<Duration, Int>> = emptyList(),
     val copies: List<Duration> = emptyList(),
     val keepsBlocks: Boolean = true,
+    val partsBefore: Int = 0,
+    val sharesPartsBefore: Boolean = true,
     val answeredShare: Double = 0.0,
     val digestLoss: Double = 0.02,
 )
@@ -175,7 +180,7 @@
     }
 
     private fun call(kind: CallKind): ServingCall {
-        val parts = promptParts(kind).toPersistentList()
+        val parts = PromptParts.Listed(partsBefore() + promptParts(kind))
         val fingerprint = if (kind == CallKind.DEADLY_REPEAT) 1L else random.nextLong()
         return fixture.call("/chat/x", tokens = 1).copy(
             sharedPromptParts = parts,
@@ -183,6 +188,12 @@
         )
     }
 
+    /** Parts of a long conversation; those that aren't shared belong to one request. */
+    private fun partsBefore(): List<PromptPartId> {
+        val owner = if (plan.sharesPartsBefore) "all" else "request-$lastNumber"
+        return (1..plan.partsBefore).map { PromptPartId("turn-$it-$owner") }
+    }
+
     private fun promptParts(kind: CallKind): List<PromptPartId> =
         when (kind) {
             CallKind.SOUND -> listOf(FIRST_PART, subject(random.nextInt(SUBJECTS)))
--- a/core/src/test/kotlin/org/ragwortbank/core/gateway/CrashSystemTest.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/gateway/CrashSystemTest.kt
@@ -3,7 +3,6 @@
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.persistentSetOf
-import kotlinx.collections.immutable.toPersistentList
 import org.ragwortbank.core.crash.CrashPlace
 import org.ragwortbank.core.crash.CrashReport
 import org.ragwortbank.core.crash.CrashTrait
@@ -13,6 +12,7 @@
 import org.ragwortbank.core.serving.Endpoint
 import org.ragwortbank.core.serving.PeerDigest
 import org.ragwortbank.core.serving.PromptPartId
+import org.ragwortbank.core.serving.PromptParts
 import org.ragwortbank.core.serving.RequestFingerprint
 import org.ragwortbank.core.serving.RequestNumber
 import org.ragwortbank.core.serving.StoreChange
@@ -245,7 +245,7 @@
     private fun lost(number: RequestNumber) =
         GatewayInput.AttemptFailed(number, 1, AttemptFailure.ConnectionLost("closed"))
 
-    private fun parts(vararg names: String) = names.map { PromptPartId(it) }.toPersistentList()
+    private fun parts(vararg names: String) = PromptParts.Listed(names.map { PromptPartId(it) })
 
     private fun block(part: String) =
         gateway.applyChanges(StoreChange.BlockSet(CrashTrait.PromptPart(PromptPartId(part))))
--- a/core/src/test/kotlin/org/ragwortbank/core/gateway/CrashingRequestTest.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/gateway/CrashingRequestTest.kt
@@ -74,6 +74,20 @@
             }
         }
 
+    // Guards against a part of which engines end and that is never refused, since it comes late in long conversations.
+    @Test
+    fun `given a deadly part behind many others, then few such requests arrive and nothing else is blocked`() =
+        longConversations.forEach { plan ->
+            (1..LONG_SEEDS).forEach { seed ->
+                val fleet = played(plan, seed)
+                assertFewArrivals(fleet, ends = 5, "$plan, seed $seed")
+                assertEquals(deadlyPart, fleet.blocked, "$plan, seed $seed")
+                val sound = fleet.soundShareBegun(RUN_TIME / 2, RUN_TIME - 1.seconds)
+                val before = fleet.soundShareBegun(1.seconds, 4.seconds)
+                assertTrue(sound >= before / 2, "$plan, seed $seed: $sound begun beside them, $before before")
+            }
+        }
+
     @Test
     fun `given one request that comes again and again, then at most three repeats arrive after three ends`() =
         assertKeptAway(CrashPlan(deadlyKind = CallKind.DEADLY_REPEAT), ends = 3)
@@ -119,6 +133,17 @@
     private companion object {
         val deadlyPart = setOf<CrashTrait>(CrashTrait.PromptPart(CrashFleet.DEADLY_PART))
 
+        val ownConversations = CrashPlan(sharesPartsBefore = false, deadlyShare = 0.1)
+
+        /** The last one reports more parts of a crash than fit in a digest. */
+        val longConversations = listOf(
+            CrashPlan(partsBefore = 17),
+            CrashPlan(partsBefore = 100),
+            ownConversations.copy(partsBefore = 300, callsPerSecond = 20),
+            ownConversations.copy(partsBefore = 150, callsPerSecond = 40, gateways = 12),
+        )
+        const val LONG_SEEDS = 2
+
         /** Deadly requests from nine a second to one every two seconds. */
         val sharedPartPlans = listOf(
             CrashPlan(deadlyShare = 0.15),
