Hold answers of upstreams that may have started again at another version since the list was read

Cause: requests name an upstream's id only, so that one that has started again gets them as before. Two gaps were left. A gateway with an old list waited for a read of it only within 4 s of a failed request, and in a service that was settled by its last read not at all; and a connection that broke between two requests counted for nothing. Ruled out: reads that count as newer than they are (both ends of each read are taken as they should be), take-ups by a record or the base, and the drill.

Change: an answer on a connection that was opened after the list was read waits for the next read of it, if the upstream lost a connection to this gateway in the last 4 s or since that read; in a service of several versions also if the list is older than 3 s or than the gateway's last suspension. Connections are the proof: a kept one leads to the same process. While the list is that old, upstreams that have lost a connection since it was read get no streams. A connection that an upstream closes while no request is under way, sooner than it had said, counts like a lost request. Answers on kept connections pass as before, so that a silent store keeps no sound stream back in a service with one version.

The tests that compare a connection's use take the time at which it was opened from it, and look at all else as before.

Left: a gateway cut off from the store, without any connection to an upstream that starts again, sends it a first stream by the old entry in a service that it read as settled, for 60 s.

--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/AnswerRelay.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/AnswerRelay.kt
@@ -12,9 +12,10 @@
     head: GatewayInput.AnswerHeadReceived,
     now: Timestamp,
 ): GatewayStep {
-    val hold = tables.holdOf(row, now) ?: return relay(row, head, now)
+    val held = HeldHead(head, now)
+    val hold = tables.holdOf(row, held) ?: return relay(row, head, now)
     return log(LogPart.ANSWER, "request ${row.call.id} answered by ${row.upstream}, held: ${hold.label}")
-        .update { it.put(row.copy(heldHead = HeldHead(head, now))) }
+        .update { it.put(row.copy(heldHead = held)) }
         .updateVersions { it.copy(held = it.held.add(row.number)) }
 }
 
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/ExchangeTrace.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/ExchangeTrace.kt
@@ -2,14 +2,16 @@
 
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.persistentListOf
+import org.ragwortbank.core.tick.Timestamp
 
 /**
  * A connection to an upstream, as one exchange uses it.
  *
  * @property number unique among the connections of the process
  * @property carriedBefore number of exchanges that were completed on it before this one
+ * @property openedAt when it was opened; null if that is unknown
  */
-data class ConnectionUse(val number: Long, val carriedBefore: Int)
+data class ConnectionUse(val number: Long, val carriedBefore: Int, val openedAt: Timestamp? = null)
 
 /**
  * The head of an answer in short.
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewayInput.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/GatewayInput.kt
@@ -91,6 +91,9 @@
     /** An upstream said something of itself with an answer that may still be incomplete. */
     data class UpstreamNoticeReceived(val from: UpstreamIncarnation, val notice: UpstreamNotice) : GatewayInput
 
+    /** The upstream at [endpoint] closed a connection that carried no request, sooner than it had said. */
+    data class IdleConnectionClosed(val endpoint: Endpoint) : GatewayInput
+
     /**
      * The answer of an attempt arrived completely and was relayed to the caller.
      *
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/UpstreamNoticeSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/UpstreamNoticeSystem.kt
@@ -4,6 +4,7 @@
 import org.ragwortbank.core.hash.RendezvousHash
 import org.ragwortbank.core.log.LogPart
 import org.ragwortbank.core.result.ResultCode
+import org.ragwortbank.core.serving.Endpoint
 import org.ragwortbank.core.serving.UpstreamIncarnation
 import org.ragwortbank.core.tick.Tick
 import org.ragwortbank.core.tick.TickSystem
@@ -14,14 +15,26 @@
 
 /**
  * Applies what upstreams say of themselves in their answers: one that leaves gets nothing more, whatever the store
- * lists, and one that asks for quiet gets nothing until that time is over.
+ * lists, and one that asks for quiet gets nothing until that time is over. Also notes when one closes a connection that
+ * is kept open, since it may be about to start again.
  */
 class UpstreamNoticeSystem : TickSystem<GatewayTables, GatewayInput, GatewayEffect> {
     override fun run(tick: Tick<GatewayInput>, step: GatewayStep): GatewayStep =
         tick.inputs.fold(step) { current, input ->
-            if (input is GatewayInput.UpstreamNoticeReceived) receive(current, input, tick.now) else current
+            when (input) {
+                is GatewayInput.UpstreamNoticeReceived -> receive(current, input, tick.now)
+                is GatewayInput.IdleConnectionClosed -> noteClosed(current, input.endpoint, tick.now)
+                else -> current
+            }
         }
 
+    private fun noteClosed(step: GatewayStep, endpoint: Endpoint, now: Timestamp): GatewayStep =
+        step.tables.upstreams.values
+            .filter { it.registration.endpoint == endpoint }
+            .fold(step) { current, row ->
+                current.update { tables -> tables.updateUpstream(row.registration.id) { it.copy(closedAt = now) } }
+            }
+
     private fun receive(step: GatewayStep, input: GatewayInput.UpstreamNoticeReceived, now: Timestamp): GatewayStep {
         val leaving = if (input.notice.isLeaving) markLeaving(step, input.from, now) else step
         val quietTime = input.notice.quietTime ?: return leaving
--- a/core/src/main/kotlin/org/ragwortbank/core/gateway/UpstreamRow.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/gateway/UpstreamRow.kt
@@ -76,6 +76,7 @@
  * @property quietUntil until when it wants no requests, as it has said in an answer; null if it hasn't
  * @property sentAt when this gateway's latest request was sent there
  * @property failedAt when a request of this gateway last failed there without an answer
+ * @property closedAt when it last closed a connection to this gateway that carried no request, sooner than expected
  * @property slowness how slow it is, as it has last stated in an answer; null if it never has
  * @property reading how long it takes to read prompts
  * @property answerHabits which traits its successes have
@@ -106,6 +107,7 @@
     val cold: ColdRow? = null,
     val sentAt: Timestamp? = null,
     val failedAt: Timestamp? = null,
+    val closedAt: Timestamp? = null,
     val pace: PaceRow? = null,
     val slowness: MomentarySlowness? = null,
     val reading: PromptReading = PromptReading(),
@@ -114,6 +116,9 @@
     /** Whether it accepts new work according to its registration and to itself. */
     val isAccepting: Boolean get() = registration.isAccepting && !isSuperseded && !isLeaving && !isGone
 
+    /** When a connection to it last ended, with a request or without one; null if none did. */
+    val lostAt: Timestamp? get() = listOfNotNull(failedAt, closedAt).maxOrNull()
+
     /** Whether this gateway has used an adapter there since its last digest to the placer. */
     val isInUse: Boolean get() = inUse.isNotEmpty() || usedSinceDigest.isNotEmpty()
 
--- a/core/src/main/kotlin/org/ragwortbank/core/versions/HeldAnswerSystem.kt
+++ b/core/src/main/kotlin/org/ragwortbank/core/versions/HeldAnswerSystem.kt
@@ -30,7 +30,7 @@
     }
 
     private fun review(step: GatewayStep, row: RequestRow, held: HeldHead, now: Timestamp): GatewayStep =
-        when (step.tables.holdOf(row, held.receivedAt)) {
+        when (step.tables.holdOf(row, held)) {
             null -> step.relay(row, held.head, now)
             AnswerHold.OTHER_VERSION -> giveUp(step, row, "not ${row.sentTo?.version} any more")
             AnswerHold.RECORD, AnswerHold.DOUBT -> {
@@ -51,7 +51,7 @@
         val tables = step.tables
         val refresh = tables.streamVersions.refresh
         val needsRead = tables.streamVersions.held.mapNotNull { tables.requests[it] }.any { row ->
-            row.heldHead?.let { tables.holdOf(row, it.receivedAt) } == AnswerHold.DOUBT
+            row.heldHead?.let { tables.holdOf(row, it) } == AnswerHold.DOUBT
         }
         val isDue = refresh.unansweredSince == null || refresh.isRepeatDue(now)
         if (!needsRead || !isDue) return step
--- a/core/src/test/kotlin/org/ragwortbank/core/versions/HeldAnswerSystemTest.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/versions/HeldAnswerSystemTest.kt
@@ -1,10 +1,14 @@
 package org.ragwortbank.core.versions
 
 import org.ragwortbank.core.gateway.AttemptFailure
+import org.ragwortbank.core.gateway.ConnectionUse
+import org.ragwortbank.core.gateway.ExchangeTrace
 import org.ragwortbank.core.gateway.GatewayEffect
 import org.ragwortbank.core.gateway.GatewayInput
 import org.ragwortbank.core.gateway.UpstreamAttempt
 import org.ragwortbank.core.result.ResultCode
+import org.ragwortbank.core.serving.UpstreamId
+import org.ragwortbank.core.tick.Timestamp
 import org.ragwortbank.core.versions.VersionFixture.Companion.NEW
 import org.ragwortbank.core.versions.VersionFixture.Companion.OLD
 import kotlin.test.Test
@@ -89,6 +93,71 @@
         assertEquals(listOf(attempt.number), fixture.relays())
     }
 
+    // Guards against an upstream that starts again at another version while this gateway is cut off from the store.
+    @Test
+    fun `given two versions and an old list, then an answer on a connection that is newer than the list waits`() {
+        val fixture = fixture(OLD, NEW)
+        val readAt = fixture.gateway.now
+        fixture.gateway.advance(3_500.milliseconds)
+        val kept = fixture.sendToBase()
+        fixture.gateway.tick(fixture.head(kept).on(openedAt = readAt - 1.seconds))
+        assertEquals(listOf(kept.number), fixture.relays())
+        val fresh = fixture.sendToBase()
+        fixture.gateway.tick(fixture.head(fresh).on(openedAt = fixture.gateway.now))
+        assertEquals(emptyList(), fixture.relays())
+        fixture.gateway.advance(20.milliseconds)
+        fixture.read()
+
+        assertEquals(listOf(fresh.number), fixture.relays())
+    }
+
+    @Test
+    fun `given one version and an upstream that closed a connection, then an answer on a new one waits for the list`() {
+        val fixture = VersionFixture(OLD, null)
+        fixture.read(fixture.versions(OLD))
+        fixture.gateway.advance(10.milliseconds)
+        val endpoint = fixture.gateway.tables.upstreams.getValue(UpstreamId("engine-1")).registration.endpoint
+        fixture.gateway.tick(GatewayInput.IdleConnectionClosed(endpoint))
+        val attempt = fixture.sendToBase()
+        fixture.gateway.tick(fixture.head(attempt).on(openedAt = fixture.gateway.now))
+        assertEquals(emptyList(), fixture.relays())
+        fixture.gateway.advance(20.milliseconds)
+        fixture.read(fixture.engine("engine-1", NEW, startedMillis = 2))
+
+        assertEquals(listOf(ResultCode.OUTCOME_UNKNOWN), fixture.gateway.refusals().map { it.code })
+    }
+
+    // Guards against waits where nothing has shown that an upstream may have started again.
+    @Test
+    fun `given one version and a silent store, then answers on new connections are passed on at once`() {
+        val fixture = VersionFixture(OLD, null)
+        fixture.read(fixture.versions(OLD))
+        fixture.gateway.advance(3_500.milliseconds)
+        val attempt = fixture.sendToBase()
+        fixture.gateway.tick(fixture.head(attempt).on(openedAt = fixture.gateway.now))
+
+        assertEquals(listOf(attempt.number), fixture.relays())
+    }
+
+    @Test
+    fun `given an old list, when an upstream has failed since, then streams begin elsewhere or are refused`() {
+        val fixture = VersionFixture(OLD, null)
+        fixture.read(fixture.versions(OLD))
+        fixture.gateway.advance(3_500.milliseconds)
+        val lost = fixture.sendToBase()
+        val cause = AttemptFailure.ConnectionLost("closed")
+        fixture.gateway.tick(GatewayInput.AttemptFailed(lost.number, lost.attemptNumber, cause))
+        fixture.gateway.advance(1.seconds)
+        fixture.begin()
+        assertEquals(emptyList(), fixture.sentTo())
+        fixture.gateway.advance(1_300.milliseconds)
+
+        assertEquals(listOf(ResultCode.VERSION_UNDECIDED), fixture.gateway.refusals().map { it.code }.distinct())
+    }
+
+    private fun GatewayInput.AnswerHeadReceived.on(openedAt: Timestamp) =
+        copy(trace = ExchangeTrace(ConnectionUse(number = 1, carriedBefore = 0, openedAt)))
+
     private fun fixture(first: String, second: String) = VersionFixture(first, second).apply {
         read(versions(OLD, NEW))
         advanceReading(5.seconds)
--- a/core/src/test/kotlin/org/ragwortbank/core/versions/StreamVersionFleet.kt
+++ b/core/src/test/kotlin/org/ragwortbank/core/versions/StreamVersionFleet.kt
@@ -5,6 +5,8 @@
 import kotlinx.collections.immutable.toPersistentMap
 import org.ragwortbank.core.gateway.AnswerFacts
 import org.ragwortbank.core.gateway.AttemptFailure
+import org.ragwortbank.core.gateway.ConnectionUse
+import org.ragwortbank.core.gateway.ExchangeTrace
 import org.ragwortbank.core.gateway.GatewayEffect
 import org.ragwortbank.core.gateway.GatewayFixture
 import org.ragwortbank.core.gateway.GatewayIdentity
@@ -41,6 +43,7 @@
     private var gateways = (0 until plan.gateways).map { FleetGateway(it, 1, newTables(it, 1)) }
     private var upstreams = plan.versions.mapIndexed { number, version -> FleetUpstream(number, 1, 1, version) }
     private var runs = emptyMap<RequestNumber, FleetRun>()
+    private var links = emptyMap<Triple<Int, Int, Pair<Int, Int>>, Timestamp>()
     private var carriers = emptyMap<RequestNumber, Int>()
 
     /** All streams by their numbers. */
@@ -173,13 +176,25 @@
             val gateway = gateways[run.gateway]
             when {
                 !run.hasHead -> {
-                    post(run, GatewayInput.AnswerHeadReceived(run.number, run.attempt, AnswerFacts(OK, false, null)))
+                    val facts = AnswerFacts(OK, false, null)
+                    post(run, GatewayInput.AnswerHeadReceived(run.number, run.attempt, facts, traceOf(run)))
                     runs = runs + (run.number to run.copy(hasHead = true))
                 }
                 run.isRelayed && gateway.frozenUntil == null -> passEvent(run)
             }
         }
 
+    /** A gateway keeps its connection to a process of an upstream. */
+    private fun traceOf(run: FleetRun): ExchangeTrace {
+        val gateway = gateways[run.gateway]
+        val link = linkOf(gateway, upstreams[run.upstream])
+        if (link !in links) links = links + (link to run.sentAt)
+        return ExchangeTrace(ConnectionUse(links.keys.indexOf(link).toLong(), 0, links.getValue(link)))
+    }
+
+    private fun linkOf(gateway: FleetGateway, upstream: FleetUpstream) =
+        Triple(gateway.number, gateway.incarnation, upstream.number to upstream.start)
+
     private fun passEvent(run: FleetRun) {
         val isLast = carriers[run.number]?.let { streams[it] }?.eventsLeft == 1
         receiveEvent(run.number, run.version)
@@ -205,6 +220,9 @@
             runs = runs - run.number
             post(run, GatewayInput.AttemptFailed(run.number, run.attempt, CLOSED))
         }
+        val ended = upstreams[number]
+        gateways.filter { linkOf(it, ended) in links }
+            .forEach { post(it.number, GatewayInput.IdleConnectionClosed(ended.endpoint)) }
         change(number) { it.copy(downUntil = downUntil) }
     }
 
@@ -242,6 +260,7 @@
             gateway = gateway.number,
             upstream = upstream.number,
             version = upstream.version,
+            sentAt = now(),
             nextAt = elapsed + MIN_BEGIN_TIME + STEP * random.nextInt(MAX_BEGIN_STEPS),
         )
 
@@ -451,6 +470,7 @@
         val gateway: Int,
         val upstream: Int,
         val version: String?,
+        val sentAt: Timestamp,
         val nextAt: Duration,
         val hasHead: Boolean = false,
         val isRelayed: Boolean = false,
--- a/node/src/main/kotlin/org/ragwortbank/node/gateway/ConnectionHistory.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/gateway/ConnectionHistory.kt
@@ -3,17 +3,20 @@
 import kotlinx.collections.immutable.PersistentSet
 import kotlinx.collections.immutable.persistentSetOf
 import org.ragwortbank.core.gateway.ConnectionUse
+import org.ragwortbank.core.tick.Timestamp
 
 /**
  * What a connection to an upstream has carried.
  *
  * @property number unique among the connections of the process
+ * @property openedAt when it was opened; null if that is unknown
  * @property carried number of exchanges that were completed on it
  * @property last the last of them; null before the first
  * @property requestIds ids of the requests that it has carried
  */
 internal data class ConnectionHistory(
     val number: Long,
+    val openedAt: Timestamp? = null,
     val carried: Int = 0,
     val last: CompletedExchange? = null,
     private val requestIds: PersistentSet<String> = persistentSetOf(),
@@ -22,7 +25,7 @@
     val isUsedUp: Boolean get() = carried >= MAX_EXCHANGES
 
     /** The use of the connection by its next exchange. */
-    val nextUse: ConnectionUse get() = ConnectionUse(number, carried)
+    val nextUse: ConnectionUse get() = ConnectionUse(number, carried, openedAt)
 
     /** This history with [exchange] completed. */
     fun after(exchange: CompletedExchange) =
--- a/node/src/main/kotlin/org/ragwortbank/node/gateway/GatewayNode.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/gateway/GatewayNode.kt
@@ -60,7 +60,14 @@
     )
     private val dialect = ports.dialect()
     private val observer = LoggingConnectionObserver(metrics)
-    private val connections = UpstreamConnections(process.loop, dialect, settings.connectTimeout, observer, clock::now)
+    private val connections = UpstreamConnections(
+        process.loop,
+        dialect,
+        settings.connectTimeout,
+        observer,
+        onIdleClosed = { ticker.postDeferred(GatewayInput.IdleConnectionClosed(it)) },
+        clock::now,
+    )
     private val requests = RequestRegistry(dialect, connections, metrics, clock::now, post = ticker::post)
     private val pressure = AnswerPressure(process.loop, requests, metrics.pressure, ticker::postDeferred, ticker::post)
     private val httpServer = GatewayHttpServer(
--- a/node/src/main/kotlin/org/ragwortbank/node/gateway/UpstreamConnections.kt
+++ b/node/src/main/kotlin/org/ragwortbank/node/gateway/UpstreamConnections.kt
@@ -19,12 +19,17 @@
 import org.ragwortbank.node.port.RequestDialect
 import kotlin.time.Duration
 
-/** Pool of connections to upstreams, kept open between requests; used on the event loop's thread only. */
+/**
+ * Pool of connections to upstreams, kept open between requests; used on the event loop's thread only.
+ *
+ * @property onIdleClosed called when an upstream closes a connection that is kept open here, sooner than it had said
+ */
 internal class UpstreamConnections(
     private val loop: EventLoop,
     private val dialect: RequestDialect,
     connectTimeout: Duration,
     private val observer: ConnectionObserver = IgnoringConnectionObserver,
+    private val onIdleClosed: (Endpoint) -> Unit = {},
     private val now: () -> Timestamp,
 ) {
     private var lastConnectionNumber = 0L
@@ -62,20 +67,29 @@
 
     /** Closes the connections to [endpoint] that carry no request. */
     fun closeIdle(endpoint: Endpoint) {
-        idleConnections[endpoint].orEmpty().forEach { it.channel.close() }
+        val closed = idleConnections[endpoint].orEmpty()
         idleConnections = idleConnections.remove(endpoint)
+        closed.forEach { it.channel.close() }
     }
 
     private fun takeIdle(endpoint: Endpoint, requestId: String): Channel? {
         val candidates = idleConnections[endpoint].orEmpty()
         val (usable, expired) = candidates.partition { it.channel.isActive && it.usableUntil > now() }
-        expired.forEach { it.channel.close() }
         val newest = usable.lastOrNull { it.history.mayCarry(requestId) }
         val remaining = usable.filter { it !== newest }
         idleConnections = idleConnections.put(endpoint, remaining.toPersistentList())
+        expired.forEach { it.channel.close() }
         return newest?.channel
     }
 
+    private fun onInactive(channel: Channel) {
+        val endpoint = idleConnections.entries
+            .firstOrNull { (_, idle) -> idle.any { it.channel === channel && it.usableUntil > now() } }?.key ?: return
+        val remaining = idleConnections.getValue(endpoint).filter { it.channel !== channel }
+        idleConnections = idleConnections.put(endpoint, remaining.toPersistentList())
+        onIdleClosed(endpoint)
+    }
+
     private fun release(endpoint: Endpoint, channel: Channel, timeout: Duration) {
         if (!channel.isActive) return
         val connections = idleConnections[endpoint] ?: persistentListOf()
@@ -89,8 +103,9 @@
 
     private inner class UpstreamChannelInitializer : ChannelInitializer<SocketChannel>() {
         override fun initChannel(channel: SocketChannel) {
-            val handler = UpstreamHandler(ConnectionHistory(++lastConnectionNumber), observer)
+            val handler = UpstreamHandler(ConnectionHistory(++lastConnectionNumber, openedAt = now()), observer)
             channel.pipeline().addLast(ReceivedBytesHandler(handler), handler)
+            channel.closeFuture().addListener { onInactive(channel) }
         }
     }
 }
--- a/node/src/test/kotlin/org/ragwortbank/node/gateway/AttemptRelayTest.kt
+++ b/node/src/test/kotlin/org/ragwortbank/node/gateway/AttemptRelayTest.kt
@@ -122,7 +122,7 @@
         }
         val trace = assertIs<GatewayInput.AttemptFailed>(nextInput()).trace
         assertEquals(persistentListOf(AnswerSummary(100, null), AnswerSummary(201, "other")), trace?.skipped)
-        assertEquals(ConnectionUse(number = 1, carriedBefore = 0), trace?.connection)
+        assertEquals(ConnectionUse(number = 1, carriedBefore = 0, trace?.connection?.openedAt), trace?.connection)
         assertEquals(null, trace?.read)
     }
 
--- a/node/src/test/kotlin/org/ragwortbank/node/gateway/UpstreamConnectionsTest.kt
+++ b/node/src/test/kotlin/org/ragwortbank/node/gateway/UpstreamConnectionsTest.kt
@@ -12,6 +12,8 @@
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertFailsWith
+import kotlin.test.assertNotNull
+import kotlin.test.assertNull
 
 class UpstreamConnectionsTest {
     private val skippedAnswers = AtomicInteger()
@@ -77,18 +79,42 @@
         sockets.send("r 1", TraceListener(traces))
         server.accept().use { upstream ->
             upstream.answer(answerTo("r 1"))
-            assertEquals(ConnectionUse(number = 1, carriedBefore = 0), traces.next()?.connection)
+            val first = traces.next()?.connection
+            assertEquals(ConnectionUse(number = 1, carriedBefore = 0, first?.openedAt), first)
             sockets.send("r2", TraceListener(traces))
             upstream.answer(answerTo("r 1"))
             upstream.write(answerTo("r2"))
             val trace = traces.next()
-            assertEquals(ConnectionUse(number = 1, carriedBefore = 1), trace?.connection)
+            val second = ConnectionUse(number = 1, carriedBefore = 1, assertNotNull(first?.openedAt))
+            assertEquals(second, trace?.connection)
             assertEquals(persistentListOf(AnswerSummary(200, "r?1")), trace?.skipped)
             assertEquals(AnswerSummary(200, "r2"), trace?.read)
             assertEquals(1, skippedAnswers.get())
         }
     }
 
+    // Guards against an upstream that starts again unseen, since no request was under way there.
+    @Test
+    fun `given idle connections, then it is reported when the upstream closes one, and not when this side does`() {
+        val completed = LinkedBlockingQueue<String>()
+        sockets.send("r1", CompletionListener("r1", completed))
+        server.accept().use { upstream ->
+            upstream.answer(answerTo("r1"))
+            assertEquals("r1", completed.poll(READ_TIMEOUT_MILLIS.toLong(), TimeUnit.MILLISECONDS))
+        }
+        val closed = sockets.idleClosed.poll(READ_TIMEOUT_MILLIS.toLong(), TimeUnit.MILLISECONDS)
+        assertEquals(endpoint(), closed)
+        sockets.send("r2", CompletionListener("r2", completed))
+        server.accept().use { upstream ->
+            upstream.answer(answerTo("r2"))
+            assertEquals("r2", completed.poll(READ_TIMEOUT_MILLIS.toLong(), TimeUnit.MILLISECONDS))
+            process.run { sockets.connections.closeIdle(endpoint()) }
+            upstream.soTimeout = READ_TIMEOUT_MILLIS
+            assertEquals(-1, upstream.getInputStream().read())
+        }
+        assertNull(sockets.idleClosed.poll(QUIET_MILLIS, TimeUnit.MILLISECONDS))
+    }
+
     // Guards against a late second answer that nobody sees, because its connection is closed without a word.
     @Test
     fun `given bytes on an idle connection, then its number, its last exchange and their first line are reported`() {
@@ -96,10 +122,11 @@
         sockets.send("r1", TraceListener(traces))
         server.accept().use { upstream ->
             upstream.answer(answerTo("r1"))
-            assertEquals(1, traces.next()?.connection?.number)
+            val connection = traces.next()?.connection
+            assertEquals(1, connection?.number)
             val second = "HTTP/1.1 200 O\u0001K\r\nX-Request-Id: r1\r\n\r\n"
             upstream.write(second)
-            val history = ConnectionHistory(number = 1).after(CompletedExchange("r1", 200))
+            val history = ConnectionHistory(number = 1, connection?.openedAt).after(CompletedExchange("r1", 200))
             assertEquals(UnaskedBytes(history, endpoint(), second.length, "HTTP/1.1 200 O?K"), unasked.next())
         }
     }
@@ -148,5 +175,6 @@
     private companion object {
         const val READ_TIMEOUT_MILLIS = 20_000
         const val SHORT_WAIT_MILLIS = 5_000L
+        const val QUIET_MILLIS = 300L
     }
 }
--- a/node/src/test/kotlin/org/ragwortbank/node/gateway/UpstreamSockets.kt
+++ b/node/src/test/kotlin/org/ragwortbank/node/gateway/UpstreamSockets.kt
@@ -31,8 +31,13 @@
 ) : AutoCloseable {
     val process = ProcessEventLoop()
     val server = ServerSocket(0, backlog, InetAddress.getLoopbackAddress())
+
+    /** Upstreams that have closed idle connections. */
+    val idleClosed = LinkedBlockingQueue<Endpoint>()
     val connections =
-        UpstreamConnections(process.loop, dialect, 2.seconds, observer) { Timestamp(System.nanoTime()) }
+        UpstreamConnections(process.loop, dialect, 2.seconds, observer, idleClosed::add) {
+            Timestamp(System.nanoTime())
+        }
     val endpoint = Endpoint(server.inetAddress.hostAddress, server.localPort)
 
     /** Sends [request] with [id] to the upstream; not to be called on the loop. */
--- a/standins/src/main/kotlin/org/ragwortbank/standins/fleet/ChildProcess.kt
+++ b/standins/src/main/kotlin/org/ragwortbank/standins/fleet/ChildProcess.kt
@@ -28,9 +28,13 @@
     fun terminate() = process.destroy()
 
     /** Makes the process read its settings file again, with SIGHUP. */
-    fun requestSettingsReload() {
-        ProcessBuilder("kill", "-HUP", pid.toString()).inheritIO().start().waitFor()
-    }
+    fun requestSettingsReload() = signal("HUP")
+
+    /** Makes the process stand still with SIGSTOP until [resume]. */
+    fun suspend() = signal("STOP")
+
+    /** Lets the process go on after [suspend], with SIGCONT. */
+    fun resume() = signal("CONT")
 
     /** Kills the process with SIGKILL. */
     fun kill() {
@@ -41,5 +45,9 @@
     fun awaitExit(timeout: Duration): Int? =
         if (process.waitFor(timeout.inWholeMilliseconds, TimeUnit.MILLISECONDS)) process.exitValue() else null
 
+    private fun signal(name: String) {
+        ProcessBuilder("kill", "-$name", pid.toString()).inheritIO().start().waitFor()
+    }
+
     override fun toString(): String = "$name ($pid)"
 }
--- a/standins/src/main/kotlin/org/ragwortbank/standins/http/StandInServer.kt
+++ b/standins/src/main/kotlin/org/ragwortbank/standins/http/StandInServer.kt
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.EventLoopGroup
 import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.channel.group.ChannelMatchers
 import io.netty.channel.group.DefaultChannelGroup
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioServerSocketChannel
@@ -41,6 +42,11 @@
         channels.get().close().awaitUninterruptibly()
     }
 
+    /** Closes all connections and goes on to listen, as if another process had taken the socket over at once. */
+    fun closeConnections() {
+        channels.get().close(ChannelMatchers.isNonServerChannel()).awaitUninterruptibly()
+    }
+
     private fun newChannelGroup() = DefaultChannelGroup(GlobalEventExecutor.INSTANCE, true)
 
     private inner class ConnectionInitializer : ChannelInitializer<SocketChannel>() {
--- a/standins/src/main/kotlin/org/ragwortbank/standins/prepared/WorkerStandIn.kt
+++ b/standins/src/main/kotlin/org/ragwortbank/standins/prepared/WorkerStandIn.kt
@@ -29,6 +29,9 @@
     /** Listens on [port], or on a free one if it is zero, and returns the address. */
     fun start(port: Int = 0): Address = server.start(port)
 
+    /** Closes all connections, as the end of a process does, and listens again at once. */
+    fun restart() = server.closeConnections()
+
     /** Ids of the executed requests, in the order in which they arrived. */
     val executedRequestIds: List<String> get() = executedIds.get()
 
@@ -121,15 +124,15 @@
     private fun sendChunk(responder: Responder, number: Int) {
         responder.sendChunk("id: $number\ndata: piece $number\n\n")
         responder.schedule(RESPONSE_DELAY) {
-            if (number < CHUNK_COUNT) sendChunk(responder, number + 1) else completeGeneration(responder)
+            if (number < CHUNK_COUNT) {
+                sendChunk(responder, number + 1)
+            } else {
+                state.updateAndGet { it.copy(runningRequests = it.runningRequests - 1) }
+                responder.endChunked()
+            }
         }
     }
 
-    private fun completeGeneration(responder: Responder) {
-        state.updateAndGet { it.copy(runningRequests = it.runningRequests - 1) }
-        responder.endChunked()
-    }
-
     private fun platformHeaders(request: StandInRequest): List<Header> = listOf(
         Header(REQUEST_ID, request.header(REQUEST_ID).orEmpty()),
         Header("X-Server-Signature", "signature-of-$id"),
--- a/standins/src/main/kotlin/org/ragwortbank/standins/prepared/WorkerState.kt
+++ b/standins/src/main/kotlin/org/ragwortbank/standins/prepared/WorkerState.kt
@@ -51,6 +51,7 @@
         address: Address,
         zone: String = "zone-a",
         version: String? = null,
+        born: Long = 1,
     ): String = buildJsonObject {
         if (version != null) put("version", version)
         put("service", service)
@@ -59,7 +60,7 @@
         put("slots", REQUEST_SLOTS)
         put("state", "ready")
         put("sequence", sequence)
-        put("born", 1)
+        put("born", born)
         putModels()
     }.toString()
 
--- a/standins/src/test/kotlin/org/ragwortbank/standins/prepared/StreamVersionsTest.kt
+++ b/standins/src/test/kotlin/org/ragwortbank/standins/prepared/StreamVersionsTest.kt
@@ -58,6 +58,34 @@
         assertEquals(emptyList(), streams.await().filterNot { it.isWhole })
     }
 
+    // Guards against a gateway that wakes with an old list, by which it sends streams to workers of another version.
+    @Test
+    fun `given a gateway that stands still, when workers change their versions, then no versions are joined`() {
+        listOf("v1", "v2").forEach { fleet.breakOff(it, events = 9) }
+        fleet.suspendGateway(0)
+        listOf(0 to "v2", 2 to "v2", 1 to "v1").forEach { (index, version) -> fleet.restartWorker(index, version) }
+        listOf("v1", "v2").forEach { fleet.breakOff(it, events = 9) }
+        Thread.sleep(STILL_MILLIS)
+        val streams = List(STREAMS) { fleet.callAt(0, "woken-$it") }
+        fleet.resumeGateway(0)
+        assertKept(streams.await())
+        assertEquals(emptyList(), streams.await().filterNot { it.isWhole })
+    }
+
+    @Test
+    fun `given a store that is back from an older copy, when all gateways were killed, then no versions are joined`() {
+        val copy = fleet.store.snapshot
+        val streams = fleet.call("drill", STREAMS)
+        Thread.sleep(MIDWAY_MILLIS)
+        fleet.store.stop()
+        fleet.killGateways(0, 1)
+        fleet.store.restart(copy)
+        fleet.startGateways()
+        val later = fleet.call("after-drill", STREAMS)
+        assertKept(streams.await() + later.await())
+        assertEquals(emptyList(), later.await().filterNot { it.isWhole })
+    }
+
     private fun List<Future<CalledStream>>.await(): List<CalledStream> = map { it.get() }
 
     private fun assertKept(streams: List<CalledStream>) {
@@ -75,6 +103,7 @@
         /** Less than a whole stream lasts, and more than its beginning takes. */
         const val MIDWAY_MILLIS = 700L
         const val EARLY_MILLIS = 200L
+        const val STILL_MILLIS = 3_200L
         const val AWAY_MILLIS = 2_000L
     }
 }
--- a/standins/src/test/kotlin/org/ragwortbank/standins/prepared/VersionsFleet.kt
+++ b/standins/src/test/kotlin/org/ragwortbank/standins/prepared/VersionsFleet.kt
@@ -50,6 +50,20 @@
         killed.forEach { it.awaitExit(STOP_TIMEOUT) }
     }
 
+    /** Makes the gateway [index] stand still until [resumeGateway]. */
+    fun suspendGateway(index: Int) = gateways[index].suspend()
+
+    /** Lets the gateway [index] go on. */
+    fun resumeGateway(index: Int) = gateways[index].resume()
+
+    /** Ends the worker [index] and starts it again at once, at [version] under its id and at its address. */
+    fun restartWorker(index: Int, version: String) {
+        val restarted = workers[index]
+        restarted.update { it.copy(version = version) }
+        restarted.worker.restart()
+        register("i-tale-$index", restarted, born = 2)
+    }
+
     /** Has the workers of [version] break each stream off after [events]; null for none. */
     fun breakOff(version: String, events: Int?) = workers.filter { it.script.version == version }.forEach { worker ->
         worker.update { it.copy(breakAfter = events) }
@@ -57,8 +71,13 @@
 
     /** Begins [count] streams, of which half come to each gateway first. */
     fun call(prefix: String, count: Int): List<Future<CalledStream>> = List(count) { index ->
-        val order = if (index % 2 == 0) addresses else addresses.reversed()
-        callers.submit<CalledStream> { StreamCaller("$prefix-$index", order, eventCount).call() }
+        callAt(index % 2, "$prefix-$index")
+    }
+
+    /** Begins a stream that comes to the gateway [index] first, and to the other one when it breaks off. */
+    fun callAt(index: Int, name: String): Future<CalledStream> {
+        val order = if (index == 0) addresses else addresses.reversed()
+        return callers.submit<CalledStream> { StreamCaller(name, order, eventCount).call() }
     }
 
     /** Lines of the gateways' logs that name [text]. */
@@ -96,12 +115,16 @@
     private fun start(id: String, version: String): ScriptedWorker {
         val worker = WorkerStandIn(group, id, model = null)
         worker.behaviour.set(WorkerBehaviour(stream = StreamScript(version)))
-        val registration = WorkerState().toRegistrationJson(SERVICE, worker.start(), version = version)
+        return ScriptedWorker(worker, worker.start()).also { register(id, it, born = 1) }
+    }
+
+    private fun register(id: String, worker: ScriptedWorker, born: Long) {
+        val version = worker.script.version
+        val registration = WorkerState().toRegistrationJson(SERVICE, worker.address, version = version, born = born)
         deployment.store.put("servers/$id", registration)
-        return ScriptedWorker(worker)
     }
 
-    private class ScriptedWorker(private val worker: WorkerStandIn) {
+    private class ScriptedWorker(val worker: WorkerStandIn, val address: Address) {
         val script: StreamScript get() = checkNotNull(worker.behaviour.get().stream)
 
         fun update(edit: (StreamScript) -> StreamScript) {
